--- /dev/null
+++ b/packages/base/base.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// The public header of the `base` library: the small value types and the concurrency parts
+// that every other package builds on. It depends on the standard library and `tl::expected` only.
+//
+// Example:
+//
+//     BoundedRing<Message> inbox({ .capacity = 1024, .reserved = 64 });
+//     DutyThread duty({ .name = "routing" }, [&] { runRouting(inbox); });
+
+#include "base/boot_clock.h"
+#include "base/bounded_ring.h"
+#include "base/duty_thread.h"
+#include "base/findings.h"
+#include "base/name_table.h"
+#include "base/precondition.h"
+#include "base/strong_id.h"
--- /dev/null
+++ b/packages/transport/http_server.h
@@ -0,0 +1,63 @@
+#pragma once
+
+// An HTTP/1.1 server with limits on everything that comes from outside.
+
+#include "transport/http_message.h"
+#include "transport/io_loop.h"
+#include <functional>
+#include <memory>
+#include <tl/expected.hpp>
+
+namespace dragonflytray {
+
+// HttpReply answers one request. All calls belong to the loop's thread. A reply that is dropped
+// without an answer closes the connection.
+class HttpReply {
+public:
+    virtual ~HttpReply() = default;
+
+    // send() writes the whole response. Call it once.
+    virtual void send(HttpResponse response) = 0;
+
+    // beginStream() writes the head of a chunked response; sendPart() and endStream() follow.
+    virtual void beginStream(HttpResponse head) = 0;
+
+    // sendPart() queues one chunk; false once the peer is gone or too far behind.
+    virtual bool sendPart(std::string part) = 0;
+
+    // endStream() writes the last chunk after those that are queued.
+    virtual void endStream() = 0;
+};
+
+// HttpServer accepts connections on a loop and hands whole requests to one handler.
+class HttpServer {
+public:
+    struct Options {
+        Endpoint endpoint; // port 0: any free port
+        std::size_t bodyLimit { 1 << 20 }; // bytes
+        std::size_t headerLimit { 16 << 10 }; // bytes
+        std::size_t connectionLimit { 4096 };
+        std::size_t streamBacklog { 256 }; // chunks queued for a slow reader
+        Duration idleTimeout { std::chrono::seconds(60) }; // between requests, and within one
+    };
+    using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+
+    HttpServer(IoLoop& loop, Options options, Handler handler);
+    ~HttpServer();
+
+    // start() binds and listens; the bound endpoint, or a sentence that says why not.
+    tl::expected<Endpoint, std::string> start();
+
+    // stopAccepting() closes the listening socket and marks open connections to close after the
+    // response in progress.
+    void stopAccepting();
+
+    // openRequests() is the number of requests that have no whole response yet.
+    std::size_t openRequests() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/transport/transport_test.cc
@@ -0,0 +1,72 @@
+#include "transport/transport.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+namespace {
+
+    // An HTTP server on a duty thread of its own, whose answers each test chooses.
+    struct TransportFixture {
+        IoLoop loop;
+        HttpServer::Handler handler;
+        HttpServer server { this->loop, { .endpoint = { "127.0.0.1", 0 }, .bodyLimit = 64 }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->handler(std::move(request), std::move(reply)); } };
+        Endpoint endpoint { this->server.start().value() };
+        DutyThread thread { { .name = "server" }, [this] { this->loop.run(); } };
+
+        ~TransportFixture() { this->loop.stop(); }
+
+        tl::expected<HttpResponse, SendFailure> post(std::string body)
+        {
+            return sendAndWait(this->endpoint, { .method = HttpMethod::Post, .target = "/echo", .headers = {}, .body = std::move(body) }, std::chrono::seconds(5));
+        }
+    };
+
+    TEST_CASE_METHOD(TransportFixture, "HttpServer_wholeRequest_isAnswered")
+    {
+        this->handler = [](HttpRequest request, std::shared_ptr<HttpReply> reply) { reply->send({ .status = 200, .headers = {}, .body = request.body }); };
+
+        auto response = this->post("abc");
+
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->body == "abc");
+    }
+
+    TEST_CASE_METHOD(TransportFixture, "HttpServer_bodyOverLimit_answers413")
+    {
+        auto response = this->post(std::string(65, 'x'));
+
+        REQUIRE(response);
+        CHECK(response->status == 413);
+    }
+
+    TEST_CASE_METHOD(TransportFixture, "HttpClient_replyDropped_saysConnectionLostAndMaybeSent")
+    {
+        this->handler = [](HttpRequest, std::shared_ptr<HttpReply>) {};
+
+        auto response = this->post("abc");
+
+        REQUIRE_FALSE(response);
+        CHECK(response.error().kind == SendFailureKind::ConnectionLost);
+        CHECK_FALSE(response.error().isSurelyNotSent);
+    }
+
+    TEST_CASE_METHOD(TransportFixture, "HttpClient_nobodyListens_saysSurelyNotSent")
+    {
+        auto response = sendAndWait({ "127.0.0.1", 1 }, { .target = "/", .headers = {}, .body = {} }, std::chrono::seconds(5));
+
+        REQUIRE_FALSE(response);
+        CHECK(response.error().isSurelyNotSent);
+    }
+
+    TEST_CASE_METHOD(TransportFixture, "HttpMessage_encodedTarget_isSplitAndDecoded")
+    {
+        HttpRequest request { .target = "/v1/jobs/a%2Fb?after=7&x=%20", .headers = {}, .body = {} };
+
+        CHECK(request.path() == std::vector<std::string> { "v1", "jobs", "a/b" });
+        CHECK(request.query("x") == " ");
+        CHECK(percentEncode("a/b") == "a%2Fb");
+    }
+
+} // namespace
+} // namespace dragonflytray
