--- a/packages/model/model.h
+++ b/packages/model/model.h
@@ -9,3 +9,4 @@
 #include "model/outcome.h"
 #include "model/priority.h"
 #include "model/request.h"
+#include "model/table.h"
