Add the routing package: admission, choice of runner, outcomes

One class owns the state; handle() picks the handler from a table of member pointers, one file a command and one a query.

--- /dev/null
+++ b/packages/routing/commands/stop_admission.cc
@@ -0,0 +1,10 @@
+#include "routing/routing.h"
+
+namespace dragonflytray {
+
+void Routing::stopAdmission(const RoutingCommand&, Instant, RoutingEffects&)
+{
+    this->isStopping = true;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/routing/routing.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// The public header of the `routing` library: what one entry host decides about requests.
+//
+// Routing is pure: it knows no clock, thread, socket or encoding. It takes typed commands with the
+// present instant and returns typed effects, which its owner carries out.
+//
+// Example:
+//
+//     Routing routing({ .self = HostName("entry-1"), .dataCentre = DataCentreName("rs-poa") });
+//     RoutingEffects effects = routing.handle(SubmitRequest { token, request }, now);
+//     RoutingView view = routing.ask(RoutingSummaryQuery {});
+
+#include "routing/routing_commands.h"
+#include "routing/routing_effects.h"
+#include "routing/routing_queries.h"
+#include "routing/routing_state.h"
+#include "routing/runner_choice.h"
