--- /dev/null
+++ b/packages/telemetry/log.cc
@@ -0,0 +1,87 @@
+#include "telemetry/log.h"
+
+#include <atomic>
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace dragonflytray {
+
+namespace {
+
+    std::atomic<LogLevel> activeLevel { LogLevel::Info };
+    std::atomic<LogFormat> activeFormat { LogFormat::Text };
+
+    std::string formatText(LogPart part, const std::string& sentence)
+    {
+        return "[" + std::string(logPartNames.nameOf(part)) + "] " + sentence;
+    }
+
+    std::string formatJson(LogLevel level, LogPart part, const std::string& sentence)
+    {
+        const nlohmann::json line {
+            { "level", logLevelNames.nameOf(level) },
+            { "part", logPartNames.nameOf(part) },
+            { "message", sentence },
+        };
+        // The logger's own format opens the object with the time.
+        return line.dump().substr(1);
+    }
+
+    void write(LogLevel level, LogPart part, const std::string& sentence)
+    {
+        if (level > activeLevel)
+            return;
+        const std::string line = activeFormat == LogFormat::Json ? formatJson(level, part, sentence) : formatText(part, sentence);
+        switch (level) {
+        case LogLevel::Error:
+            LOG(ERROR) << line;
+            break;
+        case LogLevel::Warning:
+            LOG(WARNING) << line;
+            break;
+        case LogLevel::Info:
+            LOG(INFO) << line;
+            break;
+        case LogLevel::Debug:
+            LOG(DEBUG) << line;
+            break;
+        }
+    }
+
+} // namespace
+
+void startLogging(LogOptions options)
+{
+    activeLevel = options.level;
+    activeFormat = options.format;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::Format, options.format == LogFormat::Json ? "{\"time\":\"%datetime{%Y-%M-%dT%H:%m:%s.%g}\",%msg" : "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+    el::Loggers::reconfigureLogger("default", configuration);
+}
+
+void logError(LogPart part, const std::string& sentence)
+{
+    write(LogLevel::Error, part, sentence);
+}
+
+void logWarning(LogPart part, const std::string& sentence)
+{
+    write(LogLevel::Warning, part, sentence);
+}
+
+void logInfo(LogPart part, const std::string& sentence)
+{
+    write(LogLevel::Info, part, sentence);
+}
+
+void logDebug(LogPart part, const std::string& sentence)
+{
+    write(LogLevel::Debug, part, sentence);
+}
+
+} // namespace dragonflytray
