Add the daemon, the command line and the stand-ins: one whole path

Nine duties, each on its own thread, joined by bounded rings; the platform, workers and runners are stand-ins that speak the real protocols.

--- a/packages/base/bounded_ring.h
+++ b/packages/base/bounded_ring.h
@@ -108,6 +108,13 @@
         this->readable.notify_all();
     }
 
+    // isDrained() says whether the ring is closed and empty.
+    bool isDrained() const
+    {
+        std::lock_guard lock(this->mutex);
+        return this->isClosed && this->depth == 0;
+    }
+
     // statistics() is a snapshot of depth, high water and refusals.
     RingStatistics statistics() const
     {
--- a/packages/base/precondition.cc
+++ b/packages/base/precondition.cc
@@ -5,9 +5,9 @@
 
 namespace dragonflytray {
 
-void fail(const char* message, std::source_location place)
+void fail(const char* message, const char* file, int line)
 {
-    std::fprintf(stderr, "%s:%u: check failed: %s\n", place.file_name(), static_cast<unsigned>(place.line()), message);
+    std::fprintf(stderr, "%s:%d: check failed: %s\n", file, line, message);
     std::abort();
 }
 
--- a/packages/base/precondition.h
+++ b/packages/base/precondition.h
@@ -7,18 +7,16 @@
 //
 //     require(options.capacity > 0, "BoundedRing: capacity must be positive");
 
-#include <source_location>
-
 namespace dragonflytray {
 
 // fail() prints `message` with its place to standard error and aborts. Thread-safe.
-[[noreturn]] void fail(const char* message, std::source_location place = std::source_location::current());
+[[noreturn]] void fail(const char* message, const char* file = __builtin_FILE(), int line = __builtin_LINE());
 
 // require() calls fail() unless `condition` holds. Costs one branch.
-inline void require(bool condition, const char* message, std::source_location place = std::source_location::current())
+inline void require(bool condition, const char* message, const char* file = __builtin_FILE(), int line = __builtin_LINE())
 {
     if (!condition) [[unlikely]]
-        fail(message, place);
+        fail(message, file, line);
 }
 
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/cli/queries/show.cc
@@ -0,0 +1,46 @@
+#include "cli/cli.h"
+
+#include <iostream>
+
+namespace dragonflytray {
+
+namespace {
+
+    void showJobs(Context& context, const std::string& state)
+    {
+        const std::string query = state.empty() ? "" : "?state=" + percentEncode(state);
+        auto response = exchange(context, { .target = "/v1/jobs" + query, .headers = {}, .body = {} });
+        if (!response)
+            return;
+        context.exitCode = exitCodeOf(response->status);
+        const auto body = nlohmann::json::parse(response->body, nullptr, false);
+        render(std::cout, body.is_object() && body.contains("jobs") ? body["jobs"] : body, context.output);
+    }
+
+    void showConfiguration(Context& context)
+    {
+        auto response = exchange(context, { .target = "/v1/configuration", .headers = {}, .body = {} });
+        if (!response)
+            return;
+        context.exitCode = exitCodeOf(response->status);
+        const auto body = nlohmann::json::parse(response->body, nullptr, false);
+        if (context.output != OutputForm::Table || !body.is_object())
+            return render(std::cout, body, context.output);
+        std::cout << "# version " << body.value("version", 0) << "\n"
+                  << body.value("text", "");
+    }
+
+} // namespace
+
+void addShow(CLI::App& app, Context& context)
+{
+    CLI::App* command = app.add_subcommand("show", "Show jobs or the configuration");
+    command->require_subcommand(1);
+    auto state = std::make_shared<std::string>();
+    CLI::App* jobs = command->add_subcommand("jobs", "The jobs of every data centre");
+    jobs->add_option("--state", *state, "only the jobs in this state");
+    jobs->callback([&context, state] { showJobs(context, *state); });
+    command->add_subcommand("configuration", "The declaration in force")->callback([&context] { showConfiguration(context); });
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/daemon/duties/request_duty.cc
@@ -0,0 +1,88 @@
+#include "daemon/duties/request_duty.h"
+
+#include "daemon/duties/decision_loop.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(5);
+    constexpr Duration reportInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+RequestDuty::RequestDuty(const Settings& settings, Rings& rings)
+    : rings(rings)
+    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed })
+{
+}
+
+void RequestDuty::run()
+{
+    runDecisions(
+        this->rings.requests, tickInterval, [this](RequestMessage message) { this->handle(std::move(message)); }, [this](Instant now) { this->tick(now); });
+}
+
+void RequestDuty::handle(RequestMessage message)
+{
+    if (const auto* command = std::get_if<RoutingCommand>(&message))
+        return this->decide(*command);
+    const auto& question = std::get<Question<RoutingQuery>>(message);
+    (void)this->rings.callers.tryPush(ViewReady { question.token, this->routing.ask(question.query) }, RingRoom::Reserved);
+}
+
+void RequestDuty::decide(const RoutingCommand& command)
+{
+    this->carryOut(this->routing.handle(command, BootClock::now()));
+}
+
+void RequestDuty::carryOut(RoutingEffects effects)
+{
+    for (RoutingEffect& effect : effects)
+        std::visit([this](auto value) { this->carryOut(std::move(value)); }, std::move(effect));
+}
+
+void RequestDuty::carryOut(SendToRunner effect)
+{
+    const AttemptId attempt = effect.attempt;
+    if (!this->rings.runners.tryPush(std::move(effect)))
+        this->decide(RunnerFailed { attempt, RetryReason::ConnectFailed, true });
+}
+
+void RequestDuty::carryOut(ReplyToCaller effect)
+{
+    if (!this->rings.callers.tryPush(std::move(effect), RingRoom::Reserved))
+        logError(LogPart::Routing, "A reply was dropped because the ring towards callers is full.");
+}
+
+void RequestDuty::carryOut(StartWatch effect)
+{
+    const ReplyToken token = effect.token;
+    if (!this->rings.runners.tryPush(std::move(effect)))
+        (void)this->rings.callers.tryPush(WatchEnded { token, false }, RingRoom::Reserved);
+}
+
+void RequestDuty::tick(Instant now)
+{
+    this->decide(RoutingTick {});
+    if (now < this->nextReport)
+        return;
+    this->nextReport = now + reportInterval;
+    this->reportMetrics();
+}
+
+void RequestDuty::reportMetrics() const
+{
+    const auto summary = std::get<RoutingSummary>(this->routing.ask(RoutingSummaryQuery {}));
+    MetricsSnapshot snapshot { "routing", {} };
+    snapshot.metrics.push_back({ "dragonflytray_requests_answered_total", MetricKind::Counter, {}, static_cast<double>(summary.answered) });
+    snapshot.metrics.push_back({ "dragonflytray_late_answers_total", MetricKind::Counter, {}, static_cast<double>(summary.lateAnswers) });
+    snapshot.metrics.push_back({ "dragonflytray_requests_waiting", MetricKind::Gauge, {}, static_cast<double>(summary.waiting) });
+    snapshot.metrics.push_back({ "dragonflytray_requests_in_flight", MetricKind::Gauge, {}, static_cast<double>(summary.inFlight) });
+    appendRefusals(snapshot.metrics, "request", summary.refusals);
+    appendRetries(snapshot.metrics, "request", summary.retries);
+    appendRingMetrics(snapshot.metrics, "requests", this->rings.requests);
+    (void)this->rings.telemetry.tryPush(std::move(snapshot));
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/testing/process/lab.sh
@@ -0,0 +1,99 @@
+# The fixture of process tests and of the demonstration: starts stand-ins and daemons on free ports of
+# the loopback interface, in a directory of its own, and ends them by pid.
+#
+#     source lab.sh BIN_DIRECTORY
+#     lab_platform
+#     lab_workers rs-poa 2
+#     lab_runners rs-poa loan-desk 2
+#     lab_daemon entry-1 rs-poa sul-rs
+#     lab_registered
+
+set -euo pipefail
+
+LAB_BIN=$1
+LAB_DIR=$(mktemp -d)
+LAB_PIDS=()
+declare -A LAB_PID LAB_CALLERS
+
+lab_cleanup() {
+    local pid
+    for pid in "${LAB_PIDS[@]}"; do
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    rm -rf "$LAB_DIR"
+}
+trap lab_cleanup EXIT
+
+lab_fail() {
+    echo "FAILED: $*" >&2
+    tail -n 20 "$LAB_DIR"/*.log >&2 || true
+    exit 1
+}
+
+# lab_until SECONDS COMMAND...: waits until the command succeeds.
+lab_until() {
+    local limit=$1 deadline
+    shift
+    deadline=$((SECONDS + limit))
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -lt $deadline ] || lab_fail "within $limit s: $*"
+        sleep 0.05
+    done
+}
+
+# lab_start NAME PROGRAM ARGS...: starts a program that writes its endpoints to NAME.endpoints.
+lab_start() {
+    local name=$1 program=$2
+    shift 2
+    rm -f "$LAB_DIR/$name.endpoints"
+    "$LAB_BIN/$program" --endpoints-file "$LAB_DIR/$name.endpoints" "$@" >>"$LAB_DIR/$name.log" 2>&1 &
+    LAB_PID[$name]=$!
+    LAB_PIDS+=($!)
+    lab_until 20 test -s "$LAB_DIR/$name.endpoints"
+}
+
+# lab_endpoint NAME KEY: one endpoint that a started program wrote.
+lab_endpoint() { sed -n "s/^$2=//p" "$LAB_DIR/$1.endpoints"; }
+
+lab_platform() {
+    lab_start platform platform_standin "$@"
+    LAB_PLATFORM=$(lab_endpoint platform platform)
+}
+
+lab_workers() { lab_start "workers-$1" worker_standin --platform "$LAB_PLATFORM" --data-centre "$1" --count "$2" "${@:3}"; }
+lab_runners() { lab_start "runners-$1" runner_standin --platform "$LAB_PLATFORM" --data-centre "$1" --service "$2" --count "$3" "${@:4}"; }
+
+# lab_daemon NAME DATA_CENTRE REGION: starts one daemon and puts it on the platform's list.
+lab_daemon() {
+    local name=$1 centre=$2 region=$3
+    cat >"$LAB_DIR/$name.yaml" <<SETTINGS
+host: $name
+dataCentre: $centre
+region: $region
+callers: 127.0.0.1:0
+peers: 127.0.0.1:0
+platform: $LAB_PLATFORM
+SETTINGS
+    lab_start "$name" dragonflytrayd --settings "$LAB_DIR/$name.yaml"
+    LAB_CALLERS[$name]=$(lab_endpoint "$name" callers)
+    lab_control "$LAB_PLATFORM" PUT "/hosts/$name" "{\"name\":\"$name\",\"kind\":\"entry-host\",\"endpoint\":\"${LAB_CALLERS[$name]}\",\"peerEndpoint\":\"$(lab_endpoint "$name" peers)\",\"dataCentre\":\"$centre\"}" >/dev/null
+}
+
+lab_control() { "$LAB_BIN/standin_control" "$@"; }
+lab_fault() { lab_control "$1" POST /faults "$2" >/dev/null; }
+
+# lab_cli DAEMON ARGS...: the command line against one daemon.
+lab_cli() { "$LAB_BIN/dragonflytray" --host "${LAB_CALLERS[$1]}" "${@:2}"; }
+
+lab_ready() { lab_control "${LAB_CALLERS[$1]}" GET /ready; }
+
+# lab_job_state DAEMON JOB STATE: whether the daemon sees the job in the state.
+lab_job_state() { lab_cli "$1" --output json explain job "$2" | grep -q "\"state\": \"$3\""; }
+
+# lab_stop NAME: graceful stop; the exit status of the process.
+lab_stop() {
+    kill -TERM "${LAB_PID[$1]}"
+    wait "${LAB_PID[$1]}"
+}
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -240,7 +240,7 @@
 } // namespace internal
 
 HttpClient::HttpClient(IoLoop& loop, Options options)
-    : state(std::shared_ptr<State>(new State { loop.internals().context, std::move(options), {} }))
+    : state(std::shared_ptr<State>(new State { loop.internals().context, options, {} }))
 {
 }
 
--- a/packages/yaml/yaml_map.cc
+++ b/packages/yaml/yaml_map.cc
@@ -72,7 +72,7 @@
 
 YamlMap YamlMap::parse(const std::string& text, const std::string& file, Findings& findings)
 {
-    const YamlMap empty(std::make_shared<Node>(Node { YAML::Node(YAML::NodeType::Map) }), file, findings);
+    YamlMap empty(std::make_shared<Node>(Node { YAML::Node(YAML::NodeType::Map) }), file, findings);
     try {
         YAML::Node root = YAML::Load(text);
         if (root.IsMap())
