--- a/packages/telemetry/metrics.cc
+++ b/packages/telemetry/metrics.cc
@@ -10,6 +10,7 @@
     prometheus::ClientMetric encodeMetric(const Metric& metric)
     {
         prometheus::ClientMetric encoded;
+        encoded.label.reserve(metric.labels.size());
         for (const auto& [name, value] : metric.labels)
             encoded.label.push_back({ name, value });
         if (metric.kind == MetricKind::Counter)
@@ -50,6 +51,7 @@
         }
     }
     std::vector<prometheus::MetricFamily> ordered;
+    ordered.reserve(families.size());
     for (auto& [name, family] : families)
         ordered.push_back(std::move(family));
     return prometheus::TextSerializer().Serialize(ordered);
