--- a/packages/daemon/duties/caller_duty.cc
+++ b/packages/daemon/duties/caller_duty.cc
@@ -56,7 +56,7 @@
     const ReplyToken token = call.token;
     const RequestId id = call.request.id;
     if (!this->rings.requests.tryPush(RoutingCommand(std::move(call))))
-        this->on(ReplyToCaller { token, id, notRun(RefusalReason::QueueFull) });
+        this->on(ReplyToCaller { token, RequestSource::Caller, id, notRun(RefusalReason::QueueFull) });
 }
 
 void CallerDuty::deliver(OpenWatch call)
--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -49,6 +49,11 @@
         this->decide(RunnerFailed { attempt, RetryReason::ConnectFailed, true });
 }
 
+void RequestDuty::carryOut(const ForwardToPeer& effect)
+{
+    this->decide(RunnerFailed { effect.attempt, RetryReason::ConnectFailed, true });
+}
+
 void RequestDuty::carryOut(ReplyToCaller effect)
 {
     if (!this->rings.callers.tryPush(std::move(effect), RingRoom::Reserved))
--- a/packages/daemon/duties/request_duty.h
+++ b/packages/daemon/duties/request_duty.h
@@ -20,6 +20,7 @@
     void decide(const RoutingCommand& command);
     void carryOut(RoutingEffects effects);
     void carryOut(SendToRunner effect);
+    void carryOut(const ForwardToPeer& effect);
     void carryOut(ReplyToCaller effect);
     void carryOut(StartWatch effect);
     void tick(Instant now);
--- a/packages/model/model.h
+++ b/packages/model/model.h
@@ -10,4 +10,5 @@
 #include "model/platform_work.h"
 #include "model/priority.h"
 #include "model/request.h"
+#include "model/slot_share.h"
 #include "model/table.h"
--- a/packages/model/request.h
+++ b/packages/model/request.h
@@ -21,6 +21,18 @@
 }) };
 static_assert(idempotencyNames.isWhole(Idempotency::NonIdempotent));
 
+// RequestSource says who waits for the outcome.
+enum class RequestSource {
+    Caller, // an open HTTP reply of this entry host
+    Peer, // another entry host that forwarded the request; it is not forwarded again
+};
+
+inline constexpr NameTable requestSourceNames { std::to_array<NameEntry<RequestSource>>({
+    { RequestSource::Caller, "caller" },
+    { RequestSource::Peer, "peer" },
+}) };
+static_assert(requestSourceNames.isWhole(RequestSource::Peer));
+
 // Request is one call for one answer. The body is shared, never copied between duties.
 struct Request {
     RequestId id;
@@ -28,6 +40,7 @@
     ServiceName service;
     Priority priority { Priority::Normal };
     Idempotency idempotency { Idempotency::NonIdempotent };
+    RequestSource source { RequestSource::Caller };
     Instant deadline; // on this host's clock
     std::shared_ptr<const std::string> body;
 };
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -99,7 +99,7 @@
 
 void Routing::reply(const Waiting& work, Outcome outcome, RoutingEffects& effects)
 {
-    effects.push_back(ReplyToCaller { work.token, work.request.id, std::move(outcome) });
+    effects.push_back(ReplyToCaller { work.token, work.request.source, work.request.id, std::move(outcome) });
 }
 
 void Routing::refuse(const Waiting& work, Outcome outcome, RoutingEffects& effects)
--- a/packages/routing/routing_effects.h
+++ b/packages/routing/routing_effects.h
@@ -17,9 +17,20 @@
     Duration timeout { 0 }; // what is left until the deadline
 };
 
+// ForwardToPeer starts one attempt through an entry host of another data centre, or of this one that has
+// free slots. Answer it with RunnerAnswered or RunnerFailed, exactly once, as for SendToRunner.
+struct ForwardToPeer {
+    AttemptId attempt {};
+    HostName peer;
+    Endpoint endpoint; // of the peer's gRPC service
+    Request request;
+    Duration timeout { 0 }; // what is left until the deadline
+};
+
 // ReplyToCaller ends one request.
 struct ReplyToCaller {
     ReplyToken token {};
+    RequestSource source { RequestSource::Caller };
     RequestId request;
     Outcome outcome;
 };
@@ -32,7 +43,7 @@
     std::string cursor;
 };
 
-using RoutingEffect = std::variant<SendToRunner, ReplyToCaller, StartWatch>;
+using RoutingEffect = std::variant<SendToRunner, ForwardToPeer, ReplyToCaller, StartWatch>;
 using RoutingEffects = std::vector<RoutingEffect>;
 
 } // namespace dragonflytray
