Condemn silent connections, not the endpoint

Cause: after an answer that never came, the client dropped that one connection and took the next idle one, silent as well; with n pooled connections n sends were lost one after another. Ruled out: pings on idle connections; at 66 runners with two idle connections each they would cost about 40 KB/s (arithmetic, not measured), over the 5 KB/s a node may spend. Before: HttpClient_everyPooledConnectionSilent_losesOneSendAndThenWorks fails, the second send is lost too. After: one send is lost, the next is answered on a fresh connection. Towards runners a connection idle over 1 s is not used again. transport_test: 6 passed.

--- a/packages/daemon/duties/runner_duty.cc
+++ b/packages/daemon/duties/runner_duty.cc
@@ -2,10 +2,18 @@
 
 namespace dragonflytray {
 
+namespace {
+
+    // A connection that was idle for longer may have gone silent. Opening a new one costs one round trip;
+    // pings on idle connections would cost more than the 5 KB a second that a node may spend on control.
+    constexpr Duration idleLimit = std::chrono::seconds(1);
+
+} // namespace
+
 RunnerDuty::RunnerDuty(const Settings& settings, Rings& rings)
     : rings(rings)
     , watchSilence(settings.limits.watchSilence)
-    , client(this->loop, {})
+    , client(this->loop, { .idleLimit = idleLimit })
 {
     drainOnWake(this->loop, rings.runners, [this](RunnerMessage message) {
         std::visit([this](auto value) { this->on(std::move(value)); }, std::move(message));
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -39,7 +39,7 @@
     std::map<Endpoint, Pool> pools;
 
     // takeIdle() is a connection that was idle for less than the limit, newest first, or nothing.
-    std::unique_ptr<Connection> takeIdle(Pool& pool)
+    std::unique_ptr<Connection> takeIdle(Pool& pool) const
     {
         const Instant oldest = BootClock::now() - this->options.idleLimit;
         std::unique_ptr<Connection> taken;
@@ -53,6 +53,13 @@
         }
         return taken;
     }
+
+    // closeIdle() drops every idle connection of one endpoint.
+    static void closeIdle(Pool& pool)
+    {
+        pool.open -= pool.idle.size();
+        pool.idle.clear();
+    }
 };
 
 namespace internal {
@@ -200,8 +207,10 @@
         // dropAfterSend() ends an exchange of which the peer may have seen the whole request.
         void dropAfterSend(beast::error_code error)
         {
-            if (error == beast::error::timeout)
+            if (error == beast::error::timeout) {
+                State::closeIdle(this->state->pools[this->plan.endpoint]);
                 return this->drop({ SendFailureKind::AnswerTimeout, false, "no answer in time" });
+            }
             const bool isLost = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == boost::asio::error::get_system_category();
             this->drop({ isLost ? SendFailureKind::ConnectionLost : SendFailureKind::MalformedAnswer, false, error.message() });
         }
@@ -264,9 +273,7 @@
 
 void HttpClient::closeIdle(const Endpoint& endpoint)
 {
-    Pool& pool = this->state->pools[endpoint];
-    pool.open -= pool.idle.size();
-    pool.idle.clear();
+    State::closeIdle(this->state->pools[endpoint]);
 }
 
 tl::expected<HttpResponse, SendFailure> sendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -2,6 +2,10 @@
 
 // An HTTP/1.1 client that says exactly what is known about a failed send, and never uses again a
 // connection on which an answer was abandoned.
+//
+// A connection can go silent for good while new ones work. Two rules bound the harm: a connection that was
+// idle for longer than `idleLimit` is not used again, and an answer that does not come in time condemns
+// every idle connection to the same endpoint, so that the next send opens a fresh one.
 
 #include "transport/http_message.h"
 #include "transport/io_loop.h"
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -27,6 +27,7 @@
     tcp::acceptor acceptor;
     std::size_t connections { 0 };
     std::size_t openRequests { 0 };
+    std::uint64_t generation { 0 }; // connections of an earlier generation are silent
     bool isStopping { false };
 };
 
@@ -66,6 +67,7 @@
             , stream(std::move(socket))
         {
             ++this->state->connections;
+            this->generation = this->state->generation;
         }
 
         ~HttpConnection()
@@ -194,9 +196,20 @@
                 request.headers[lowerCase(field.name_string())] = std::string(field.value());
             request.body = std::move(message.body());
             this->stream.expires_never();
+            if (this->generation < this->state->generation)
+                return this->swallowRequest();
             this->state->handler(std::move(request), std::make_shared<Reply>(this->shared_from_this()));
         }
 
+        // swallowRequest() keeps the connection open without an answer until the peer gives up.
+        void swallowRequest()
+        {
+            this->stream.async_read_some(boost::asio::buffer(this->swallowed), [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                if (!error)
+                    self->swallowRequest();
+            });
+        }
+
         void refuseAndClose(unsigned status, std::string_view reason, const std::string& detail)
         {
             this->beginRequest();
@@ -263,6 +276,8 @@
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         std::deque<std::string> parts;
+        std::uint64_t generation { 0 };
+        std::array<char, 256> swallowed {};
         bool isKeptAlive { false };
         bool isInRequest { false };
         bool isWriting { false };
@@ -320,6 +335,11 @@
     this->state->acceptor.close(ignored);
 }
 
+void HttpServer::silenceConnections()
+{
+    ++this->state->generation;
+}
+
 std::size_t HttpServer::openRequests() const
 {
     return this->state->openRequests;
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -52,6 +52,10 @@
     // response in progress.
     void stopAccepting();
 
+    // silenceConnections() makes every connection that is open now swallow its requests for good, while
+    // new connections work; for stand-ins that play a network which has lost track of connections.
+    void silenceConnections();
+
     // openRequests() is the number of requests that have no whole response yet.
     std::size_t openRequests() const;
 
--- a/packages/transport/io_loop.cc
+++ b/packages/transport/io_loop.cc
@@ -23,6 +23,11 @@
     this->implementation->context.stop();
 }
 
+void IoLoop::restart()
+{
+    this->implementation->context.restart();
+}
+
 void IoLoop::post(std::function<void()> action)
 {
     boost::asio::post(this->implementation->context, std::move(action));
--- a/packages/transport/io_loop.h
+++ b/packages/transport/io_loop.h
@@ -25,6 +25,9 @@
     // stop() makes run() return soon. What is posted afterwards is dropped.
     void stop();
 
+    // restart() lets run() be called again after stop().
+    void restart();
+
     // post() runs `action` on the loop's thread.
     void post(std::function<void()> action);
 
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -68,5 +68,58 @@
         CHECK(percentEncode("a/b") == "a%2Fb");
     }
 
+    // Several sends over one client, so that connections are kept between them.
+    struct PooledClientFixture : TransportFixture {
+        IoLoop clientLoop;
+        HttpClient client { this->clientLoop, {} };
+
+        PooledClientFixture()
+        {
+            this->handler = [](HttpRequest request, std::shared_ptr<HttpReply> reply) { reply->send({ .status = 200, .headers = {}, .body = request.body }); };
+        }
+
+        // send() sends `count` requests at once and waits for all results.
+        std::vector<tl::expected<HttpResponse, SendFailure>> send(std::size_t count, Duration timeout)
+        {
+            std::vector<tl::expected<HttpResponse, SendFailure>> results;
+            IoLoop& loop = this->clientLoop;
+            for (std::size_t i = 0; i < count; ++i) {
+                this->client.send(this->endpoint, { .method = HttpMethod::Post, .target = "/echo", .headers = {}, .body = "x" }, timeout, [&results, &loop, count](tl::expected<HttpResponse, SendFailure> result) {
+                    results.push_back(std::move(result));
+                    if (results.size() == count)
+                        loop.stop();
+                });
+            }
+            this->clientLoop.run();
+            this->clientLoop.restart();
+            return results;
+        }
+
+        void silenceConnections()
+        {
+            BoundedRing<int> done({ .capacity = 1 });
+            this->loop.post([&] {
+                this->server.silenceConnections();
+                (void)done.tryPush(1);
+            });
+            REQUIRE(done.popWithin(std::chrono::seconds(10)));
+        }
+    };
+
+    TEST_CASE_METHOD(PooledClientFixture, "HttpClient_everyPooledConnectionSilent_losesOneSendAndThenWorks")
+    {
+        REQUIRE(this->send(3, std::chrono::seconds(5)).size() == 3);
+        this->silenceConnections();
+
+        auto lost = this->send(1, std::chrono::milliseconds(200));
+        auto next = this->send(1, std::chrono::seconds(5));
+
+        REQUIRE_FALSE(lost[0]);
+        CHECK(lost[0].error().kind == SendFailureKind::AnswerTimeout);
+        CHECK_FALSE(lost[0].error().isSurelyNotSent);
+        REQUIRE(next[0]);
+        CHECK(next[0]->body == "x");
+    }
+
 } // namespace
 } // namespace dragonflytray
