A planned stop cuts off no request

Cause: a stop closed connections that were kept alive while callers still used them, and the client reused pooled connections that the other end had closed. Ruled out: requests already being served (openRequests was 0 at the close). Change: from 'not ready' on each response is the last of its connection, idle connections linger for 1 s, and the client looks for a close or a crossed answer before it uses an idle connection again.

--- a/packages/daemon/duties/caller_duty.cc
+++ b/packages/daemon/duties/caller_duty.cc
@@ -4,6 +4,7 @@
 
 namespace {
 
+    constexpr Duration connectionLinger = std::chrono::seconds(1); // for idle connections after the listener closed
     constexpr Duration drainPoll = std::chrono::milliseconds(20);
     constexpr Duration metricsInterval = std::chrono::milliseconds(500);
     constexpr unsigned statusOk = 200;
@@ -190,17 +191,22 @@
 {
     this->isReady = false;
     this->isStopping = true;
-    // The balancer needs a moment to see that this host is not ready; until then requests are served.
-    this->loop.after(this->shutdownGrace, [this] {
-        this->server.stopAccepting();
-        while (!this->watches.empty()) {
-            const ReplyToken token = this->watches.begin()->first;
-            (void)this->rings.runners.tryPush(CloseWatch { token }, RingRoom::Reserved);
-            this->on(WatchEnded { token, true });
-            this->watches.erase(token);
-        }
-        this->awaitDrained();
-    });
+    // The balancer needs a moment to see that this host is not ready; until then requests are served, each
+    // as the last one of its connection.
+    this->server.announceClose();
+    this->loop.after(this->shutdownGrace, [this] { this->closeListener(); });
+}
+
+void CallerDuty::closeListener()
+{
+    this->server.stopAccepting();
+    while (!this->watches.empty()) {
+        const ReplyToken token = this->watches.begin()->first;
+        (void)this->rings.runners.tryPush(CloseWatch { token }, RingRoom::Reserved);
+        this->on(WatchEnded { token, true });
+        this->watches.erase(token);
+    }
+    this->awaitDrained(BootClock::now() + connectionLinger);
 }
 
 void CallerDuty::reply(ReplyToken token, HttpResponse response)
@@ -212,13 +218,15 @@
     this->replies.erase(found);
 }
 
-void CallerDuty::awaitDrained()
+void CallerDuty::awaitDrained(Instant lingerEnd)
 {
-    if (this->server.openRequests() == 0) {
+    // A caller may be sending on a connection that was idle all the while: give it time to be answered.
+    const bool isQuiet = this->server.openConnections() == 0 || BootClock::now() >= lingerEnd;
+    if (isQuiet && this->server.openRequests() == 0) {
         (void)this->rings.drained.tryPush(Drained {});
         return;
     }
-    this->loop.after(drainPoll, [this] { this->awaitDrained(); });
+    this->loop.after(drainPoll, [this, lingerEnd] { this->awaitDrained(lingerEnd); });
 }
 
 void CallerDuty::reportMetrics()
--- a/packages/daemon/duties/caller_duty.h
+++ b/packages/daemon/duties/caller_duty.h
@@ -46,7 +46,8 @@
     void on(ReadinessChanged message);
     void on(BeginShutdown message);
     void reply(ReplyToken token, HttpResponse response);
-    void awaitDrained();
+    void closeListener();
+    void awaitDrained(Instant lingerEnd);
     void reportMetrics();
 
     Rings& rings;
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -1,7 +1,9 @@
 #include "transport/http_client.h"
 
 #include "transport/internal/io_loop_internals.h"
+#include <cerrno>
 #include <optional>
+#include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -26,6 +28,15 @@
         Instant idleSince;
     };
 
+    // isQuiet() says whether an idle connection is open and has nothing to read. What comes unasked is a
+    // close, or an answer that crossed: in both cases the connection must not be used again.
+    bool isQuiet(Connection& connection)
+    {
+        char byte = 0;
+        const auto received = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     struct Pool {
         std::vector<std::unique_ptr<Connection>> idle;
         std::size_t open { 0 };
@@ -43,9 +54,13 @@
     {
         const Instant oldest = BootClock::now() - this->options.idleLimit;
         std::unique_ptr<Connection> taken;
-        if (!pool.idle.empty() && pool.idle.back()->idleSince >= oldest) {
+        while (!taken && !pool.idle.empty() && pool.idle.back()->idleSince >= oldest) {
             taken = std::move(pool.idle.back());
             pool.idle.pop_back();
+            if (isQuiet(*taken))
+                break;
+            taken.reset();
+            --pool.open;
         }
         while (!pool.idle.empty() && pool.idle.front()->idleSince < oldest) {
             pool.idle.erase(pool.idle.begin());
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -328,13 +328,23 @@
     return Endpoint { this->state->options.endpoint.address, this->state->acceptor.local_endpoint().port() };
 }
 
+void HttpServer::announceClose()
+{
+    this->state->isStopping = true;
+}
+
 void HttpServer::stopAccepting()
 {
     beast::error_code ignored;
-    this->state->isStopping = true;
+    this->announceClose();
     this->state->acceptor.close(ignored);
 }
 
+std::size_t HttpServer::openConnections() const
+{
+    return this->state->connections;
+}
+
 void HttpServer::silenceConnections()
 {
     ++this->state->generation;
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -48,8 +48,11 @@
     // start() binds and listens; the bound endpoint, or a sentence that says why not.
     tl::expected<Endpoint, std::string> start();
 
-    // stopAccepting() closes the listening socket and marks open connections to close after the
-    // response in progress.
+    // announceClose() makes every response from now on the last one of its connection. New connections
+    // are still accepted, so that callers move away without a request being cut off.
+    void announceClose();
+
+    // stopAccepting() closes the listening socket, and announces the close of open connections.
     void stopAccepting();
 
     // silenceConnections() makes every connection that is open now swallow its requests for good, while
@@ -59,6 +62,9 @@
     // openRequests() is the number of requests that have no whole response yet.
     std::size_t openRequests() const;
 
+    // openConnections() is the number of connections, idle ones included.
+    std::size_t openConnections() const;
+
 private:
     struct State;
     std::shared_ptr<State> state;
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -106,6 +106,26 @@
         }
     };
 
+    TEST_CASE_METHOD(PooledClientFixture, "HttpClient_pooledConnectionClosedByServer_opensAFreshOne")
+    {
+        HttpServer closing(this->clientLoop, { .endpoint = { "127.0.0.1", 0 }, .idleTimeout = std::chrono::milliseconds(50) }, this->handler);
+        this->endpoint = closing.start().value();
+        REQUIRE(this->send(1, std::chrono::seconds(5))[0]);
+        this->clientLoop.after(std::chrono::milliseconds(300), [this] { this->clientLoop.stop(); });
+        this->clientLoop.run();
+        this->clientLoop.restart();
+
+        CHECK(this->send(1, std::chrono::seconds(5))[0]);
+    }
+
+    TEST_CASE_METHOD(PooledClientFixture, "HttpServer_closeAnnounced_answersAndCloses")
+    {
+        this->server.announceClose();
+
+        REQUIRE(this->send(1, std::chrono::seconds(5))[0]);
+        CHECK(this->send(1, std::chrono::seconds(5))[0]);
+    }
+
     TEST_CASE_METHOD(PooledClientFixture, "HttpClient_everyPooledConnectionSilent_losesOneSendAndThenWorks")
     {
         REQUIRE(this->send(3, std::chrono::seconds(5)).size() == 3);
