--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -23,6 +23,7 @@
 void addSubmit(CLI::App& app, Context& context);
 
 // Queries change nothing.
+void addBench(CLI::App& app, Context& context);
 void addCheck(CLI::App& app, Context& context);
 void addDiff(CLI::App& app, Context& context);
 void addExplain(CLI::App& app, Context& context);
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -7,11 +7,12 @@
 using namespace dragonflytray;
 
 using AddSubcommand = void (*)(CLI::App&, Context&);
-constexpr std::array<AddSubcommand, 10> subcommands {
+constexpr std::array<AddSubcommand, 11> subcommands {
     &addApply,
     &addCall,
     &addCancel,
     &addSubmit,
+    &addBench,
     &addCheck,
     &addDiff,
     &addExplain,
