Add the interference package: pair estimator, ladder, policies by name

Learns from lagged measurements, matched to who ran in the window, what each batch class does to the p99 of each service: additive in the logarithm, linear in the load, fitted by recursive least squares with drifting coefficients.

--- /dev/null
+++ b/packages/interference/commands/place_runner.cc
@@ -0,0 +1,19 @@
+#include "interference/interference.h"
+
+namespace dragonflytray {
+
+void Interference::runnerPlaced(const InterferenceCommand& command, Instant now, InterferenceEffects&)
+{
+    const auto& placed = std::get<RunnerPlaced>(command);
+    this->workerOf(placed.worker).runners.try_emplace(placed.service, Runner { .since = now });
+}
+
+void Interference::runnerGone(const InterferenceCommand& command, Instant, InterferenceEffects&)
+{
+    const auto& gone = std::get<RunnerGone>(command);
+    auto worker = this->workers.find(gone.worker);
+    if (worker != this->workers.end())
+        worker->second.runners.erase(gone.service);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/interference/commands/place_task.cc
@@ -0,0 +1,47 @@
+#include "interference/interference.h"
+
+namespace dragonflytray {
+
+void Interference::taskPlaced(const InterferenceCommand& command, Instant now, InterferenceEffects&)
+{
+    const auto& placed = std::get<TaskPlaced>(command);
+    auto placement = this->placements.find(placed.job);
+    if (placement != this->placements.end()) {
+        Task& known = this->workers.at(placement->second).tasks.at(placed.job);
+        if (placement->second == placed.worker && known.attempt == placed.attempt) {
+            known.costSinceCheckpoint = placed.costSinceCheckpoint;
+            return;
+        }
+        if (placed.attempt < known.attempt)
+            return; // late news of an attempt that has been replaced
+        this->removeTask(HostName(placement->second), placed.job, now);
+    }
+    Worker& worker = this->workerOf(placed.worker);
+    worker.tasks[placed.job] = {
+        .attempt = placed.attempt,
+        .batchClass = placed.batchClass,
+        .costSinceCheckpoint = placed.costSinceCheckpoint,
+        .rung = LadderRung::Free,
+        .rungSince = Instant::min(),
+    };
+    worker.history.begin(placed.job, placed.batchClass, 1, now);
+    this->placements[placed.job] = placed.worker;
+}
+
+void Interference::taskGone(const InterferenceCommand& command, Instant now, InterferenceEffects&)
+{
+    const auto& gone = std::get<TaskGone>(command);
+    auto placement = this->placements.find(gone.job);
+    if (placement != this->placements.end() && placement->second == gone.worker)
+        this->removeTask(gone.worker, gone.job, now);
+}
+
+void Interference::removeTask(const HostName& name, const JobId& job, Instant now)
+{
+    Worker& worker = this->workers.at(name);
+    worker.history.end(job, now);
+    worker.tasks.erase(job);
+    this->placements.erase(job);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/interference/policy.h
@@ -0,0 +1,120 @@
+#pragma once
+
+// Strategies against interference. The baselines run in the same program as the real one.
+//
+// Example:
+//
+//     auto policy = makeInterferencePolicy(InterferencePolicyKind::PairModel, {});
+//     std::optional<LadderStep> step = policy->nextStep(situation);
+
+#include "declarations/declarations.h"
+#include "interference/interference_queries.h"
+#include "interference/pair_estimator.h"
+#include <memory>
+
+namespace dragonflytray {
+
+// LadderRung is how far the measures against one running task have gone.
+enum class LadderRung {
+    Free, // runs with its whole share
+    Throttled, // runs with a part of its share
+    Evicting, // told to checkpoint and stop; the end is not reported
+};
+
+inline constexpr NameTable ladderRungNames { std::to_array<NameEntry<LadderRung>>({
+    { LadderRung::Free, "free" },
+    { LadderRung::Throttled, "throttled" },
+    { LadderRung::Evicting, "evicting" },
+}) };
+static_assert(ladderRungNames.isWhole(LadderRung::Evicting));
+
+// LadderMove is one step up or down the ladder.
+enum class LadderMove {
+    Throttle,
+    Restore,
+    Evict,
+};
+
+inline constexpr NameTable ladderMoveNames { std::to_array<NameEntry<LadderMove>>({
+    { LadderMove::Throttle, "throttle" },
+    { LadderMove::Restore, "restore" },
+    { LadderMove::Evict, "evict" },
+}) };
+static_assert(ladderMoveNames.isWhole(LadderMove::Evict));
+
+// Neighbour is one batch task on a worker, with the move that its rung and the hysteresis allow now.
+struct Neighbour {
+    JobId job;
+    BatchClassName batchClass;
+    LadderRung rung { LadderRung::Free };
+    double share { 1 };
+    Duration costSinceCheckpoint { 0 };
+    bool mayThrottle { false };
+    bool mayRestore { false };
+    bool mayEvict { false };
+};
+
+// NeighbouringService is one service with a runner on a worker.
+struct NeighbouringService {
+    ServiceName service;
+    double load { 0.5 }; // as last measured there
+    const PairEstimator* estimator { nullptr }; // nothing: never measured
+};
+
+// WorkerSituation is what a strategy sees of one worker.
+struct WorkerSituation {
+    Objective objective;
+    double throttledShare { 0.5 };
+    std::vector<NeighbouringService> services;
+    std::vector<Neighbour> tasks;
+};
+
+// LadderStep is one move for one task.
+struct LadderStep {
+    JobId job;
+    LadderMove move { LadderMove::Throttle };
+};
+
+// InterferencePolicyKind names the strategies.
+enum class InterferencePolicyKind {
+    None, // ignores interference
+    FixedCap, // at most a fixed number of tasks beside a runner
+    PairModel, // follows the learned effects of pairs
+};
+
+inline constexpr NameTable interferencePolicyNames { std::to_array<NameEntry<InterferencePolicyKind>>({
+    { InterferencePolicyKind::None, "none" },
+    { InterferencePolicyKind::FixedCap, "fixed-cap" },
+    { InterferencePolicyKind::PairModel, "pair-model" },
+}) };
+static_assert(interferencePolicyNames.isWhole(InterferencePolicyKind::PairModel));
+
+// PolicyOptions are the settings of all strategies.
+struct PolicyOptions {
+    std::size_t fixedCap { 2 }; // tasks beside a runner
+    double tolerance { 0.25 }; // log-slowdown borne when tail latency weighs as much as the rest
+    double evictionFactor { 1.5 }; // evict beyond this many tolerances, before the weight of evictions
+    double restoreFactor { 0.7 }; // restore below this share of the tolerance
+    double negligibleEffect { 0.02 }; // log-slowdown of a task that is never worth a step
+    double sureDeviations { 1 }; // evict only for an effect that is above zero by this much
+    double optimism { 0.5 }; // deviations by which an uncertain class is given the benefit of the doubt
+    double riskAversion { 0.25 }; // deviations added to the cost of a placement
+    double reservedWorkerCost { 0.05 }; // of a worker without runner, kept for harmful classes
+};
+
+// InterferencePolicy decides about one worker at a time. Stateless, so thread-safe. Deterministic.
+class InterferencePolicy {
+public:
+    virtual ~InterferencePolicy() = default;
+
+    // penalty() is the cost of one more task of a class. Linear in services times tasks.
+    virtual PlacementPenalty penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const = 0;
+
+    // nextStep() is the most useful allowed step, or nothing. Linear in services times tasks.
+    virtual std::optional<LadderStep> nextStep(const WorkerSituation& situation) const = 0;
+};
+
+// makeInterferencePolicy() makes the strategy that `kind` names.
+std::unique_ptr<InterferencePolicy> makeInterferencePolicy(InterferencePolicyKind kind, PolicyOptions options);
+
+} // namespace dragonflytray
