--- a/packages/interference/policy.cc
+++ b/packages/interference/policy.cc
@@ -96,8 +96,6 @@
         PlacementPenalty penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const override
         {
             const double tailWeight = this->tailShare(situation.objective);
-            if (situation.services.empty())
-                return { .cost = this->options.reservedWorkerCost * tailWeight, .deviation = 0, .isAvoided = false };
             const double tolerance = this->thresholds(situation.objective).throttle;
             PlacementPenalty penalty;
             for (const NeighbouringService& service : situation.services) {
--- a/packages/interference/policy.h
+++ b/packages/interference/policy.h
@@ -93,13 +93,12 @@
 struct PolicyOptions {
     std::size_t fixedCap { 2 }; // tasks beside a runner
     double tolerance { 0.25 }; // log-slowdown borne when tail latency weighs as much as the rest
-    double evictionFactor { 1.5 }; // evict beyond this many tolerances, before the weight of evictions
+    double evictionFactor { 2 }; // evict beyond this many tolerances, before the weight of evictions
     double restoreFactor { 0.7 }; // restore below this share of the tolerance
-    double negligibleEffect { 0.02 }; // log-slowdown of a task that is never worth a step
+    double negligibleEffect { 0.08 }; // log-slowdown of a task that is never worth a step
     double sureDeviations { 1 }; // evict only for an effect that is above zero by this much
-    double optimism { 0.5 }; // deviations by which an uncertain class is given the benefit of the doubt
+    double optimism { 0.25 }; // deviations by which an uncertain class is given the benefit of the doubt
     double riskAversion { 0.25 }; // deviations added to the cost of a placement
-    double reservedWorkerCost { 0.05 }; // of a worker without runner, kept for harmful classes
 };
 
 // InterferencePolicy decides about one worker at a time. Stateless, so thread-safe. Deterministic.
