--- a/packages/interference/pair_estimator.h
+++ b/packages/interference/pair_estimator.h
@@ -50,7 +50,7 @@
         double priorEffect { 0.1 }; // log-slowdown of a class that was never measured
         double priorDeviation { 0.5 };
         double priorLoadDeviation { 0.5 }; // of the change of an effect over the whole range of load
-        double effectDrift { 0.01 }; // standard deviation gained by a coefficient in one second's square root
+        double effectDrift { 0.005 }; // standard deviation gained by a coefficient in one second's square root
         double baselineDrift { 0.005 };
         double noiseDeviation { 0.15 }; // of the logarithm of a p99 over very many requests
         double tailNoise { 3 }; // added variance is this over the number of requests
