Decide applies and versions by the table alone

The row's revision moved on before its text was here, so an apply on an old base overwrote an accepted version; a forged heartbeat put versions in force that were never accepted; a damaged text was put in force under an accepted version; ambiguous writes were not read back.

Now the row and its revision are one value, a transaction depends on that revision, an ambiguous one is sent again under its id until the row proves it or the operator's 8 s are over, texts are checked against their digest, and a peer's version is a hint to read the table (believed only while the table is silent and two peers agree).

--- a/packages/membership/commands/end_platform_work.cc
+++ b/packages/membership/commands/end_platform_work.cc
@@ -4,67 +4,71 @@
 
 namespace dragonflytray {
 
-namespace {
-
-    const RowKey configurationKey { RowKind::Configuration, "current" };
-
-    constexpr std::array<ApplyStatus, transactionStatusNames.size()> applyStatusOf {
-        ApplyStatus::Applied,
-        ApplyStatus::Conflict,
-        ApplyStatus::Unavailable,
-        ApplyStatus::Unknown,
-    };
-
-} // namespace
-
 void Membership::objectWritten(const MembershipCommand& command, Instant now, MembershipEffects& effects)
 {
+    // Applies of equal texts share one object, so one answer is good for all of them.
     const auto& written = std::get<ObjectWritten>(command);
-    auto pending = std::find_if(this->applies.begin(), this->applies.end(), [&](const PendingApply& apply) {
-        return apply.transaction.isEmpty() && apply.objectKey == written.key;
-    });
-    if (pending == this->applies.end())
-        return;
-    if (!written.isWritten) {
-        effects.push_back(ReplyToOperator { pending->command.token, ApplyStatus::Unavailable, this->version, {} });
-        this->applies.erase(pending);
-        return;
+    const ConfigurationVersion highest = std::max(this->version, this->row.value.version);
+    for (PendingApply& apply : this->applies) {
+        if (apply.isEnded || apply.stage != ApplyStage::WritingObject || apply.objectKey != written.key)
+            continue;
+        if (!written.isWritten)
+            this->endApply(apply, ApplyStatus::Unavailable, effects);
+        else if (highest > apply.command.base)
+            this->lose(apply, highest, now, effects);
+        else
+            this->sendRow(apply, now, effects);
     }
-    pending->transaction = TransactionId(this->options.self.value() + "/apply/" + std::to_string(now.time_since_epoch().count()) + "/" + std::to_string(++this->lastTransaction));
-    const ConfigurationRow row { pending->command.base + 1, pending->objectKey };
-    effects.push_back(WriteTransaction { { pending->transaction, { { configurationKey, this->configurationRowVersion } }, { { configurationKey, row } }, {} } });
 }
 
-void Membership::transactionEnded(const MembershipCommand& command, Instant, MembershipEffects& effects)
+void Membership::transactionEnded(const MembershipCommand& command, Instant now, MembershipEffects& effects)
 {
     const auto& result = std::get<TransactionResult>(command);
-    auto found = std::find_if(this->applies.begin(), this->applies.end(), [&](const PendingApply& apply) { return apply.transaction == result.id; });
-    if (found == this->applies.end())
+    PendingApply* apply = this->findApply(result.id);
+    if (!apply || apply->stage == ApplyStage::AwaitingWinner)
         return;
-    const PendingApply pending = std::move(*found);
-    this->applies.erase(found);
-    if (result.status == TransactionStatus::Committed) {
-        this->configurationRowVersion = std::max(this->configurationRowVersion, result.revision);
-        this->putInForce({ pending.command.base + 1, pending.objectKey }, pending.command.text, effects);
+    switch (result.status) {
+    case TransactionStatus::Committed:
+        if (result.revision > this->row.revision)
+            this->row = { std::get<ConfigurationRow>(apply->transaction.writes.front().value), result.revision, result.id };
+        return this->win(*apply, now, effects);
+    case TransactionStatus::Conflict:
+        return this->conflicted(*apply, result, now, effects);
+    case TransactionStatus::Unavailable:
+        if (!apply->mayBeWritten)
+            return this->endApply(*apply, ApplyStatus::Unavailable, effects);
+        break;
+    case TransactionStatus::Ambiguous:
+        apply->mayBeWritten = true;
+        apply->stage = ApplyStage::ReadingBack;
+        break;
     }
-    effects.push_back(ReplyToOperator { pending.command.token, applyStatusOf[indexOf(result.status)], this->version, {} });
+    apply->nextSend = now + this->options.resendPause;
 }
 
-void Membership::rowsRead(const MembershipCommand& command, Instant, MembershipEffects& effects)
+void Membership::rowsRead(const MembershipCommand& command, Instant now, MembershipEffects& effects)
 {
-    for (const RowChange& change : std::get<RowsRead>(command).rows) {
-        if (change.key != configurationKey || !change.value)
-            continue;
-        this->configurationRowVersion = std::max(this->configurationRowVersion, change.version);
-        this->follow(std::get<ConfigurationRow>(*change.value), effects);
-    }
+    const auto& read = std::get<RowsRead>(command);
+    if (!read.isRead)
+        return;
+    this->tableReadAt = now;
+    for (const RowChange& change : read.rows)
+        this->noteRow(change, now, effects);
 }
 
-void Membership::objectRead(const MembershipCommand& command, Instant, MembershipEffects& effects)
+void Membership::objectRead(const MembershipCommand& command, Instant now, MembershipEffects& effects)
 {
     const auto& read = std::get<ObjectRead>(command);
-    if (read.value && read.key == this->wanted.objectKey)
-        this->putInForce(this->wanted, *read.value, effects);
+    if (!read.value)
+        return;
+    if (read.key == this->row.value.objectKey)
+        this->putInForce(this->row.value.version, read.key, *read.value, now, effects);
+    ConfigurationVersion claimed = 0;
+    for (const auto& [name, peer] : this->peers) {
+        if (peer.heartbeat.objectKey == read.key && this->isClaimBelieved(peer.heartbeat, now))
+            claimed = std::max(claimed, peer.heartbeat.version);
+    }
+    this->putInForce(claimed, read.key, *read.value, now, effects);
 }
 
 } // namespace dragonflytray
--- a/packages/membership/commands/tick.cc
+++ b/packages/membership/commands/tick.cc
@@ -10,10 +10,12 @@
     }
     if (now >= this->nextConfiguration) {
         this->nextConfiguration = now + this->options.configurationInterval;
-        effects.push_back(ReadRows { { RowKind::Configuration }, this->configurationRowVersion });
-        if (this->wanted.version > this->version)
-            effects.push_back(ReadObject { this->wanted.objectKey });
+        if (!this->tableReadAt)
+            this->tableReadAt = now;
+        effects.push_back(ReadRows { { RowKind::Configuration }, this->row.revision });
+        this->follow(now, effects);
     }
+    this->advanceApplies(now, effects);
     if (now >= this->nextHeartbeat) {
         this->nextHeartbeat = now + this->options.heartbeatInterval;
         this->sendHeartbeats(effects);
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -25,6 +25,7 @@
     MembershipEffects effects;
     const ConfigurationVersion before = this->version;
     (this->*handlers[command.index()])(command, now, effects);
+    std::erase_if(this->applies, [](const PendingApply& apply) { return apply.isEnded; });
     require(this->version >= before, "Membership: the configuration in force reverted");
     return effects;
 }
@@ -49,29 +50,4 @@
     }
 }
 
-void Membership::follow(const ConfigurationRow& row, MembershipEffects& effects)
-{
-    if (row.version <= this->wanted.version && row.version <= this->version)
-        return;
-    if (row.version > this->wanted.version)
-        this->wanted = row;
-    effects.push_back(ReadObject { this->wanted.objectKey });
-}
-
-void Membership::putInForce(const ConfigurationRow& row, const std::string& newText, MembershipEffects& effects)
-{
-    if (row.version <= this->version)
-        return;
-    auto declaration = parseDeclaration(newText, row.objectKey);
-    if (!declaration)
-        return; // only checked texts are applied, so this is an object that was damaged
-    this->version = row.version;
-    this->objectKey = row.objectKey;
-    this->text = newText;
-    if (row.version > this->wanted.version)
-        this->wanted = row;
-    effects.push_back(PublishConfiguration { { row.version, std::make_shared<const Declaration>(std::move(*declaration)) } });
-    this->sendHeartbeats(effects);
-}
-
 } // namespace dragonflytray
--- a/packages/membership/membership_state.h
+++ b/packages/membership/membership_state.h
@@ -7,10 +7,28 @@
 #include "membership/membership_queries.h"
 #include <array>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace dragonflytray {
 
+// ApplyStage is how far an apply has come.
+enum class ApplyStage {
+    WritingObject, // the text is on its way to the object store
+    WritingRow, // the transaction is on its way to the table
+    ReadingBack, // the transaction may have taken effect; it is sent again until the table says
+    AwaitingWinner, // another version was accepted; the operator is told once it is in force here
+};
+
+inline constexpr NameTable applyStageNames { std::to_array<NameEntry<ApplyStage>>({
+    { ApplyStage::WritingObject, "writing-object" },
+    { ApplyStage::WritingRow, "writing-row" },
+    { ApplyStage::ReadingBack, "reading-back" },
+    { ApplyStage::AwaitingWinner, "awaiting-winner" },
+}) };
+static_assert(applyStageNames.isWhole(ApplyStage::AwaitingWinner));
+
 // Membership owns the view of hosts and the declaration in force. Not thread-safe: one duty owns it.
 class Membership {
 public:
@@ -20,6 +38,10 @@
         Duration heartbeatInterval { std::chrono::seconds(1) };
         Duration listInterval { std::chrono::seconds(1) };
         Duration configurationInterval { std::chrono::seconds(2) };
+        Duration applyTimeout { std::chrono::seconds(8) }; // an operator is told by then
+        Duration resendPause { std::chrono::milliseconds(500) }; // between tries of an ambiguous apply
+        Duration winnerWait { std::chrono::seconds(3) }; // for the text of the version that won a race
+        Duration tableSilence { std::chrono::seconds(5) }; // after it peers are believed about versions
     };
 
     explicit Membership(Options options);
@@ -41,10 +63,22 @@
         PeerHeartbeat heartbeat;
         Instant heardAt;
     };
+    // KnownRow is the highest configuration row read from the table.
+    struct KnownRow {
+        ConfigurationRow value;
+        RowVersion revision { 0 };
+        TransactionId writer;
+    };
     struct PendingApply {
         ApplyDeclaration command;
         std::string objectKey;
-        TransactionId transaction; // empty until the object is written
+        ApplyStage stage { ApplyStage::WritingObject };
+        Instant deadline;
+        Instant nextSend; // while reading back
+        Transaction transaction {}; // empty until the object is written
+        bool mayBeWritten { false }; // an answer was ambiguous
+        ConfigurationVersion winner { 0 };
+        bool isEnded { false };
     };
 
     void peerHeard(const MembershipCommand& command, Instant now, MembershipEffects& effects);
@@ -62,9 +96,24 @@
 
     PeerHeartbeat ownHeartbeat() const;
     void sendHeartbeats(MembershipEffects& effects);
-    // follow() begins to put `row` in force when it is higher than what was seen so far.
-    void follow(const ConfigurationRow& row, MembershipEffects& effects);
-    void putInForce(const ConfigurationRow& row, const std::string& text, MembershipEffects& effects);
+
+    // noteRow() takes in a row of the table and ends the applies that it decides.
+    void noteRow(const RowChange& change, Instant now, MembershipEffects& effects);
+    // follow() reads the texts of versions that are higher than the one in force.
+    void follow(Instant now, MembershipEffects& effects);
+    // isClaimBelieved() says whether the table is silent and two peers agree on this version.
+    bool isClaimBelieved(const PeerHeartbeat& claim, Instant now) const;
+    void putInForce(ConfigurationVersion newVersion, const std::string& key, const std::string& newText, Instant now, MembershipEffects& effects);
+
+    PendingApply* findApply(const TransactionId& transaction);
+    void sendRow(PendingApply& apply, Instant now, MembershipEffects& effects);
+    // compareWithRow() ends the apply when `row` proves that it took effect or never will.
+    void compareWithRow(PendingApply& apply, const KnownRow& row, Instant now, MembershipEffects& effects);
+    void conflicted(PendingApply& apply, const TransactionResult& result, Instant now, MembershipEffects& effects);
+    void win(PendingApply& apply, Instant now, MembershipEffects& effects);
+    void lose(PendingApply& apply, ConfigurationVersion winner, Instant now, MembershipEffects& effects);
+    void endApply(PendingApply& apply, ApplyStatus status, MembershipEffects& effects);
+    void advanceApplies(Instant now, MembershipEffects& effects);
 
     Options options;
     std::vector<Host> hosts;
@@ -75,10 +124,10 @@
     Instant nextConfiguration;
     std::map<HostName, Peer> peers;
     ConfigurationVersion version { 0 };
-    RowVersion configurationRowVersion { 0 };
     std::string objectKey;
     std::string text;
-    ConfigurationRow wanted; // highest row seen; its text may not be here yet
+    KnownRow row;
+    std::optional<Instant> tableReadAt; // or since when it is waited for
     std::vector<PendingApply> applies;
     std::uint64_t lastTransaction { 0 };
     bool isStopping { false };
--- a/packages/model/table.h
+++ b/packages/model/table.h
@@ -55,10 +55,18 @@
     std::uint64_t beat { 0 };
 };
 
-// ConfigurationRow names the declaration in force.
+// ConfigurationRecord remembers one earlier version of the configuration and the transaction that wrote it.
+struct ConfigurationRecord {
+    ConfigurationVersion version { 0 };
+    std::string objectKey;
+    TransactionId writer;
+};
+
+// ConfigurationRow names the declaration in force, and a bounded number of those before it.
 struct ConfigurationRow {
     ConfigurationVersion version { 0 };
     std::string objectKey; // where the declaration's text is
+    std::vector<ConfigurationRecord> history {}; // newest first
 };
 
 // RequestRow records that one entry host took a non-idempotent request for its single send.
--- a/packages/platform/internal/row_json.cc
+++ b/packages/platform/internal/row_json.cc
@@ -37,7 +37,10 @@
 
     json encode(const ConfigurationRow& row)
     {
-        return { { "version", row.version }, { "objectKey", row.objectKey } };
+        json history = json::array();
+        for (const ConfigurationRecord& record : row.history)
+            history.push_back({ { "version", record.version }, { "objectKey", record.objectKey }, { "writer", record.writer.value() } });
+        return { { "version", row.version }, { "objectKey", row.objectKey }, { "history", history } };
     }
 
     json encode(const RequestRow& row)
@@ -103,7 +106,10 @@
 
     TableRow decodeConfiguration(const json& value)
     {
-        return ConfigurationRow { value.at("version").get<ConfigurationVersion>(), value.at("objectKey").get<std::string>() };
+        ConfigurationRow row { value.at("version").get<ConfigurationVersion>(), value.at("objectKey").get<std::string>(), {} };
+        for (const json& record : value.value("history", json::array()))
+            row.history.push_back({ record.at("version").get<ConfigurationVersion>(), record.at("objectKey").get<std::string>(), TransactionId(record.at("writer").get<std::string>()) });
+        return row;
     }
 
     TableRow decodeRequest(const json& value)
