Keep every job at one place and to its end through faults of store, hosts and workers

In an outage the holder renews what runs, for at most outageLimit from its last beat, and starts nothing; the next leader waits that limit out for workers that it can't reach. Cancellations are written by any entry host, in batches.

BatchFixture now answers reads, since a leader reads before it decides; its checks are as before.

--- /dev/null
+++ b/packages/batch/batch_long_run_test.cc
@@ -0,0 +1,91 @@
+#include "batch/simulation/simulated_fleet.h"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+
+namespace dragonflytray {
+namespace {
+
+    constexpr int longRunSteps = 120000; // 6,000 simulated seconds
+    constexpr int quietSteps = 12000; // 600 simulated seconds
+    constexpr int queueLimit = 60; // jobs that are not at their end, so that a run stays short
+
+    // A fleet under random faults, submissions and cancellations.
+    struct LongRunFixture {
+        std::size_t submitted { 0 };
+
+        void submitSome(SimulatedFleet& fleet, std::size_t count)
+        {
+            for (std::size_t i = 0; i < count; ++i) {
+                Job job;
+                job.id = JobId("j" + std::to_string(++this->submitted));
+                job.team = TeamName(fleet.isChance(0.5) ? "desk" : "lab");
+                job.batchClass = BatchClassName("pack");
+                job.priority = static_cast<Priority>(fleet.pick(priorityNames.size()));
+                job.need = { 1.0 + static_cast<double>(fleet.pick(4)), 2, 0 };
+                job.declaredRunTime = std::chrono::milliseconds(500 + fleet.pick(15000));
+                if (fleet.isChance(0.02))
+                    fleet.fleet.hopeless.insert(job.id);
+                fleet.submit(fleet.pick(fleet.hosts.size()), job);
+            }
+        }
+
+        void cancelSome(SimulatedFleet& fleet, std::size_t count)
+        {
+            for (std::size_t i = 0; i<count&& this->submitted> 0; ++i) {
+                const std::size_t recent = std::min<std::size_t>(this->submitted, 40);
+                fleet.cancel(fleet.pick(fleet.hosts.size()), JobId("j" + std::to_string(this->submitted - fleet.pick(recent))));
+            }
+        }
+
+        void run(SimulatedFleet& fleet, int steps)
+        {
+            for (int i = 0; i < steps; ++i) {
+                if (fleet.isChance(0.02))
+                    fleet.injectFault();
+                if (fleet.isChance(0.05))
+                    this->submitSome(fleet, 1);
+                if (fleet.isChance(0.0005))
+                    this->submitSome(fleet, queueLimit);
+                if (fleet.isChance(0.001))
+                    this->cancelSome(fleet, 20);
+                fleet.advance();
+            }
+        }
+
+        void checkEnd(const SimulatedFleet& fleet) const
+        {
+            std::size_t lost = 0;
+            for (const JobId& id : fleet.accepted) {
+                const Job* job = fleet.table.find(id);
+                const bool isDone = job && (isTerminal(job->state) || (job->state == JobState::Parked && !job->reason.empty()));
+                lost += isDone ? 0 : 1;
+                if (!isDone && lost < 5)
+                    UNSCOPED_INFO("not at its end: " << id << " " << (job ? jobStateNames.nameOf(job->state) : "absent") << " " << (job ? job->worker.value() : ""));
+            }
+            CHECK(lost == 0);
+            std::size_t halfAccepted = 0;
+            for (const JobId& id : fleet.refused)
+                halfAccepted += fleet.table.find(id) && !fleet.accepted.contains(id) ? 1 : 0;
+            CHECK(halfAccepted == 0);
+            CHECK(fleet.accepted.size() > this->submitted / 10);
+        }
+    };
+
+    TEST_CASE_METHOD(LongRunFixture, "LongRun_randomFaults_losesAndDoublesNothing")
+    {
+        const auto seed = GENERATE(std::uint64_t(1), std::uint64_t(2), std::uint64_t(3));
+        CAPTURE(seed);
+        SimulatedFleet fleet({ .seed = seed });
+
+        this->run(fleet, longRunSteps);
+        fleet.heal();
+        for (int i = 0; i < quietSteps; ++i)
+            fleet.advance();
+
+        this->checkEnd(fleet);
+        std::cout << "seed " << seed << ": " << this->submitted << " submitted, " << fleet.accepted.size() << " accepted, " << fleet.fleet.starts << " starts, " << fleet.fleet.finishes << " finished\n";
+    }
+
+} // namespace
+} // namespace dragonflytray
--- a/packages/batch/batch_test.cc
+++ b/packages/batch/batch_test.cc
@@ -25,16 +25,19 @@
             this->tick();
             this->batch.handle(RowsRead { true, 0, {} }, this->now);
             this->commit(this->tick());
+            this->commit(this->tick());
         }
 
         BatchEffects tick() { return this->batch.handle(BatchTick {}, this->now); }
 
-        // commit() lets every transaction of `effects` succeed.
+        // commit() lets every transaction and every read of `effects` succeed.
         void commit(const BatchEffects& effects)
         {
             for (const BatchEffect& effect : effects) {
                 if (const auto* write = std::get_if<WriteTransaction>(&effect))
                     this->batch.handle(TransactionResult { write->transaction.id, TransactionStatus::Committed, ++this->revision, {} }, this->now);
+                else if (std::holds_alternative<ReadRows>(effect))
+                    this->batch.handle(RowsRead { true, this->revision, {} }, this->now);
             }
         }
 
--- a/packages/batch/commands/cancel_job.cc
+++ b/packages/batch/commands/cancel_job.cc
@@ -2,22 +2,84 @@
 
 namespace dragonflytray {
 
+// Any entry host records a cancellation; the row's version keeps it apart from what the leader does
+// meanwhile. A waiting job ends at once. One with an attempt is marked, and its leader ends the attempt first.
 void Batch::cancelJob(const BatchCommand& command, Instant now, BatchEffects& effects)
 {
     const auto& cancelled = std::get<CancelJob>(command);
     auto entry = this->jobs.find(cancelled.job);
-    const bool canCancel = entry != this->jobs.end() && entry->second.job.state == JobState::Queued && !entry->second.isWriting && this->isLeader(now);
-    if (!canCancel) {
-        ++this->refusals[RefusalReason::StoreUnavailable];
-        Job job = entry == this->jobs.end() ? Job {} : entry->second.job;
-        effects.push_back(ReplyToSubmitter { cancelled.token, SubmissionStatus::Refused, RefusalReason::StoreUnavailable, std::move(job) });
+    const bool isKnown = entry != this->jobs.end();
+    if (!isKnown || this->cancellations.size() >= this->options.cancellationsWaiting) {
+        const RefusalReason reason = isKnown ? RefusalReason::QueueFull : RefusalReason::StoreUnavailable;
+        ++this->refusals[reason];
+        effects.push_back(ReplyToSubmitter { cancelled.token, SubmissionStatus::Refused, reason, isKnown ? entry->second.job : Job {} });
         return;
     }
-    Job job = entry->second.job;
-    job.state = JobState::Cancelled;
-    job.reason = "cancelled by the submitter";
-    effects.push_back(ReplyToSubmitter { cancelled.token, SubmissionStatus::Accepted, {}, job });
-    this->writeJobs({ std::move(job) }, now, effects);
+    Cancellation& cancellation = this->cancellations[cancelled.job];
+    if (cancellation.tokens.empty())
+        cancellation.askedAt = now;
+    cancellation.tokens.push_back(cancelled.token);
+}
+
+void Batch::writeCancellations(Instant now, BatchEffects& effects)
+{
+    PendingTransaction pending;
+    pending.purpose = Purpose::Cancellation;
+    for (auto next = this->cancellations.begin(); next != this->cancellations.end() && pending.transaction.writes.size() < this->options.cancellationsInTransaction;) {
+        const auto [id, cancellation] = *next++;
+        auto entry = this->jobs.find(id);
+        if (entry == this->jobs.end() || isTerminal(entry->second.job.state) || entry->second.job.isCancelRequested) {
+            this->answerCancellation(id, SubmissionStatus::Repeated, effects);
+            continue;
+        }
+        if (entry->second.isWriting)
+            continue;
+        if (now - cancellation.askedAt > this->options.submitterPatience) {
+            this->answerCancellation(id, SubmissionStatus::Refused, effects);
+            continue;
+        }
+        Job job = entry->second.job;
+        job.isCancelRequested = true;
+        if (!isHeld(job.state)) {
+            job.state = JobState::Cancelled;
+            job.reason = "cancelled by the submitter";
+        }
+        entry->second.isWriting = true;
+        const RowKey key { RowKind::Job, id.value() };
+        pending.transaction.conditions.push_back({ key, entry->second.version });
+        pending.transaction.writes.push_back({ key, std::move(job) });
+    }
+    if (!pending.transaction.writes.empty())
+        this->send(std::move(pending), now, effects);
+}
+
+void Batch::cancellationEnded(const PendingTransaction& pending, const TransactionResult& result, Instant now, BatchEffects& effects)
+{
+    for (const RowWrite& write : pending.transaction.writes) {
+        const Job& job = std::get<Job>(write.value);
+        this->jobs.at(job.id).isWriting = false;
+        // Without effect it is tried again at the next tick, while the submitter's patience lasts.
+        if (result.status != TransactionStatus::Committed)
+            continue;
+        this->storeJob(job, result.revision, now);
+        if (auto worker = this->workers.find(job.worker); worker != this->workers.end())
+            worker->second.nextContact = now;
+        this->answerCancellation(job.id, SubmissionStatus::Accepted, effects);
+    }
+}
+
+void Batch::answerCancellation(const JobId& id, SubmissionStatus status, BatchEffects& effects)
+{
+    auto cancellation = this->cancellations.find(id);
+    if (cancellation == this->cancellations.end())
+        return;
+    auto entry = this->jobs.find(id);
+    const Job job = entry == this->jobs.end() ? Job {} : entry->second.job;
+    if (status == SubmissionStatus::Refused)
+        ++this->refusals[RefusalReason::StoreUnavailable];
+    for (ReplyToken token : cancellation->second.tokens)
+        effects.push_back(ReplyToSubmitter { token, status, RefusalReason::StoreUnavailable, job });
+    this->cancellations.erase(cancellation);
 }
 
 } // namespace dragonflytray
--- a/packages/batch/commands/change_environment.cc
+++ b/packages/batch/commands/change_environment.cc
@@ -4,17 +4,23 @@
 
 void Batch::changeHosts(const BatchCommand& command, Instant, BatchEffects&)
 {
-    std::map<HostName, Worker> next;
+    for (auto& [name, worker] : this->workers)
+        worker.isListed = false;
     for (const Host& host : std::get<ChangeHosts>(command).hosts) {
         if (host.kind != HostKind::Worker || host.dataCentre != this->options.dataCentre)
             continue;
-        auto known = this->workers.find(host.name);
-        Worker worker = known == this->workers.end() ? Worker {} : known->second;
+        Worker& worker = this->workers[host.name];
         worker.host = host;
+        worker.isListed = true;
         this->ledger.setWorker(host.name, host.capacity);
-        next.emplace(host.name, std::move(worker));
     }
-    this->workers = std::move(next);
+    // The list lags and may lack a worker that still runs tasks: these are renewed until they end.
+    std::erase_if(this->workers, [this](const auto& entry) {
+        const bool isGone = !entry.second.isListed && entry.second.held.empty() && this->ledger.isIdle(entry.first);
+        if (isGone)
+            this->ledger.removeWorker(entry.first);
+        return isGone;
+    });
 }
 
 void Batch::changeConfiguration(const BatchCommand& command, Instant, BatchEffects&)
--- a/packages/batch/commands/end_transaction.cc
+++ b/packages/batch/commands/end_transaction.cc
@@ -2,27 +2,54 @@
 
 namespace dragonflytray {
 
+namespace {
+
+    // ownVersion() is the version of a conflicting row that this very transaction wrote.
+    std::optional<RowVersion> ownVersion(const TransactionResult& result)
+    {
+        for (const RowChange& row : result.conflicts) {
+            if (row.writer == result.id)
+                return row.version;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
 void Batch::transactionEnded(const BatchCommand& command, Instant now, BatchEffects& effects)
 {
-    const auto& result = std::get<TransactionResult>(command);
+    TransactionResult result = std::get<TransactionResult>(command);
     auto found = this->pendingTransactions.find(result.id);
-    if (found == this->pendingTransactions.end())
+    if (found == this->pendingTransactions.end() || this->isStillUnclear(found->second, result, now))
         return;
     const PendingTransaction pending = std::move(found->second);
     this->pendingTransactions.erase(found);
+    if (auto version = ownVersion(result); version && result.status == TransactionStatus::Conflict) {
+        result.status = TransactionStatus::Committed;
+        result.revision = *version;
+    }
     switch (pending.purpose) {
     case Purpose::TakeLeadership:
     case Purpose::RenewLeadership:
-        return this->leadershipEnded(pending, result);
+        this->leadershipEnded(pending, result, now);
+        break;
     case Purpose::Submission:
-        return this->submissionEnded(pending, result, now, effects);
+        this->submissionEnded(pending, result, now, effects);
+        break;
+    case Purpose::Cancellation:
+        this->cancellationEnded(pending, result, now, effects);
+        break;
     case Purpose::Transitions:
-        return this->transitionsEnded(pending, result, now);
+        this->transitionsEnded(pending, result, now);
+        break;
     }
+    for (const RowChange& row : result.conflicts)
+        this->applyRow(row, now);
 }
 
 void Batch::submissionEnded(const PendingTransaction& pending, const TransactionResult& result, Instant now, BatchEffects& effects)
 {
+    --this->submissionsPending;
     const Job& job = std::get<Job>(pending.transaction.writes[0].value);
     if (result.status == TransactionStatus::Committed) {
         this->storeJob(job, result.revision, now);
@@ -35,7 +62,7 @@
         return;
     }
     ++this->refusals[RefusalReason::StoreUnavailable];
-    const SubmissionStatus status = result.status == TransactionStatus::Ambiguous ? SubmissionStatus::Unknown : SubmissionStatus::Refused;
+    const SubmissionStatus status = pending.isUnclear ? SubmissionStatus::Unknown : SubmissionStatus::Refused;
     effects.push_back(ReplyToSubmitter { pending.token, status, RefusalReason::StoreUnavailable, job });
 }
 
@@ -47,15 +74,15 @@
         entry.isWriting = false;
         if (result.status == TransactionStatus::Committed) {
             this->storeJob(job, result.revision, now);
+            if (auto worker = this->workers.find(job.worker); isHeld(job.state) && worker != this->workers.end())
+                worker->second.nextContact = now;
             continue;
         }
-        // Nothing was written, or the next scan shows what was; a job that still waits holds nothing.
-        if (entry.job.state == JobState::Queued)
+        ++this->retries[result.status == TransactionStatus::Conflict ? RetryReason::StoreConflict : RetryReason::StoreTimeout];
+        if (!isHeld(entry.job.state))
             this->ledger.release(job.id);
-        if (result.status == TransactionStatus::Conflict)
-            ++this->retries[RetryReason::StoreConflict];
-        else
-            ++this->retries[RetryReason::StoreTimeout];
+        else if (!isHeld(job.state) && entry.job.attempt == job.attempt)
+            this->endAttempt(entry, job);
     }
 }
 
--- a/packages/batch/commands/read_rows.cc
+++ b/packages/batch/commands/read_rows.cc
@@ -6,6 +6,7 @@
 {
     const auto& read = std::get<RowsRead>(command);
     this->isScanning = false;
+    this->noteStore(read.isRead, now);
     if (!read.isRead)
         return;
     if (!this->hasScanned)
@@ -24,11 +25,8 @@
         return this->storeJob(*job, row.version, now);
     if (row.key.name != this->options.dataCentre.value())
         return;
-    if (const auto* leader = std::get_if<LeaderRow>(&*row.value); leader && row.version > this->leaderVersion) {
-        this->leaderRow = *leader;
-        this->leaderVersion = row.version;
-        this->leaseEnd = Instant();
-    }
+    if (const auto* leader = std::get_if<LeaderRow>(&*row.value))
+        this->leaderRowChanged(*leader, row.version);
     if (std::holds_alternative<LeaderBeatRow>(*row.value) && row.version > this->beatVersion) {
         this->beatVersion = row.version;
         this->beatSeen = now;
--- a/packages/batch/commands/submit_job.cc
+++ b/packages/batch/commands/submit_job.cc
@@ -21,7 +21,17 @@
 {
     const auto& submitted = std::get<SubmitJob>(command);
     Job job = submitted.job;
-    if (auto reason = reasonToRefuse(this->inForce, job)) {
+    if (auto known = this->jobs.find(job.id); known != this->jobs.end()) {
+        effects.push_back(ReplyToSubmitter { submitted.token, SubmissionStatus::Repeated, RefusalReason::DuplicateRequest, known->second.job });
+        return;
+    }
+    auto reason = reasonToRefuse(this->inForce, job);
+    // A store that has been silent for a while would only leave the submitter with an unclear end.
+    if (!reason && this->storeFailingSince && now - *this->storeFailingSince > this->options.pauseMargin)
+        reason = RefusalReason::StoreUnavailable;
+    if (!reason && this->submissionsPending >= this->options.submissionsInFlight)
+        reason = RefusalReason::QueueFull;
+    if (reason) {
         ++this->refusals[*reason];
         effects.push_back(ReplyToSubmitter { submitted.token, SubmissionStatus::Refused, *reason, std::move(job) });
         return;
@@ -33,12 +43,14 @@
         job.declaredRunTime = batchClass->runTime;
     job.dataCentre = this->options.dataCentre;
     job.state = JobState::Queued;
+    job.attempt = 0;
     const RowKey key { RowKind::Job, job.id.value() };
     PendingTransaction pending;
     pending.purpose = Purpose::Submission;
     pending.token = submitted.token;
     pending.transaction.conditions = { { key, 0 } };
     pending.transaction.writes = { { key, std::move(job) } };
+    ++this->submissionsPending;
     this->send(std::move(pending), now, effects);
 }
 
--- a/packages/batch/commands/tick.cc
+++ b/packages/batch/commands/tick.cc
@@ -9,12 +9,16 @@
         this->nextScan = now + this->options.scanInterval;
         effects.push_back(ReadRows { { RowKind::Leader, RowKind::LeaderBeat, RowKind::Job }, this->revision });
     }
+    this->sendAgain(now, effects);
     this->maintainLeadership(now, effects);
-    if (!this->isLeader(now))
-        return;
-    this->expireLeases(now, effects);
-    this->placeQueued(now, effects);
-    this->contactWorkers(now, effects);
+    this->writeCancellations(now, effects);
+    if (this->isDeciding(now)) {
+        this->expireLeases(now);
+        this->writeOwed(now, effects);
+        this->placeQueued(now, effects);
+    }
+    if (this->mayRenewTasks(now))
+        this->contactWorkers(now, effects);
 }
 
 } // namespace dragonflytray
--- a/packages/batch/commands/worker_report.cc
+++ b/packages/batch/commands/worker_report.cc
@@ -7,39 +7,40 @@
 void Batch::workerReported(const BatchCommand& command, Instant now, BatchEffects& effects)
 {
     const auto& reported = std::get<WorkerReported>(command);
-    auto worker = this->workers.find(reported.worker);
-    if (worker == this->workers.end())
+    auto found = this->workers.find(reported.worker);
+    if (found == this->workers.end())
         return;
-    worker->second.isContacted = false;
-    if (!this->isLeader(now) || reported.epoch != this->leaderRow->epoch)
+    Worker& worker = found->second;
+    worker.isContacted = false;
+    if (!this->holdsLeaderRow() || reported.epoch != this->ownEpoch)
         return;
-    std::vector<Job> changed;
-    for (const TaskReport& report : reported.reports) {
-        auto entry = this->jobs.find(report.job);
-        if (entry == this->jobs.end() || entry->second.job.attempt != report.attempt || entry->second.job.worker != reported.worker)
+    for (auto& [id, entry] : worker.held) {
+        if (entry->contact != worker.contacts)
             continue;
-        entry->second.lastConfirmed = worker->second.contactSent;
-        if (!entry->second.isWriting)
-            this->applyReport(report, reported.worker, changed);
+        entry->lastConfirmed = worker.contactSent;
+        // The worker has seen this epoch: no holder before can renew from now on.
+        entry->lastRenewal = std::min(entry->lastRenewal, now);
+        auto report = std::find_if(reported.reports.begin(), reported.reports.end(), [&](const TaskReport& item) { return item.job == id && item.attempt == entry->job.attempt; });
+        // A worker tells every attempt that it has, so one that it leaves out has ended.
+        const bool isMissing = report == reported.reports.end();
+        this->applyReport(isMissing ? TaskReport { id, entry->job.attempt, TaskPhase::Unknown, "", "", {} } : *report, *entry);
     }
-    this->writeJobs(std::move(changed), now, effects);
+    this->writeOwed(now, effects);
 }
 
-void Batch::applyReport(const TaskReport& report, const HostName&, std::vector<Job>& changed)
+void Batch::applyReport(const TaskReport& report, JobEntry& entry)
 {
-    JobEntry& entry = this->jobs.at(report.job);
-    if (isTerminal(entry.job.state) || entry.job.state == JobState::Queued)
+    if (entry.owed || (entry.isWriting && report.phase != TaskPhase::Running))
         return;
+    if (!report.checkpoint.empty())
+        entry.job.checkpoint = report.checkpoint;
     if (report.phase == TaskPhase::Running) {
         // Running is known from the worker alone; writing it would only cost the table.
         if (entry.job.state == JobState::Starting)
             entry.job.state = JobState::Running;
-        entry.job.checkpoint = report.checkpoint;
         return;
     }
     Job job = entry.job;
-    if (!report.checkpoint.empty())
-        job.checkpoint = report.checkpoint;
     if (report.phase == TaskPhase::Finished) {
         job.state = JobState::Finished;
         job.result = report.result;
@@ -50,15 +51,26 @@
         job.state = isOutOfAttempts ? JobState::Failed : JobState::Queued;
         job.reason = isOutOfAttempts ? "out of attempts" : "the last attempt failed";
         ++this->retries[RetryReason::TaskFailed];
-    } else {
+    } else if (report.phase == TaskPhase::Stopped && job.state == JobState::Evicting) {
         job.state = JobState::Queued;
-        job.reason = "the last attempt was stopped";
+        job.reason = "evicted";
         ++job.evictions;
         ++this->retries[RetryReason::Evicted];
+    } else {
+        job.state = JobState::Queued;
+        job.reason = report.phase == TaskPhase::Stopped ? "the worker stopped the last attempt" : "the worker lost the last attempt";
+        ++this->retries[RetryReason::WorkerLost];
     }
+    this->endAttempt(entry, std::move(job));
+}
+
+void Batch::endAttempt(JobEntry& entry, Job job)
+{
     if (job.state == JobState::Queued)
         job.worker = {};
-    changed.push_back(std::move(job));
+    job.isCancelRequested = entry.job.isCancelRequested;
+    entry.owed = std::move(job);
+    this->owedOrder.push_back(entry.job.id);
 }
 
 void Batch::workerUnreachable(const BatchCommand& command, Instant, BatchEffects&)
--- a/packages/batch/leadership.cc
+++ b/packages/batch/leadership.cc
@@ -8,23 +8,37 @@
 
 } // namespace
 
+bool Batch::holdsLeaderRow() const
+{
+    return this->ownEpoch != 0 && this->leaderRow && this->leaderRow->holder == this->options.self && this->leaderRow->epoch == this->ownEpoch;
+}
+
 bool Batch::isLeader(Instant now) const
 {
-    return this->leaderRow && this->leaderRow->holder == this->options.self && now < this->leaseEnd;
+    return this->holdsLeaderRow() && now < this->leaseEnd;
+}
+
+// A leader decides once it has read everything that holders before it wrote.
+bool Batch::isDeciding(Instant now) const
+{
+    return this->isLeader(now) && this->revision >= this->leaderVersion;
+}
+
+bool Batch::mayRenewTasks(Instant now) const
+{
+    return this->holdsLeaderRow() && now < this->ownBeatSent + this->options.outageLimit;
 }
 
 void Batch::maintainLeadership(Instant now, BatchEffects& effects)
 {
-    if (!this->hasScanned)
+    if (!this->hasScanned || now < this->nextRenewal)
         return;
-    if (this->isLeader(now)) {
-        if (now >= this->nextRenewal)
-            this->renewLeadership(now, effects);
-        return;
-    }
+    // Also past the lease: the write commits only if nobody took over.
+    if (this->holdsLeaderRow())
+        return this->renewLeadership(now, effects);
     // Others are believed alive until the beat has stood still for a whole lease on this host's clock.
     const bool isVacant = !this->leaderRow || now - this->beatSeen > this->options.leaderLease + this->options.pauseMargin;
-    if (isVacant && now >= this->nextRenewal)
+    if (isVacant)
         this->takeLeadership(now, effects);
 }
 
@@ -51,21 +65,55 @@
     this->send(std::move(pending), now, effects);
 }
 
-void Batch::leadershipEnded(const PendingTransaction& pending, const TransactionResult& result)
+void Batch::leadershipEnded(const PendingTransaction& pending, const TransactionResult& result, Instant now)
 {
     if (result.status != TransactionStatus::Committed)
         return;
-    if (pending.purpose == Purpose::TakeLeadership) {
-        this->leaderRow = std::get<LeaderRow>(pending.transaction.writes[0].value);
-        this->leaderVersion = result.revision;
-        this->nextRenewal = pending.sentAt + this->options.leaderLease / renewalsInLease;
-        // The holder before may have renewed worker leases until a moment ago.
-        for (auto& [id, entry] : this->jobs)
-            entry.lastConfirmed = pending.sentAt + this->options.leaderLease;
-    }
-    this->beatVersion = result.revision;
+    if (pending.purpose == Purpose::TakeLeadership)
+        this->leadershipTaken(pending, result.revision, now);
+    this->beatVersion = std::max(this->beatVersion, result.revision);
+    this->ownBeatSent = std::max(this->ownBeatSent, pending.sentAt);
     // The lease counts from the send: that is the latest moment at which others can have seen the old beat.
-    this->leaseEnd = pending.sentAt + this->options.leaderLease;
+    this->leaseEnd = std::max(this->leaseEnd, pending.sentAt + this->options.leaderLease);
+}
+
+void Batch::leadershipTaken(const PendingTransaction& pending, RowVersion version, Instant now)
+{
+    const auto& row = std::get<LeaderRow>(pending.transaction.writes[0].value);
+    // It may have been replaced before its answer came.
+    if (version < this->leaderVersion)
+        return;
+    this->nextScan = now; // before it decides anything
+    const bool hadHolder = row.epoch > 1;
+    this->leaderRow = row;
+    this->leaderVersion = version;
+    this->ownEpoch = row.epoch;
+    this->nextRenewal = pending.sentAt + this->options.leaderLease / renewalsInLease;
+    // The transaction held the last beat of the holder before, which was written before it was seen here.
+    this->foreignEnd = hadHolder ? this->beatSeen + this->options.outageLimit : pending.sentAt;
+    for (auto& [name, worker] : this->workers) {
+        for (auto& [id, entry] : worker.held) {
+            entry->lastConfirmed = now;
+            entry->lastRenewal = std::max(now, this->foreignEnd);
+            entry->contact = 0;
+        }
+    }
+}
+
+void Batch::leaderRowChanged(const LeaderRow& row, RowVersion version)
+{
+    if (version <= this->leaderVersion)
+        return;
+    this->leaderRow = row;
+    this->leaderVersion = version;
+    if (this->holdsLeaderRow())
+        return;
+    this->leaseEnd = Instant();
+    // The next leader hears of these ends from the workers.
+    for (const JobId& id : std::exchange(this->owedOrder, {})) {
+        if (auto entry = this->jobs.find(id); entry != this->jobs.end())
+            entry->second.owed.reset();
+    }
 }
 
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/batch/simulation/simulated_fleet.cc
@@ -0,0 +1,220 @@
+#include "batch/simulation/simulated_fleet.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr int dataCentreCount = 2;
+    constexpr Duration usualDelay = std::chrono::milliseconds(5);
+    constexpr Duration slowDelay = std::chrono::milliseconds(900);
+    constexpr Duration outageLimit = std::chrono::minutes(2); // short, so that a run sees the end of it
+
+    constexpr ReplyToken submissionToken { 1 };
+    constexpr ReplyToken cancellationToken { 2 };
+
+    std::string name(const char* prefix, int dataCentre, int number)
+    {
+        return prefix + std::to_string(dataCentre) + "-" + std::to_string(number);
+    }
+
+} // namespace
+
+SimulatedFleet::SimulatedFleet(Options options)
+    : options(options)
+    , random(options.seed)
+{
+    this->fleet.isEnded = [this](const JobId& id) {
+        const Job* job = this->table.find(id);
+        return job && isTerminal(job->state);
+    };
+    auto declaration = std::make_shared<Declaration>();
+    declaration->teams = { { .name = TeamName("desk") }, { .name = TeamName("lab"), .processors = 16 } };
+    declaration->batchClasses = { { .name = BatchClassName("pack"), .need = { 2, 4, 0 }, .runTime = std::chrono::seconds(10), .attemptLimit = 5 } };
+    this->inForce = { 1, declaration };
+    for (int dataCentre = 0; dataCentre < dataCentreCount; ++dataCentre) {
+        for (int i = 0; i < options.workersInDataCentre; ++i) {
+            Host worker;
+            worker.name = HostName(name("w", dataCentre, i));
+            worker.dataCentre = DataCentreName(name("dc", dataCentre, 0));
+            worker.rack = RackName(name("r", dataCentre, i / 2));
+            worker.capacity = options.capacity;
+            this->listed.push_back(worker);
+            this->fleet.workers[worker.name].host = worker;
+        }
+        for (int i = 0; i < options.entryHostsInDataCentre; ++i) {
+            SimulatedEntryHost host;
+            host.options.self = HostName(name("e", dataCentre, i));
+            host.options.dataCentre = DataCentreName(name("dc", dataCentre, 0));
+            host.options.outageLimit = outageLimit;
+            host.clockOffset = std::chrono::seconds(this->pick(100000));
+            this->restart(host);
+            this->hosts.push_back(std::move(host));
+        }
+    }
+}
+
+void SimulatedFleet::restart(SimulatedEntryHost& host)
+{
+    host.batch = std::make_unique<Batch>(host.options);
+    ++host.incarnation;
+    host.inbox.clear();
+    host.inbox.push_back(ChangeConfiguration { this->inForce });
+    host.inbox.push_back(ChangeHosts { this->listed });
+}
+
+void SimulatedFleet::advance()
+{
+    this->now += step;
+    while (!this->due.empty() && this->due.begin()->first <= this->now) {
+        Action action = std::move(this->due.begin()->second);
+        this->due.erase(this->due.begin());
+        action();
+    }
+    this->fleet.advance(this->now);
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        SimulatedEntryHost& host = this->hosts[i];
+        if (this->now < host.pausedUntil)
+            continue;
+        while (!host.inbox.empty()) {
+            const BatchCommand command = std::move(host.inbox.front());
+            host.inbox.pop_front();
+            this->handle(i, command);
+        }
+        this->handle(i, BatchTick {});
+    }
+}
+
+void SimulatedFleet::handle(std::size_t host, const BatchCommand& command)
+{
+    for (const BatchEffect& effect : this->hosts[host].batch->handle(command, this->now + this->hosts[host].clockOffset))
+        std::visit([&](const auto& value) { this->carryOut(host, value); }, effect);
+}
+
+void SimulatedFleet::deliver(std::size_t host, std::uint64_t incarnation, BatchCommand command)
+{
+    if (this->hosts[host].incarnation == incarnation)
+        this->hosts[host].inbox.push_back(std::move(command));
+}
+
+Duration SimulatedFleet::delay(Duration usual)
+{
+    return usual + Duration(std::uniform_int_distribution<Duration::rep>(0, usual.count())(this->random));
+}
+
+void SimulatedFleet::carryOut(std::size_t host, const WriteTransaction& effect)
+{
+    const std::uint64_t incarnation = this->hosts[host].incarnation;
+    const Transaction& transaction = effect.transaction;
+    auto answer = [this, host, incarnation](TransactionResult result) { this->deliver(host, incarnation, std::move(result)); };
+    const bool isDown = this->now < this->tableDownUntil || this->now < this->hosts[host].cutUntil;
+    if (isDown) {
+        const TransactionStatus status = this->isChance(0.5) ? TransactionStatus::Unavailable : TransactionStatus::Ambiguous;
+        return this->after(status == TransactionStatus::Ambiguous ? messageTimeout : usualDelay, [=] { answer({ transaction.id, status, 0, {} }); });
+    }
+    const bool isSlow = this->now < this->tableSlowUntil;
+    const bool isLost = this->now < this->answersLostUntil && this->isChance(0.5);
+    const Duration there = this->delay(isSlow ? slowDelay : usualDelay);
+    const Duration back = this->delay(isSlow ? slowDelay : usualDelay);
+    this->after(there, [=, this] {
+        TransactionResult result = this->table.apply(transaction);
+        if (isLost || there + back > messageTimeout)
+            result = { transaction.id, TransactionStatus::Ambiguous, 0, {} };
+        this->after(back, [=] { answer(result); });
+    });
+}
+
+void SimulatedFleet::carryOut(std::size_t host, const ReadRows& effect)
+{
+    const std::uint64_t incarnation = this->hosts[host].incarnation;
+    const bool isDown = this->now < this->tableDownUntil || this->now < this->hosts[host].cutUntil;
+    const bool isSlow = this->now < this->tableSlowUntil;
+    this->after(this->delay(isSlow ? slowDelay : usualDelay), [=, this] {
+        RowsRead read = isDown ? RowsRead {} : this->table.read(effect);
+        this->after(this->delay(isSlow ? slowDelay : usualDelay), [=, this] { this->deliver(host, incarnation, read); });
+    });
+}
+
+void SimulatedFleet::carryOut(std::size_t host, const ContactWorker& effect)
+{
+    const std::uint64_t incarnation = this->hosts[host].incarnation;
+    const Duration there = this->isChance(0.02) ? this->delay(slowDelay) : this->delay(usualDelay);
+    const Instant sent = this->now;
+    auto fail = [=, this] { this->deliver(host, incarnation, WorkerUnreachable { effect.worker, effect.epoch }); };
+    this->after(there, [=, this] {
+        SimulatedWorker& worker = this->fleet.workers.at(effect.worker);
+        const Duration left = messageTimeout - (this->now - sent);
+        if (this->now < worker.cutUntil)
+            return this->after(left, fail);
+        auto reported = this->fleet.contact(effect, this->now);
+        if (!reported)
+            return this->after(usualDelay, fail);
+        if (this->now < worker.muteUntil)
+            return this->after(left, fail);
+        this->after(this->delay(usualDelay), [=, this] { this->deliver(host, incarnation, *reported); });
+    });
+}
+
+void SimulatedFleet::carryOut(std::size_t, const ReplyToSubmitter& effect)
+{
+    if (effect.token != submissionToken)
+        return;
+    if (effect.status == SubmissionStatus::Accepted || effect.status == SubmissionStatus::Repeated)
+        this->accepted.insert(effect.job.id);
+    else if (effect.status == SubmissionStatus::Refused && !this->accepted.contains(effect.job.id))
+        this->refused.insert(effect.job.id);
+}
+
+void SimulatedFleet::submit(std::size_t host, Job job)
+{
+    this->submittedAt.emplace(job.id, this->now);
+    this->deliver(host, this->hosts[host].incarnation, SubmitJob { submissionToken, std::move(job) });
+}
+
+void SimulatedFleet::cancel(std::size_t host, const JobId& job)
+{
+    this->deliver(host, this->hosts[host].incarnation, CancelJob { cancellationToken, job });
+}
+
+void SimulatedFleet::listHosts(SimulatedEntryHost& host, bool isWhole)
+{
+    std::vector<Host> list = this->listed;
+    if (!isWhole)
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(this->pick(list.size())));
+    host.inbox.push_back(ChangeHosts { std::move(list) });
+}
+
+void SimulatedFleet::injectFault()
+{
+    SimulatedEntryHost& host = this->hosts[this->pick(this->hosts.size())];
+    auto worker = std::next(this->fleet.workers.begin(), static_cast<std::ptrdiff_t>(this->pick(this->fleet.workers.size())));
+    const Duration time = std::chrono::milliseconds(100 + this->pick(this->isChance(0.2) ? 60000 : 8000));
+    const std::array<Action, 11> faults {
+        [&] { host.pausedUntil = this->now + time; },
+        [&] { host.cutUntil = this->now + time; },
+        [&] { this->restart(host); },
+        [&] { this->listHosts(host, this->isChance(0.7)); },
+        [&] { this->tableDownUntil = this->now + time; },
+        [&] { this->tableSlowUntil = this->now + time; },
+        [&] { this->answersLostUntil = this->now + time; },
+        [&] { worker->second.cutUntil = this->now + time; },
+        [&] { worker->second.muteUntil = this->now + time; },
+        [&] { worker->second.isFailing = this->isChance(0.3); },
+        [&] { this->fleet.restart(worker->second); },
+    };
+    faults[this->pick(faults.size())]();
+}
+
+void SimulatedFleet::heal()
+{
+    this->tableDownUntil = this->tableSlowUntil = this->answersLostUntil = this->now;
+    for (auto& [name, worker] : this->fleet.workers) {
+        worker.cutUntil = worker.muteUntil = this->now;
+        worker.isFailing = false;
+    }
+    for (SimulatedEntryHost& host : this->hosts) {
+        host.pausedUntil = host.cutUntil = this->now;
+        this->listHosts(host, true);
+    }
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/batch/transactions.cc
@@ -0,0 +1,99 @@
+#include "batch/batch.h"
+
+namespace dragonflytray {
+
+void Batch::send(PendingTransaction pending, Instant now, BatchEffects& effects)
+{
+    pending.sentAt = now;
+    pending.transaction.id = TransactionId(this->options.self.value() + "/" + std::to_string(now.time_since_epoch().count()) + "/" + std::to_string(++this->lastTransaction));
+    effects.push_back(WriteTransaction { pending.transaction });
+    const TransactionId id = pending.transaction.id;
+    this->pendingTransactions.emplace(id, std::move(pending));
+}
+
+// An unclear transaction is sent again as it was. Its conditions name exact versions, so it is applied at most
+// once: either it commits now, or the conflicting rows name their writer.
+void Batch::sendAgain(Instant now, BatchEffects& effects)
+{
+    for (auto& [id, pending] : this->pendingTransactions) {
+        if (pending.isSent || now < pending.nextSend)
+            continue;
+        pending.isSent = true;
+        ++this->retries[RetryReason::StoreTimeout];
+        effects.push_back(WriteTransaction { pending.transaction });
+    }
+}
+
+bool Batch::isStillUnclear(PendingTransaction& pending, const TransactionResult& result, Instant now)
+{
+    const bool isAnswered = result.status == TransactionStatus::Committed || result.status == TransactionStatus::Conflict;
+    this->noteStore(isAnswered, now);
+    if (isAnswered)
+        return false;
+    pending.isUnclear |= result.status == TransactionStatus::Ambiguous;
+    // The next renewal says as much as this one would.
+    if (!pending.isUnclear || pending.purpose == Purpose::RenewLeadership)
+        return false;
+    if (pending.purpose == Purpose::Submission && now - pending.sentAt > this->options.submitterPatience)
+        return false;
+    pending.isSent = false;
+    pending.nextSend = now + this->options.readBackInterval;
+    return true;
+}
+
+void Batch::noteStore(bool isAnswering, Instant now)
+{
+    if (isAnswering)
+        this->storeFailingSince.reset();
+    else if (!this->storeFailingSince)
+        this->storeFailingSince = now;
+}
+
+void Batch::writeJobs(std::vector<Job> changed, Instant now, BatchEffects& effects)
+{
+    if (changed.empty())
+        return;
+    require(this->isLeader(now), "Batch: only a leader in its lease writes transitions");
+    PendingTransaction pending;
+    pending.purpose = Purpose::Transitions;
+    pending.transaction.conditions.push_back({ { RowKind::Leader, this->options.dataCentre.value() }, this->leaderVersion });
+    for (Job& job : changed) {
+        JobEntry& entry = this->jobs.at(job.id);
+        require(!entry.isWriting, "Batch: two transactions on one job are in flight");
+        require(entry.job.state == job.state || isAllowed(entry.job.state, job.state), "Batch: a job transition is not in the table");
+        entry.isWriting = true;
+        const RowKey key { RowKind::Job, job.id.value() };
+        pending.transaction.conditions.push_back({ key, entry.version });
+        job.epoch = this->leaderRow->epoch;
+        pending.transaction.writes.push_back({ key, std::move(job) });
+    }
+    this->send(std::move(pending), now, effects);
+}
+
+void Batch::writeOwed(Instant now, BatchEffects& effects)
+{
+    if (!this->isDeciding(now))
+        return;
+    std::vector<Job> written;
+    for (std::size_t left = this->owedOrder.size(); left > 0 && written.size() < this->options.startsInTransaction; --left) {
+        const JobId id = std::move(this->owedOrder.front());
+        this->owedOrder.pop_front();
+        auto entry = this->jobs.find(id);
+        if (entry == this->jobs.end() || !entry->second.owed)
+            continue;
+        if (entry->second.isWriting) {
+            this->owedOrder.push_back(id);
+            continue;
+        }
+        Job job = *std::exchange(entry->second.owed, std::nullopt);
+        if (job.isCancelRequested && !isHeld(job.state)) {
+            // A finish that came late is kept in `result`.
+            job.state = JobState::Cancelled;
+            job.reason = "cancelled by the submitter";
+        }
+        written.push_back(std::move(job));
+    }
+    this->writeJobs(std::move(written), now, effects);
+}
+
+} // namespace dragonflytray
--- a/packages/capacity/ledger.cc
+++ b/packages/capacity/ledger.cc
@@ -53,6 +53,7 @@
     this->release(job);
     WorkerAccount& account = this->workers[worker];
     account.reserved = plus(account.reserved, need);
+    ++account.reservations;
     this->reservations[job] = { worker, need };
 }
 
@@ -62,8 +63,10 @@
     if (reservation == this->reservations.end())
         return;
     auto account = this->workers.find(reservation->second.worker);
-    if (account != this->workers.end())
+    if (account != this->workers.end()) {
         account->second.reserved = minus(account->second.reserved, reservation->second.need);
+        --account->second.reservations;
+    }
     this->reservations.erase(reservation);
 }
 
@@ -75,6 +78,12 @@
     return minus(account->second.capacity, account->second.reserved);
 }
 
+bool Ledger::isIdle(const HostName& worker) const
+{
+    auto account = this->workers.find(worker);
+    return account == this->workers.end() || account->second.reservations == 0;
+}
+
 std::optional<HostName> Ledger::holder(const JobId& job) const
 {
     auto reservation = this->reservations.find(job);
--- a/packages/capacity/ledger.h
+++ b/packages/capacity/ledger.h
@@ -28,7 +28,7 @@
     // the worker then takes nothing new.
     void setWorker(const HostName& worker, const Capacity& capacity);
 
-    // removeWorker() forgets a worker and its reservations.
+    // removeWorker() forgets a worker and its reservations. Linear in all reservations.
     void removeWorker(const HostName& worker);
 
     // reserve() takes `need` on `worker` for `job`; false when it does not fit, the worker is unknown, or
@@ -49,6 +49,9 @@
     // holder() is the worker on which `job` holds a reservation.
     std::optional<HostName> holder(const JobId& job) const;
 
+    // isIdle() says whether nothing is reserved on a worker.
+    bool isIdle(const HostName& worker) const;
+
     // size() is the number of reservations.
     std::size_t size() const { return this->reservations.size(); }
 
@@ -56,6 +59,7 @@
     struct WorkerAccount {
         Capacity capacity;
         Capacity reserved;
+        std::size_t reservations { 0 };
     };
     struct Reservation {
         HostName worker;
--- a/packages/capacity/ledger_test.cc
+++ b/packages/capacity/ledger_test.cc
@@ -35,6 +35,7 @@
 
         CHECK(this->ledger.free(this->worker) == Capacity { 8, 16, 1 });
         CHECK(this->ledger.size() == 0);
+        CHECK(this->ledger.isIdle(this->worker));
     }
 
 } // namespace
--- a/packages/model/batch_types.h
+++ b/packages/model/batch_types.h
@@ -4,6 +4,7 @@
 
 #include "model/host.h"
 #include "model/priority.h"
+#include <vector>
 
 namespace dragonflytray {
 
@@ -56,8 +57,16 @@
     std::string checkpoint; // object key; empty: from the start
     std::string result; // set when finished
     std::string reason; // why it waits, failed or is parked; for a person
+    bool isCancelRequested { false }; // the current attempt is ended, and none follows
+    std::vector<HostName> failedOn; // distinct workers on which an attempt failed
 };
 
+// isHeld() says whether a job in `state` has an attempt that may run on a worker.
+constexpr bool isHeld(JobState state)
+{
+    return state == JobState::Starting || state == JobState::Running || state == JobState::Evicting;
+}
+
 // TaskPhase is what a worker says about one attempt.
 enum class TaskPhase {
     Running,
--- a/packages/platform/internal/row_json.cc
+++ b/packages/platform/internal/row_json.cc
@@ -47,6 +47,9 @@
 
     json encode(const Job& job)
     {
+        json failedOn = json::array();
+        for (const HostName& worker : job.failedOn)
+            failedOn.push_back(worker.value());
         return {
             { "id", job.id.value() },
             { "team", job.team.value() },
@@ -65,6 +68,8 @@
             { "checkpoint", job.checkpoint },
             { "result", job.result },
             { "reason", job.reason },
+            { "isCancelRequested", job.isCancelRequested },
+            { "failedOn", failedOn },
         };
     }
 
@@ -98,6 +103,9 @@
         job.checkpoint = value.at("checkpoint").get<std::string>();
         job.result = value.at("result").get<std::string>();
         job.reason = value.at("reason").get<std::string>();
+        job.isCancelRequested = value.value("isCancelRequested", false);
+        for (const json& worker : value.value("failedOn", json::array()))
+            job.failedOn.emplace_back(worker.get<std::string>());
         return job;
     }
 
--- a/packages/platform/row_json_test.cc
+++ b/packages/platform/row_json_test.cc
@@ -20,6 +20,8 @@
         job.need = { 1.5, 2, 1 };
         job.state = JobState::Evicting;
         job.declaredRunTime = std::chrono::milliseconds(1500);
+        job.isCancelRequested = true;
+        job.failedOn = { HostName("w1"), HostName("w2") };
 
         auto change = this->roundTrip({ RowKind::Job, "a/b" }, job);
 
@@ -29,6 +31,8 @@
         CHECK(read.need == job.need);
         CHECK(read.state == job.state);
         CHECK(read.declaredRunTime == job.declaredRunTime);
+        CHECK(read.isCancelRequested);
+        CHECK(read.failedOn == job.failedOn);
         CHECK(change->version == 7);
     }
 
