--- a/packages/model/slot_share.h
+++ b/packages/model/slot_share.h
@@ -17,14 +17,19 @@
 };
 
 // ChangeShares is a command to `routing`: from now on this entry host starts no attempt on a runner
-// beyond these slots. A runner that is not listed has none. Attempts in flight go on.
+// beyond these slots, and none at all from `validUntil` on. A runner that is not listed has none. Attempts
+// in flight go on.
 struct ChangeShares {
     std::vector<SlotShare> shares;
+    std::uint64_t revision { 0 }; // higher whenever the shares changed
+    Instant validUntil { Instant::max() };
 };
 
 // SharesHeld is an effect of `routing`: what this entry host may still use or is using on each runner,
-// the larger of its share and its attempts in flight. What falls below an earlier report is free for others.
+// the larger of its share and its attempts in flight. What falls below an earlier report is free for others,
+// so `revision` must be that of the ChangeShares that these figures obey.
 struct SharesHeld {
+    std::uint64_t revision { 0 };
     std::vector<SlotShare> held;
     std::vector<SlotShare> wanted; // attempts in flight plus requests that wait for the runner's service
 };
--- /dev/null
+++ b/packages/shares/commands/change_hosts.cc
@@ -0,0 +1,30 @@
+#include "shares/shares.h"
+
+namespace dragonflytray {
+
+void Shares::changeHosts(const SharesCommand& command, Instant now, SharesEffects&)
+{
+    this->entryHosts.clear();
+    this->runners.clear();
+    for (const Host& host : std::get<ChangeHosts>(command).hosts) {
+        if (host.dataCentre != this->options.dataCentre)
+            continue;
+        if (host.kind == HostKind::EntryHost)
+            this->entryHosts.emplace(host.name, host);
+        if (host.kind == HostKind::Runner)
+            this->runners.emplace(host.name, host.slots);
+    }
+    this->refreshBook(now);
+}
+
+void Shares::refreshBook(Instant now)
+{
+    if (!this->book)
+        return;
+    std::set<HostName> names;
+    for (const auto& [name, host] : this->entryHosts)
+        names.insert(name);
+    this->book->changeHosts(names, this->runners, now);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/commands/note_held.cc
@@ -0,0 +1,20 @@
+#include "shares/shares.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+void Shares::sharesHeld(const SharesCommand& command, Instant, SharesEffects&)
+{
+    const auto& report = std::get<SharesHeld>(command);
+    this->wanted = report.wanted;
+    // Figures that obey older shares free nothing: routing may be filling what it was given since.
+    if (report.revision == this->revision)
+        this->used.clear();
+    for (const SlotShare& share : report.held)
+        this->used[share.runner] = std::max(this->used[share.runner], share.slots);
+    for (const auto& [runner, slots] : this->shares)
+        this->used[runner] = std::max(this->used[runner], slots);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/commands/receive_grant.cc
@@ -0,0 +1,35 @@
+#include "shares/shares.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+void Shares::grantReceived(const SharesCommand& command, Instant now, SharesEffects&)
+{
+    const ShareGrant& grant = std::get<ShareGrantReceived>(command).grant;
+    if (grant.epoch < this->epoch)
+        return;
+    if (grant.epoch > this->epoch || this->leader != grant.leader) {
+        this->followEpoch(grant.leader, grant.epoch);
+        this->nextReport = now;
+    }
+    this->leaderEndpoint = grant.endpoint;
+    if (grant.holder != this->options.self || grant.incarnation != this->options.incarnation)
+        return;
+    auto answered = std::find_if(this->sentReports.begin(), this->sentReports.end(), [&](const SentReport& sent) { return sent.sequence == grant.reportSequence; });
+    // An answer to a report that is too old, or not remembered, may come from a leader that gave up on this host.
+    if (answered == this->sentReports.end() || now - answered->sentAt >= this->options.timing.isolationLimit)
+        return;
+    this->confirm(answered->sentAt);
+    if (grant.sequence > this->grantSequence)
+        this->takeShares(grant);
+}
+
+void Shares::takeShares(const ShareGrant& grant)
+{
+    this->grantSequence = grant.sequence;
+    this->setShares(this->isStopping ? std::vector<SlotShare> {} : grant.shares);
+    this->nextReport = this->lastHandled; // the leader waits for what fell
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/commands/tick.cc
@@ -0,0 +1,80 @@
+#include "shares/shares.h"
+
+namespace dragonflytray {
+
+void Shares::tick(const SharesCommand&, Instant now, SharesEffects& effects)
+{
+    if (now >= this->nextReport)
+        this->report(now, effects);
+    if (this->isLeading && now >= this->nextRebalance)
+        this->assign(now, effects);
+}
+
+ShareReport Shares::makeReport() const
+{
+    ShareReport report;
+    report.host = this->options.self;
+    report.endpoint = this->options.peerEndpoint;
+    report.incarnation = this->options.incarnation;
+    report.sequence = this->reportSequence;
+    report.epoch = this->epoch;
+    report.grantSequence = this->grantSequence;
+    report.isLeaving = this->isStopping;
+    for (const auto& [runner, slots] : this->used) {
+        if (slots > 0)
+            report.held.push_back({ runner, slots });
+    }
+    for (const SlotShare& share : this->wanted) {
+        if (share.slots > 0)
+            report.wanted.push_back(share);
+    }
+    return report;
+}
+
+void Shares::report(Instant now, SharesEffects& effects)
+{
+    this->nextReport = now + this->options.reportInterval;
+    if (this->leader.isEmpty())
+        return;
+    ++this->reportSequence;
+    this->sentReports.push_back({ this->reportSequence, now });
+    while (now - this->sentReports.front().sentAt > this->options.timing.isolationLimit)
+        this->sentReports.pop_front();
+    if (this->leader == this->options.self) {
+        if (this->isLeading)
+            this->reportReceived(ShareReportReceived { this->makeReport() }, now, effects);
+        return;
+    }
+    const Endpoint endpoint = this->leaderEndpoint.port != 0 ? this->leaderEndpoint : this->endpointOf(this->leader);
+    if (endpoint.port != 0)
+        effects.push_back(SendShareReport { this->leader, endpoint, this->makeReport() });
+}
+
+void Shares::assign(Instant now, SharesEffects& effects)
+{
+    this->nextRebalance = now + this->options.rebalanceInterval;
+    this->book->releaseSilent(now, now - this->listAskedAt <= this->options.timing.pauseMargin);
+    for (const ShareBook::Holder* holder : this->book->rebalance(now))
+        this->grant(*holder, true, now, effects);
+    if (now < this->nextAnnouncement)
+        return;
+    this->nextAnnouncement = now + this->options.reportInterval;
+    this->announce(effects);
+}
+
+void Shares::announce(SharesEffects& effects)
+{
+    for (const HostName& host : this->book->unheard()) {
+        const Endpoint endpoint = this->endpointOf(host);
+        if (host == this->options.self || endpoint.port == 0)
+            continue;
+        ShareGrant grant;
+        grant.leader = this->options.self;
+        grant.endpoint = this->options.peerEndpoint;
+        grant.epoch = this->epoch;
+        grant.holder = host;
+        effects.push_back(SendShareGrant { endpoint, std::move(grant) });
+    }
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/queries/summary.cc
@@ -0,0 +1,21 @@
+#include "shares/shares.h"
+
+namespace dragonflytray {
+
+SharesView Shares::summary(const SharesQuery&, Instant now) const
+{
+    SharesSummary summary;
+    summary.leader = this->leader;
+    summary.epoch = this->epoch;
+    summary.isLeading = this->isLeading;
+    summary.isSettled = this->isLeading && this->book->isSettled();
+    summary.hasGuards = this->hasGuards;
+    summary.isUsable = now < this->validUntil();
+    summary.lapses = this->lapses;
+    summary.pauses = this->pauses;
+    for (const auto& [runner, slots] : this->shares)
+        summary.shares.push_back({ runner, slots });
+    return summary;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/shares_simulation.h
@@ -0,0 +1,140 @@
+#pragma once
+
+// A fake data centre for the long runs and the tests of `Shares`: entry hosts with a model of routing, a network
+// that delays, loses and cuts, a lagging host list and a leader lease, all in simulated time from one seed.
+
+#include "shares/shares.h"
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace dragonflytray {
+
+// ShareSource says what the simulated routing obeys.
+enum class ShareSource {
+    Shares,
+    EvenSplit, // slots divided by the entry hosts on the host's own view of the list
+};
+
+inline constexpr NameTable shareSourceNames { std::to_array<NameEntry<ShareSource>>({
+    { ShareSource::Shares, "shares" },
+    { ShareSource::EvenSplit, "even-split" },
+}) };
+static_assert(shareSourceNames.isWhole(ShareSource::EvenSplit));
+
+// SharesSimulation owns the whole data centre. Not thread-safe. Deterministic for its options.
+class SharesSimulation {
+public:
+    struct Options {
+        std::uint64_t seed { 1 };
+        int entryHosts { 5 };
+        int runners { 4 };
+        int slots { 8 };
+        bool hasGuards { false };
+        ShareSource source { ShareSource::Shares };
+    };
+
+    // Process is one run of a daemon on one entry host.
+    struct Process {
+        HostName host;
+        Endpoint endpoint;
+        Incarnation incarnation { 0 };
+        std::unique_ptr<Shares> shares;
+        Duration clockOffset { 0 };
+        bool isAlive { true };
+        Instant frozenUntil;
+        Instant isolatedSince; // guards: since when it heard neither leader nor list
+        std::vector<std::pair<Instant, SharesCommand>> inbox;
+        std::vector<std::pair<Instant, ChangeShares>> changes; // on their way to routing
+        std::map<HostName, int> allowed;
+        std::uint64_t revision { 0 };
+        Instant validUntil { Instant::min() }; // on the simulation's clock
+        std::map<HostName, std::vector<Instant>> inFlight; // when each attempt ends
+        std::map<HostName, int> demand;
+        std::vector<Host> seenHosts;
+    };
+
+    explicit SharesSimulation(Options options);
+
+    // step() lets 100 ms pass.
+    void step();
+    void steps(int count);
+
+    // injectFault() lets one random thing go wrong, or come right again.
+    void injectFault();
+
+    // heal() ends every fault.
+    void heal();
+
+    // Single faults, for tests.
+    void freeze(Process& process, Duration duration) { process.frozenUntil = this->now + duration; }
+    void kill(Process& process);
+    void start(const HostName& host);
+    void cut(const HostName& a, const HostName& b);
+    void cutFromPlatform(const HostName& host) { this->platformCuts.insert(host); }
+    void unlist(const HostName& host);
+    void setTableDown(bool isDown) { this->isTableDown = isDown; }
+    void setListDown(bool isDown) { this->isListDown = isDown; }
+
+    // worstSum() is the largest sum that any runner's processes may use now; limit() is its slots.
+    int worstSum() const;
+    int limit() const { return this->options.slots; }
+    int allowedOf(const HostName& host, const HostName& runner) const;
+    Process& process(const HostName& host);
+    Process* leader();
+    std::vector<Process*> living();
+    const std::vector<HostName>& runnerNames() const { return this->runners; }
+    Instant time() const { return this->now; }
+    std::uint64_t started() const { return this->startedCount; }
+    std::uint64_t leaders() const { return this->leaderEpoch; }
+
+private:
+    struct Listing {
+        Instant at;
+        std::vector<Host> hosts;
+    };
+
+    std::uint64_t random(std::uint64_t bound) { return this->generator() % bound; }
+    bool chance(std::uint64_t oneIn) { return this->random(oneIn) == 0; }
+    Instant local(const Process& process) const { return this->now + process.clockOffset; }
+    bool isFrozen(const Process& process) const { return this->now < process.frozenUntil; }
+    bool isCut(const HostName& a, const HostName& b) const;
+    void publishList();
+    void maintainList();
+    void maintainLeader();
+    void run(Process& process);
+    void readList(Process& process);
+    void give(Process& process, const SharesCommand& command);
+    void carryOut(Process& process, SharesEffects effects);
+    void send(const Process& from, const Endpoint& to, SharesCommand command);
+    void route(Process& process);
+    void takeChanges(Process& process);
+    void splitEvenly(Process& process);
+    void reportHeld(Process& process);
+
+    Options options;
+    std::mt19937_64 generator;
+    Instant now;
+    std::vector<HostName> runners;
+    std::vector<std::unique_ptr<Process>> processes;
+    std::set<HostName> hostNames;
+    std::map<HostName, std::uint16_t> portOf;
+    std::set<HostName> unlisted;
+    std::set<std::pair<HostName, HostName>> cuts;
+    std::set<HostName> platformCuts;
+    std::map<HostName, Instant> restartAt;
+    std::vector<Listing> listings;
+    bool isTableDown { false };
+    bool isListDown { false };
+    Incarnation lastIncarnation { 0 };
+    std::uint16_t lastPort { 1000 };
+    int lastHost { 0 };
+    Epoch leaderEpoch { 0 };
+    Incarnation leaderIncarnation { 0 };
+    HostName leaderName;
+    Instant leaseEnd;
+    std::uint64_t startedCount { 0 };
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/shares/shares_state.h
@@ -0,0 +1,135 @@
+#pragma once
+
+// The state behind the shares of one entry host.
+
+#include "shares/share_book.h"
+#include "shares/shares_commands.h"
+#include "shares/shares_effects.h"
+#include "shares/shares_queries.h"
+#include <array>
+#include <deque>
+#include <optional>
+
+namespace dragonflytray {
+
+// Shares owns what this host holds and, while it leads, the book of the data centre. Not thread-safe: one duty
+// owns it. Deterministic. A command costs time linear in the runners of the data centre; the leader's
+// tick, runners times entry hosts.
+class Shares {
+public:
+    // Timing bounds how long words stay good. All hosts must agree on it.
+    struct Timing {
+        Duration isolationLimit { std::chrono::seconds(10) }; // without evidence, a holder without guards gives up
+        Duration pauseMargin { std::chrono::seconds(2) }; // pauses, clock rates and the news of a lost lease
+        Duration listLag { std::chrono::seconds(10) }; // at most, of the platform's list
+        Duration longestRequest { std::chrono::seconds(30) }; // a request may run this long after its send
+
+        // releaseAfter() is the silence after which a process surely uses nothing any more.
+        Duration releaseAfter() const { return this->isolationLimit + this->pauseMargin + this->listLag + this->longestRequest; }
+    };
+
+    struct Options {
+        HostName self;
+        DataCentreName dataCentre;
+        Endpoint peerEndpoint; // of this host; port 0: as listed
+        Incarnation incarnation { 1 }; // other than that of any earlier process of this name
+        Timing timing;
+        Duration reportInterval { std::chrono::seconds(1) };
+        Duration rebalanceInterval { std::chrono::milliseconds(500) };
+        Duration guardedSettle { std::chrono::seconds(3) }; // tenure after which a leader with guards withholds nothing
+        Duration moveInterval { std::chrono::seconds(1) };
+    };
+
+    explicit Shares(Options options);
+
+    // handle() changes the state by one command and returns what has to be done.
+    SharesEffects handle(const SharesCommand& command, Instant now);
+
+    // ask() answers one query from the state.
+    SharesView ask(const SharesQuery& query, Instant now) const;
+
+private:
+    using Handler = void (Shares::*)(const SharesCommand&, Instant, SharesEffects&);
+    static const std::array<Handler, sharesCommandNames.size()> handlers;
+
+    struct SentReport {
+        std::uint64_t sequence { 0 };
+        Instant sentAt;
+    };
+
+    void changeHosts(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void changeConfiguration(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void leaderChanged(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void listConfirmed(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void sharesHeld(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void reportReceived(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void grantReceived(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void stopShares(const SharesCommand& command, Instant now, SharesEffects& effects);
+    void tick(const SharesCommand& command, Instant now, SharesEffects& effects);
+
+    SharesView summary(const SharesQuery& query, Instant now) const;
+
+    // Both roles.
+    void notePause(Instant now);
+    void followEpoch(const HostName& nextLeader, Epoch nextEpoch);
+    Endpoint endpointOf(const HostName& host) const;
+
+    // As holder.
+    Instant validUntil() const;
+    void confirm(Instant evidenceAt);
+    void lapseIfIsolated(Instant now);
+    void setShares(const std::vector<SlotShare>& next);
+    void publish(SharesEffects& effects);
+    void report(Instant now, SharesEffects& effects);
+    ShareReport makeReport() const;
+    void takeShares(const ShareGrant& grant);
+    bool isListed() const;
+
+    // As assigner.
+    void lead(Instant now);
+    void beginBook(Instant now);
+    void refreshBook(Instant now);
+    void grant(const ShareBook::Holder& holder, bool withShares, Instant now, SharesEffects& effects);
+    void announce(SharesEffects& effects);
+    void assign(Instant now, SharesEffects& effects);
+
+    Options options;
+    std::map<HostName, Host> entryHosts; // of this data centre
+    std::map<HostName, int> runners; // slots of each, of this data centre
+    ConfigurationVersion version { 0 };
+    bool hasGuards { false }; // false until a declaration says so
+    HostName leader;
+    Endpoint leaderEndpoint; // as the leader says itself; port 0: as listed
+    Epoch epoch { 0 };
+    Instant lastHandled;
+    bool isBegun { false };
+    std::uint64_t pauses { 0 };
+
+    // As holder.
+    std::map<HostName, int> shares;
+    std::map<HostName, int> used; // what routing may still be using
+    std::vector<SlotShare> wanted;
+    std::uint64_t revision { 0 };
+    std::uint64_t grantSequence { 0 };
+    std::uint64_t reportSequence { 0 };
+    std::deque<SentReport> sentReports;
+    std::optional<Instant> confirmedAt;
+    std::optional<Instant> listedAt; // the latest read that showed this host began then
+    bool isSuspended { false }; // after a pause, until there is new evidence
+    Instant evidenceAfter; // older evidence doesn't end a suspension
+    std::optional<Instant> published; // end of validity as last told to routing
+    std::uint64_t publishedRevision { 0 };
+    std::uint64_t lapses { 0 };
+    bool isStopping { false };
+    Instant nextReport;
+
+    // As assigner.
+    bool isLeading { false };
+    std::optional<ShareBook> book;
+    Epoch bookEpoch { 0 };
+    Instant listAskedAt; // of the latest read of the list
+    Instant nextRebalance;
+    Instant nextAnnouncement;
+};
+
+} // namespace dragonflytray
