Routing keeps to assigned slot shares

Cause: shares were an even split by the host list only, and a runner that left the list was forgotten with its attempts, so that its return gave the slots out twice. Now ShareSource chooses between EvenSplit and Assigned; ChangeShares and SharesHeld carry the shares; a runner off the list is kept until its attempts have ended, and the share is asserted at the start of each attempt.

SharesHeld is not carried out yet; the package shares will take it.

--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -67,6 +67,11 @@
         (void)this->rings.callers.tryPush(WatchEnded { token, false }, RingRoom::Reserved);
 }
 
+void RequestDuty::carryOut(const SharesHeld&)
+{
+    // The duty of `shares` takes it; until that is joined, only shares that are split evenly are in use.
+}
+
 void RequestDuty::tick(Instant now)
 {
     this->decide(RoutingTick {});
--- a/packages/routing/commands/change_hosts.cc
+++ b/packages/routing/commands/change_hosts.cc
@@ -4,33 +4,30 @@
 
 namespace dragonflytray {
 
-namespace {
-
-    // shareOf() splits a runner's slots evenly among the entry hosts of its data centre.
-    int shareOf(const Host& runner, const std::vector<Host>& hosts)
-    {
-        const auto sharers = std::count_if(hosts.begin(), hosts.end(), [&](const Host& host) {
-            return host.kind == HostKind::EntryHost && host.dataCentre == runner.dataCentre;
-        });
-        return std::max<int>(1, runner.slots / std::max<int>(1, static_cast<int>(sharers)));
-    }
-
-} // namespace
-
 void Routing::changeHosts(const RoutingCommand& command, Instant now, RoutingEffects& effects)
 {
     const auto& hosts = std::get<ChangeHosts>(command).hosts;
-    std::map<HostName, Runner> next;
+    this->entryHosts.clear();
+    for (auto& [name, runner] : this->runners)
+        runner.isListed = false;
     for (const Host& host : hosts) {
-        if (host.kind != HostKind::Runner)
-            continue;
-        auto known = this->runners.find(host.name);
-        const int inFlight = known == this->runners.end() ? 0 : known->second.inFlight;
-        const int share = std::max(shareOf(host, hosts), inFlight);
-        next.emplace(host.name, Runner { host, share, inFlight, this->distanceTo(host.dataCentre) });
+        if (host.kind == HostKind::EntryHost)
+            this->entryHosts.push_back(host);
+        if (host.kind == HostKind::Runner)
+            this->listRunner(host);
     }
-    this->runners = std::move(next);
-    this->tick(RoutingTick {}, now, effects);
+    // A runner that left the list may come back with attempts of ours still running: they keep counting.
+    std::erase_if(this->runners, [](const auto& entry) { return !entry.second.isListed && entry.second.inFlight == 0; });
+    this->assignShares();
+    this->serveQueues(now, effects);
+}
+
+void Routing::listRunner(const Host& host)
+{
+    Runner& runner = this->runners[host.name];
+    runner.host = host;
+    runner.isListed = true;
+    runner.distance = this->distanceTo(host.dataCentre);
 }
 
 } // namespace dragonflytray
--- a/packages/routing/commands/open_watch.cc
+++ b/packages/routing/commands/open_watch.cc
@@ -14,7 +14,7 @@
     // A watch holds a connection, not a slot: any live runner of the service will do.
     const Runner* nearest = nullptr;
     for (const auto& [name, runner] : this->runners) {
-        const bool isFit = runner.host.service == watch.service && runner.host.state == HostState::Live;
+        const bool isFit = runner.isListed && runner.host.service == watch.service && runner.host.state == HostState::Live;
         if (isFit && (!nearest || runner.distance < nearest->distance))
             nearest = &runner;
     }
--- a/packages/routing/commands/tick.cc
+++ b/packages/routing/commands/tick.cc
@@ -3,6 +3,13 @@
 namespace dragonflytray {
 
 void Routing::tick(const RoutingCommand&, Instant now, RoutingEffects& effects)
+{
+    this->serveQueues(now, effects);
+    if (this->options.shareSource == ShareSource::Assigned)
+        this->reportDemand(now, effects);
+}
+
+void Routing::serveQueues(Instant now, RoutingEffects& effects)
 {
     for (auto& [service, queue] : this->queues) {
         for (auto work = queue.begin(); work != queue.end();) {
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -1,6 +1,6 @@
 #include "routing/routing.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace dragonflytray {
 
@@ -13,6 +13,7 @@
     &Routing::openWatch,
     &Routing::changeHosts,
     &Routing::changeConfiguration,
+    &Routing::changeShares,
     &Routing::stopAdmission,
     &Routing::tick,
 };
@@ -27,6 +28,8 @@
 {
     RoutingEffects effects;
     (this->*handlers[command.index()])(command, now, effects);
+    if (std::exchange(this->hasFreedShare, false))
+        this->reportShares(now, effects);
     return effects;
 }
 
@@ -58,8 +61,8 @@
     if (!chosen)
         return false;
     Runner& runner = this->runners.at(*chosen);
+    require(runner.inFlight < runner.share, "Routing: an attempt would exceed this entry host's share");
     ++runner.inFlight;
-    require(runner.inFlight <= runner.share, "Routing: a runner has more requests than this entry host's share");
     const AttemptId id { ++this->lastAttempt };
     effects.push_back(SendToRunner { id, *chosen, runner.host.endpoint, work.request, work.request.deadline - now });
     this->explain(work.request.id, "Sent to runner " + chosen->value() + ".");
@@ -72,7 +75,7 @@
     std::vector<RunnerCandidate> candidates;
     std::vector<const HostName*> names;
     for (const auto& [name, runner] : this->runners) {
-        const bool isFit = runner.host.service == work.request.service && runner.host.state == HostState::Live && name != work.lastRunner;
+        const bool isFit = runner.isListed && runner.host.service == work.request.service && runner.host.state == HostState::Live && name != work.lastRunner;
         if (!isFit || runner.inFlight >= runner.share)
             continue;
         candidates.push_back({ runner.distance, runner.inFlight, runner.share });
@@ -91,9 +94,11 @@
         return std::nullopt;
     Attempt attempt = std::move(found->second);
     this->attempts.erase(found);
-    auto runner = this->runners.find(attempt.runner);
-    if (runner != this->runners.end())
-        --runner->second.inFlight;
+    Runner& runner = this->runners.at(attempt.runner);
+    --runner.inFlight;
+    this->hasFreedShare = this->hasFreedShare || runner.inFlight >= runner.share;
+    if (!runner.isListed && runner.inFlight == 0)
+        this->runners.erase(attempt.runner);
     return attempt;
 }
 
--- a/packages/routing/routing_commands.h
+++ b/packages/routing/routing_commands.h
@@ -50,7 +50,7 @@
 };
 
 // RoutingCommand is any command; its kind is the index of the alternative.
-using RoutingCommand = std::variant<SubmitRequest, RunnerAnswered, RunnerFailed, CallerGone, OpenWatch, ChangeHosts, ChangeConfiguration, StopAdmission, RoutingTick>;
+using RoutingCommand = std::variant<SubmitRequest, RunnerAnswered, RunnerFailed, CallerGone, OpenWatch, ChangeHosts, ChangeConfiguration, ChangeShares, StopAdmission, RoutingTick>;
 
 // RoutingCommandKind names the alternatives of RoutingCommand, in their order.
 enum class RoutingCommandKind {
@@ -61,6 +61,7 @@
     OpenWatch,
     ChangeHosts,
     ChangeConfiguration,
+    ChangeShares,
     StopAdmission,
     Tick,
 };
@@ -73,6 +74,7 @@
     { RoutingCommandKind::OpenWatch, "open-watch" },
     { RoutingCommandKind::ChangeHosts, "change-hosts" },
     { RoutingCommandKind::ChangeConfiguration, "change-configuration" },
+    { RoutingCommandKind::ChangeShares, "change-shares" },
     { RoutingCommandKind::StopAdmission, "stop-admission" },
     { RoutingCommandKind::Tick, "tick" },
 }) };
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -6,6 +6,7 @@
 #include "routing/routing_effects.h"
 #include "routing/routing_queries.h"
 #include "routing/runner_choice.h"
+#include "routing/share_source.h"
 #include <array>
 #include <deque>
 #include <map>
@@ -22,6 +23,7 @@
         DataCentreName dataCentre;
         std::uint64_t seed { 1 };
         RunnerChoiceKind choice { RunnerChoiceKind::LeastOutstanding };
+        ShareSource shareSource { ShareSource::EvenSplit };
         std::size_t explainedRequests { 1000 }; // requests remembered for explanations
     };
 
@@ -55,6 +57,7 @@
         int share { 0 };
         int inFlight { 0 };
         int distance { 0 };
+        bool isListed { true }; // false: off the list, kept for its attempts in flight
     };
 
     void submitRequest(const RoutingCommand& command, Instant now, RoutingEffects& effects);
@@ -64,6 +67,7 @@
     void openWatch(const RoutingCommand& command, Instant now, RoutingEffects& effects);
     void changeHosts(const RoutingCommand& command, Instant now, RoutingEffects& effects);
     void changeConfiguration(const RoutingCommand& command, Instant now, RoutingEffects& effects);
+    void changeShares(const RoutingCommand& command, Instant now, RoutingEffects& effects);
     void stopAdmission(const RoutingCommand& command, Instant now, RoutingEffects& effects);
     void tick(const RoutingCommand& command, Instant now, RoutingEffects& effects);
 
@@ -80,12 +84,23 @@
     void reply(const Waiting& work, Outcome outcome, RoutingEffects& effects);
     void refuse(const Waiting& work, Outcome outcome, RoutingEffects& effects);
     void explain(const RequestId& request, std::string step);
+    void serveQueues(Instant now, RoutingEffects& effects);
+    void listRunner(const Host& host);
+    void assignShares();
+    void reportShares(Instant now, RoutingEffects& effects);
+    void reportDemand(Instant now, RoutingEffects& effects);
+    SharesHeld sharesHeld() const;
     int distanceTo(const DataCentreName& dataCentre) const;
 
     Options options;
     std::unique_ptr<RunnerChoice> choice;
     DeclarationInForce inForce;
     std::map<HostName, Runner> runners;
+    std::vector<Host> entryHosts;
+    std::unordered_map<HostName, int> assignedShares;
+    std::vector<SlotShare> reportedDemand;
+    Instant demandReportedAt;
+    bool hasFreedShare { false }; // attempts beyond a share have ended since the last report
     std::unordered_map<ServiceName, std::deque<Waiting>> queues;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::uint64_t lastAttempt { 0 };
--- a/packages/routing/routing_test.cc
+++ b/packages/routing/routing_test.cc
@@ -10,14 +10,30 @@
         Routing routing { { .self = HostName("e1"), .dataCentre = DataCentreName("dc1") } };
         Instant now { std::chrono::seconds(100) };
         std::uint64_t nextToken { 0 };
+        std::shared_ptr<const Declaration> declaration;
 
         RoutingFixture()
         {
             Declaration declaration;
             declaration.teams = { { .name = TeamName("desk") } };
             declaration.services = { { .name = ServiceName("checks"), .queueLimit = 2 } };
-            this->routing.handle(ChangeConfiguration { { 1, std::make_shared<Declaration>(declaration) } }, this->now);
-            this->routing.handle(ChangeHosts { { this->runner("r1"), this->runner("r2") } }, this->now);
+            this->declaration = std::make_shared<Declaration>(declaration);
+            this->routing.handle(ChangeConfiguration { { 1, this->declaration } }, this->now);
+            this->listRunners({ "r1", "r2" });
+        }
+
+        RoutingEffects listRunners(const std::vector<std::string>& names)
+        {
+            std::vector<Host> hosts;
+            for (const std::string& name : names)
+                hosts.push_back(this->runner(name));
+            return this->routing.handle(ChangeHosts { hosts }, this->now);
+        }
+
+        RoutingEffects tickAfter(Duration pause)
+        {
+            this->now += pause;
+            return this->routing.handle(RoutingTick {}, this->now);
         }
 
         Host runner(const std::string& name) const
@@ -84,6 +100,74 @@
         CHECK(std::get<SendToRunner>(effects[0]).runner != first.runner);
     }
 
+    // The shares are assigned: two slots of r1, none of r2.
+    struct AssignedSharesFixture : RoutingFixture {
+        AssignedSharesFixture()
+        {
+            this->routing = Routing({ .self = HostName("e1"), .dataCentre = DataCentreName("dc1"), .shareSource = ShareSource::Assigned });
+            this->routing.handle(ChangeConfiguration { { 1, this->declaration } }, this->now);
+            this->listRunners({ "r1", "r2" });
+        }
+
+        RoutingEffects assign(int slots)
+        {
+            return this->routing.handle(ChangeShares { { { HostName("r1"), slots } } }, this->now);
+        }
+    };
+
+    TEST_CASE_METHOD(AssignedSharesFixture, "SubmitRequest_noShareAssigned_waits")
+    {
+        CHECK(this->submit("a").empty());
+    }
+
+    TEST_CASE_METHOD(AssignedSharesFixture, "ChangeShares_requestWaits_isSentWithinTheShare")
+    {
+        this->submit("a");
+        this->submit("b");
+
+        RoutingEffects effects = this->assign(1);
+
+        REQUIRE(effects.size() == 2);
+        CHECK(std::get<SendToRunner>(effects[0]).runner == HostName("r1"));
+        CHECK(std::get<SharesHeld>(effects[1]).held == std::vector<SlotShare> { { HostName("r1"), 1 } });
+        CHECK(std::get<SharesHeld>(effects[1]).wanted == std::vector<SlotShare> { { HostName("r1"), 2 }, { HostName("r2"), 1 } });
+    }
+
+    TEST_CASE_METHOD(AssignedSharesFixture, "ChangeShares_belowAttemptsInFlight_isReportedFreeAsTheyEnd")
+    {
+        this->assign(2);
+        const AttemptId attempt = std::get<SendToRunner>(this->submit("a")[0]).attempt;
+        this->submit("b");
+
+        RoutingEffects lowered = this->assign(0);
+        RoutingEffects ended = this->routing.handle(RunnerAnswered { attempt, "one" }, this->now);
+
+        CHECK(std::get<SharesHeld>(lowered.at(0)).held == std::vector<SlotShare> { { HostName("r1"), 2 } });
+        CHECK(std::get<SharesHeld>(ended.at(1)).held == std::vector<SlotShare> { { HostName("r1"), 1 } });
+    }
+
+    TEST_CASE_METHOD(AssignedSharesFixture, "Tick_demandChanged_isReportedAtMostOncePerInterval")
+    {
+        this->assign(1);
+        this->submit("a");
+        this->submit("b");
+
+        CHECK(this->tickAfter(std::chrono::milliseconds(199)).empty());
+        CHECK(std::get<SharesHeld>(this->tickAfter(std::chrono::milliseconds(1)).at(0)).wanted[0] == SlotShare { HostName("r1"), 2 });
+        CHECK(this->tickAfter(std::chrono::milliseconds(300)).empty());
+    }
+
+    TEST_CASE_METHOD(RoutingFixture, "ChangeHosts_runnerWithAttemptsVanishesAndReturns_attemptsStillCount")
+    {
+        for (int i = 0; i < 4; ++i)
+            this->submit("r" + std::to_string(i));
+
+        this->listRunners({ "r2" });
+        this->listRunners({ "r1", "r2" });
+
+        CHECK(this->submit("over").empty());
+    }
+
     TEST_CASE_METHOD(RoutingFixture, "RunnerAnswered_attemptAlreadyEnded_isDroppedAndCounted")
     {
         RoutingEffects sent = this->submit("a");
