Routing admits fairly, chooses by latency, budgets retries and claims rows

Cause: one FIFO queue a service let any flood starve the rest; retries had no budget and an idempotent request that might have run could end as not run; a repeated non-idempotent request was sent again.

- Queue orders by table: weighted-fair (floors of classes, weights of teams), and the baselines fifo and strict-priority.
Full queue: the longest backlog pays.
Deadline and Retry-After from slots over the smoothed hold time.
Local team quota.
- Runner choice by table: latency-two-choices, latency-scan and the baselines, on a dense index of runners with a free slot.
The slots of another data centre belong to its entry hosts: forwards go to them, near first, far within the link's bytes.
- Retries: token bucket fed by successes, jitter, another target, within the deadline. mayHaveRun makes NotRun after a possibly-run send impossible (asserted).
- Non-idempotent: a row inserted if absent before the send; an ambiguous answer is read back by the same transaction; a row never used is given back.
A duplicate ends unknown, since the first one may have run.
- Counters and latency stages for each class in RoutingSummary.

--- a/packages/daemon/duties/platform_duty.cc
+++ b/packages/daemon/duties/platform_duty.cc
@@ -20,6 +20,10 @@
         using Result = std::decay_t<decltype(value)>;
         if (origin == PlatformOrigin::Membership)
             return this->rings.membership.tryPush(MembershipCommand(std::move(value)), RingRoom::Reserved);
+        if constexpr (std::is_constructible_v<RoutingCommand, Result&&>) {
+            if (origin == PlatformOrigin::Routing)
+                return this->rings.requests.tryPush(RoutingCommand(std::move(value)), RingRoom::Reserved);
+        }
         if constexpr (std::is_constructible_v<BatchCommand, Result&&>) {
             if (origin == PlatformOrigin::Batch)
                 return this->rings.batch.tryPush(BatchCommand(std::move(value)), RingRoom::Reserved);
--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -72,6 +72,13 @@
     // The duty of `shares` takes it; until that is joined, only shares that are split evenly are in use.
 }
 
+void RequestDuty::carryOut(WriteTransaction effect)
+{
+    const TransactionId id = effect.transaction.id;
+    if (!this->rings.platform.tryPush(PlatformMessage { PlatformOrigin::Routing, std::move(effect) }))
+        this->decide(TransactionResult { id, TransactionStatus::Unavailable, 0, {} });
+}
+
 void RequestDuty::tick(Instant now)
 {
     this->decide(RoutingTick {});
--- a/packages/daemon/duties/request_duty.h
+++ b/packages/daemon/duties/request_duty.h
@@ -24,6 +24,7 @@
     void carryOut(ReplyToCaller effect);
     void carryOut(StartWatch effect);
     void carryOut(const SharesHeld& effect);
+    void carryOut(WriteTransaction effect);
     void tick(Instant now);
     void reportMetrics() const;
 
--- /dev/null
+++ b/packages/routing/claims.cc
@@ -0,0 +1,61 @@
+#include "routing/routing.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    RowKey claimKey(const Request& request)
+    {
+        return { RowKind::Request, request.team.value() + "/" + request.id.value() };
+    }
+
+} // namespace
+
+TransactionId Routing::nextTransaction(Instant now)
+{
+    // The instant tells this process from a former one of the same name.
+    return TransactionId(this->options.self.value() + "/request/" + std::to_string(now.time_since_epoch().count()) + "/" + std::to_string(++this->lastTransaction));
+}
+
+void Routing::claim(WaitingRequest work, Instant now, RoutingEffects& effects)
+{
+    const RowKey key = claimKey(work.request);
+    Transaction transaction { .id = this->nextTransaction(now), .conditions = { { key, 0 } }, .writes = { { key, RequestRow { this->options.self } } }, .deletes = {} };
+    ++this->serviceOf(work.request.service).claiming;
+    effects.push_back(WriteTransaction { transaction });
+    const TransactionId id = transaction.id;
+    this->claims.emplace(id, Claim { std::move(work), std::move(transaction), std::nullopt, false });
+}
+
+void Routing::releaseClaim(const Request& request, RowVersion version, Instant now, RoutingEffects& effects)
+{
+    // Surely not run: the caller may try again with the same id. If this write is lost, a repeat is
+    // refused as a duplicate, which is safe.
+    const RowKey key = claimKey(request);
+    effects.push_back(WriteTransaction { Transaction { .id = this->nextTransaction(now), .conditions = { { key, version } }, .writes = {}, .deletes = { key } } });
+}
+
+void Routing::serveClaims(Instant now, RoutingEffects& effects)
+{
+    for (auto& [id, claim] : this->claims) {
+        if (!claim.isAbandoned && claim.work.request.deadline <= now) {
+            this->abandonClaim(claim);
+            this->refuse(claim.work, RefusalReason::DeadlinePassed, now, effects);
+        }
+        if (!claim.isAbandoned && claim.retryAt && *claim.retryAt <= now) {
+            claim.retryAt.reset();
+            effects.push_back(WriteTransaction { claim.transaction });
+        }
+    }
+    // Without an answer under way, nothing more will be heard of an abandoned claim.
+    this->abandonedClaims -= std::erase_if(this->claims, [](const auto& entry) { return entry.second.isAbandoned && entry.second.retryAt; });
+}
+
+void Routing::abandonClaim(Claim& claim)
+{
+    claim.isAbandoned = true;
+    ++this->abandonedClaims;
+    --this->serviceOf(claim.work.request.service).claiming;
+}
+
+} // namespace dragonflytray
--- a/packages/routing/commands/change_configuration.cc
+++ b/packages/routing/commands/change_configuration.cc
@@ -10,6 +10,9 @@
     this->inForce = next;
     for (auto& [name, runner] : this->runners)
         runner.distance = this->distanceTo(runner.host.dataCentre);
+    for (auto& [name, peer] : this->peers)
+        peer.distance = this->distanceTo(peer.host.dataCentre);
+    this->adjustLinkBudget();
 }
 
 } // namespace dragonflytray
--- a/packages/routing/commands/change_hosts.cc
+++ b/packages/routing/commands/change_hosts.cc
@@ -4,30 +4,67 @@
 
 namespace dragonflytray {
 
+namespace {
+
+    constexpr double leastLinkBurst = 64 * 1024; // bytes; one answer of usual size always fits
+
+} // namespace
+
 void Routing::changeHosts(const RoutingCommand& command, Instant now, RoutingEffects& effects)
 {
     const auto& hosts = std::get<ChangeHosts>(command).hosts;
     this->entryHosts.clear();
     for (auto& [name, runner] : this->runners)
         runner.isListed = false;
+    for (auto& [name, peer] : this->peers)
+        peer.isListed = false;
     for (const Host& host : hosts) {
         if (host.kind == HostKind::EntryHost)
-            this->entryHosts.push_back(host);
+            this->listPeer(host);
         if (host.kind == HostKind::Runner)
             this->listRunner(host);
     }
-    // A runner that left the list may come back with attempts of ours still running: they keep counting.
-    std::erase_if(this->runners, [](const auto& entry) { return !entry.second.isListed && entry.second.inFlight == 0; });
     this->assignShares();
+    this->forgetUnlisted();
+    this->adjustLinkBudget();
     this->serveQueues(now, effects);
 }
 
 void Routing::listRunner(const Host& host)
 {
-    Runner& runner = this->runners[host.name];
+    RunnerState& runner = this->runners[host.name];
+    if (runner.host.service != host.service && runner.position != RunnerState::notPooled)
+        this->serviceOf(runner.host.service).pool.update(runner, false);
     runner.host = host;
     runner.isListed = true;
     runner.distance = this->distanceTo(host.dataCentre);
 }
 
+void Routing::listPeer(const Host& host)
+{
+    this->entryHosts.push_back(host);
+    if (host.dataCentre == this->options.dataCentre)
+        return;
+    Peer& peer = this->peers[host.name];
+    peer.host = host;
+    peer.isListed = true;
+    peer.distance = this->distanceTo(host.dataCentre);
+}
+
+void Routing::forgetUnlisted()
+{
+    // A runner that left the list may come back with attempts of ours still running: they keep counting.
+    std::erase_if(this->runners, [](const auto& entry) { return !entry.second.isListed && entry.second.inFlight == 0; });
+    std::erase_if(this->peers, [](const auto& entry) { return !entry.second.isListed && entry.second.outstanding == 0; });
+}
+
+void Routing::adjustLinkBudget()
+{
+    if (!this->inForce.declaration)
+        return;
+    const auto sharers = std::count_if(this->entryHosts.begin(), this->entryHosts.end(), [&](const Host& host) { return this->distanceTo(host.dataCentre) < 2; });
+    const double part = this->inForce.declaration->linkBytesPerSecond / static_cast<double>(std::max<std::ptrdiff_t>(1, sharers));
+    this->linkBudget.adjust({ .perSecond = part, .capacity = std::max(leastLinkBurst, part) });
+}
+
 } // namespace dragonflytray
--- a/packages/routing/commands/change_shares.cc
+++ b/packages/routing/commands/change_shares.cc
@@ -29,16 +29,38 @@
 
 void Routing::assignShares()
 {
+    for (auto& [name, service] : this->services) {
+        service.slots = 0;
+        service.sites.clear();
+    }
     for (auto& [name, runner] : this->runners) {
-        if (this->options.shareSource == ShareSource::EvenSplit) {
-            runner.share = evenShare(runner.host, this->entryHosts);
+        runner.share = this->shareOf(runner);
+        this->refresh(runner);
+        if (!runner.isListed || runner.host.state != HostState::Live)
             continue;
-        }
-        auto assigned = this->assignedShares.find(name);
-        runner.share = assigned == this->assignedShares.end() ? 0 : assigned->second;
+        ServiceState& service = this->serviceOf(runner.host.service);
+        service.slots += runner.share;
+        service.sites.insert(runner.host.dataCentre);
     }
 }
 
+int Routing::shareOf(const RunnerState& runner) const
+{
+    // The slots of another data centre belong to the entry hosts there.
+    if (runner.host.dataCentre != this->options.dataCentre)
+        return 0;
+    if (this->options.shareSource == ShareSource::EvenSplit)
+        return evenShare(runner.host, this->entryHosts);
+    auto assigned = this->assignedShares.find(runner.host.name);
+    return assigned == this->assignedShares.end() ? 0 : assigned->second;
+}
+
+void Routing::refresh(RunnerState& runner)
+{
+    const bool isFit = runner.isListed && runner.host.state == HostState::Live && runner.inFlight < runner.share;
+    this->serviceOf(runner.host.service).pool.update(runner, isFit);
+}
+
 void Routing::reportDemand(Instant now, RoutingEffects& effects)
 {
     if (now < this->demandReportedAt + demandInterval || this->sharesHeld().wanted == this->reportedDemand)
@@ -62,8 +84,10 @@
     for (const auto& [name, runner] : this->runners) {
         if (const int held = std::max(runner.share, runner.inFlight); held > 0)
             report.held.push_back({ name, held });
-        auto queue = this->queues.find(runner.host.service);
-        const int waiting = queue == this->queues.end() ? 0 : static_cast<int>(queue->second.size());
+        if (runner.host.dataCentre != this->options.dataCentre)
+            continue;
+        auto service = this->services.find(runner.host.service);
+        const int waiting = service == this->services.end() ? 0 : static_cast<int>(service->second.queue->size());
         if (const int wanted = runner.inFlight + waiting; wanted > 0)
             report.wanted.push_back({ name, wanted });
     }
--- a/packages/routing/commands/submit_request.cc
+++ b/packages/routing/commands/submit_request.cc
@@ -5,31 +5,24 @@
 void Routing::submitRequest(const RoutingCommand& command, Instant now, RoutingEffects& effects)
 {
     const auto& submitted = std::get<SubmitRequest>(command);
-    Waiting work { submitted.token, submitted.request, 0, {} };
-    if (auto reason = this->reasonToRefuse(work.request, now))
-        return this->refuse(work, notRun(*reason), effects);
+    WaitingRequest work;
+    work.token = submitted.token;
+    work.request = submitted.request;
+    work.arrivedAt = now;
+    auto refusal = this->refusalOf(work.request, now);
+    ++this->openCount;
+    ++this->openByTeam[work.request.team];
+    if (refusal)
+        return this->refuse(work, refusal->reason, now, effects, refusal->retryAfter);
+    if (!this->makeRoom(work.request, now, effects))
+        return this->refuse(work, RefusalReason::QueueFull, now, effects, this->timeToServe(work.request));
     const ServiceName service = work.request.service;
-    this->enqueue(std::move(work));
+    // A forwarded request was claimed by the entry host that its caller spoke to.
+    const bool needsClaim = this->options.shouldClaim && work.request.idempotency == Idempotency::NonIdempotent && work.request.source == RequestSource::Caller;
+    if (needsClaim)
+        return this->claim(std::move(work), now, effects);
+    this->enqueue(std::move(work), now);
     this->dispatch(service, now, effects);
 }
 
-std::optional<RefusalReason> Routing::reasonToRefuse(const Request& request, Instant now) const
-{
-    if (this->isStopping)
-        return RefusalReason::ShuttingDown;
-    if (!this->inForce.declaration)
-        return RefusalReason::NoConfiguration;
-    const ServiceDeclaration* service = this->inForce.declaration->findService(request.service);
-    if (!service)
-        return RefusalReason::UnknownService;
-    if (!this->inForce.declaration->findTeam(request.team))
-        return RefusalReason::UnknownTeam;
-    if (request.deadline <= now)
-        return RefusalReason::DeadlinePassed;
-    auto queue = this->queues.find(request.service);
-    if (queue != this->queues.end() && queue->second.size() >= service->queueLimit)
-        return RefusalReason::QueueFull;
-    return std::nullopt;
-}
-
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/routing/commands/transaction_result.cc
@@ -0,0 +1,60 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr Duration ambiguousPause = std::chrono::milliseconds(50); // before the same transaction is written again
+
+    // versionOf() is the version of the row that this transaction wrote, or 0 when another one wrote it.
+    RowVersion versionOf(const TransactionResult& result)
+    {
+        if (result.status == TransactionStatus::Committed)
+            return result.revision;
+        auto own = std::find_if(result.conflicts.begin(), result.conflicts.end(), [&](const RowChange& row) { return row.writer == result.id; });
+        return own == result.conflicts.end() ? 0 : own->version;
+    }
+
+} // namespace
+
+void Routing::transactionResult(const RoutingCommand& command, Instant now, RoutingEffects& effects)
+{
+    const auto& result = std::get<TransactionResult>(command);
+    auto found = this->claims.find(result.id);
+    if (found == this->claims.end() || found->second.retryAt)
+        return; // the end of a release, or a second answer
+    if (result.status == TransactionStatus::Ambiguous && !found->second.isAbandoned) {
+        // The row's writer tells, on the next try, whether this one took effect.
+        found->second.retryAt = now + ambiguousPause;
+        return;
+    }
+    Claim claim = std::move(found->second);
+    this->claims.erase(found);
+    claim.work.claim = versionOf(result);
+    if (claim.isAbandoned) {
+        --this->abandonedClaims;
+        if (claim.work.claim != 0)
+            this->releaseClaim(claim.work.request, claim.work.claim, now, effects);
+        return;
+    }
+    --this->serviceOf(claim.work.request.service).claiming;
+    this->endClaim(std::move(claim.work), result.status, now, effects);
+}
+
+void Routing::endClaim(WaitingRequest work, TransactionStatus status, Instant now, RoutingEffects& effects)
+{
+    if (work.claim != 0) {
+        const ServiceName service = work.request.service;
+        this->enqueue(std::move(work), now);
+        return this->dispatch(service, now, effects);
+    }
+    if (status == TransactionStatus::Unavailable)
+        return this->refuse(work, RefusalReason::StoreUnavailable, now, effects);
+    // Another request with this id was taken before, and that one may have been run.
+    work.mayHaveRun = true;
+    this->refuse(work, RefusalReason::DuplicateRequest, now, effects);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/routing/latency_histogram.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// Latency histograms with fixed bounds, as metrics want them.
+
+#include "base/base.h"
+#include <algorithm>
+
+namespace dragonflytray {
+
+// RequestStage names the parts of a request's time.
+enum class RequestStage {
+    Queue, // from the queue's entry to the send
+    Runner, // from the send to the answer
+    Total, // from admission to the answer
+};
+
+inline constexpr NameTable requestStageNames { std::to_array<NameEntry<RequestStage>>({
+    { RequestStage::Queue, "queue" },
+    { RequestStage::Runner, "runner" },
+    { RequestStage::Total, "total" },
+}) };
+static_assert(requestStageNames.isWhole(RequestStage::Total));
+
+// latencyBoundsInSeconds are the upper bounds of the buckets; one more bucket has no bound.
+inline constexpr std::array latencyBoundsInSeconds { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0 };
+
+// LatencyHistogram counts samples in cumulative buckets: each counts the samples up to its bound, the
+// last one all. Not thread-safe; time linear in the buckets.
+struct LatencyHistogram {
+    std::array<std::uint64_t, latencyBoundsInSeconds.size() + 1> cumulative {};
+    double sumSeconds { 0 };
+
+    // record() adds one sample.
+    void record(Duration sample)
+    {
+        const double seconds = toSeconds(sample);
+        this->sumSeconds += seconds;
+        const auto* bound = std::lower_bound(latencyBoundsInSeconds.begin(), latencyBoundsInSeconds.end(), seconds);
+        for (auto i = static_cast<std::size_t>(bound - latencyBoundsInSeconds.begin()); i < this->cumulative.size(); ++i)
+            ++this->cumulative[i];
+    }
+
+    // count() is the number of samples.
+    std::uint64_t count() const { return this->cumulative.back(); }
+};
+
+} // namespace dragonflytray
--- a/packages/routing/queries/summary.cc
+++ b/packages/routing/queries/summary.cc
@@ -5,15 +5,25 @@
 RoutingView Routing::summary(const RoutingQuery&) const
 {
     RoutingSummary summary;
-    summary.answered = this->answeredCount;
     summary.lateAnswers = this->lateAnswerCount;
-    summary.waiting = this->waitingCount;
+    summary.waiting = this->waitingCount();
     summary.inFlight = this->attempts.size();
-    summary.refusals = this->refusals;
-    summary.retries = this->retries;
+    summary.forwarded = this->forwardedCount;
+    summary.classes = this->classes;
+    for (const ClassSummary& counts : this->classes)
+        this->addTo(summary, counts);
     for (const auto& [name, runner] : this->runners)
         summary.runners.push_back({ name, runner.host.state, runner.inFlight, runner.share });
     return summary;
 }
 
+void Routing::addTo(RoutingSummary& summary, const ClassSummary& counts)
+{
+    summary.answered += counts.answered;
+    for (const auto& reason : refusalReasonNames)
+        summary.refusals[reason.value] += counts.refusals[reason.value];
+    for (const auto& reason : retryReasonNames)
+        summary.retries[reason.value] += counts.retries[reason.value];
+}
+
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/routing/retry_test.cc
@@ -0,0 +1,67 @@
+#include "routing/routing_fixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+namespace {
+
+    struct RetryFixture : RoutingFixture {
+        AttemptId sentAttempt(const RoutingEffects& effects) { return std::get<SendToRunner>(effects.at(0)).attempt; }
+
+        // Fails the attempt and lets the longest pause before a retry pass.
+        RoutingEffects fail(AttemptId attempt, bool isSurelyNotRun)
+        {
+            RoutingEffects effects = this->routing.handle(RunnerFailed { attempt, RetryReason::ConnectionLost, isSurelyNotRun }, this->now);
+            return effects.empty() ? this->tickAfter(std::chrono::milliseconds(20)) : effects;
+        }
+
+        Outcome outcomeOf(const RoutingEffects& effects) { return std::get<ReplyToCaller>(effects.at(0)).outcome; }
+    };
+
+    TEST_CASE_METHOD(RetryFixture, "RunnerFailed_idempotentMaybeRunThenRefusedEverywhere_endsUnknown")
+    {
+        RoutingEffects first = this->submit("a", Idempotency::Idempotent);
+        RoutingEffects second = this->fail(this->sentAttempt(first), false);
+        RoutingEffects third = this->fail(this->sentAttempt(second), true);
+
+        RoutingEffects last = this->fail(this->sentAttempt(third), true);
+
+        CHECK(this->outcomeOf(last).kind == OutcomeKind::Unknown);
+    }
+
+    TEST_CASE_METHOD(RetryFixture, "Tick_deadlinePassesAfterAMaybeRunSend_endsUnknown")
+    {
+        RoutingEffects first = this->submit("a", Idempotency::Idempotent);
+        this->listRunners({});
+        this->fail(this->sentAttempt(first), false);
+
+        CHECK(this->outcomeOf(this->tickAfter(std::chrono::seconds(2))) == unknown(RefusalReason::DeadlinePassed));
+    }
+
+    TEST_CASE_METHOD(RetryFixture, "RunnerFailed_budgetSpent_refusesWithRetryBudget")
+    {
+        std::size_t refused = 0;
+        for (int i = 0; i < 12; ++i) {
+            const AttemptId attempt = this->sentAttempt(this->submit("r" + std::to_string(i)));
+            RoutingEffects ended = this->routing.handle(RunnerFailed { attempt, RetryReason::ConnectFailed, true }, this->now);
+            refused += !ended.empty() && this->outcomeOf(ended) == notRun(RefusalReason::RetryBudget) ? 1 : 0;
+            this->routing.handle(CallerGone { ReplyToken(this->nextToken) }, this->now);
+        }
+
+        CHECK(refused == 2);
+    }
+
+    TEST_CASE_METHOD(RetryFixture, "RunnerAnswered_afterManySuccesses_refillsTheBudgetByItsShare")
+    {
+        for (int i = 0; i < 12; ++i) {
+            this->routing.handle(RunnerFailed { this->sentAttempt(this->submit("f" + std::to_string(i))), RetryReason::ConnectFailed, true }, this->now);
+            this->routing.handle(CallerGone { ReplyToken(this->nextToken) }, this->now);
+        }
+        for (int i = 0; i < 11; ++i)
+            this->routing.handle(RunnerAnswered { this->sentAttempt(this->submit("s" + std::to_string(i))), {} }, this->now);
+
+        CHECK(this->routing.handle(RunnerFailed { this->sentAttempt(this->submit("x")), RetryReason::ConnectFailed, true }, this->now).empty());
+    }
+
+} // namespace
+} // namespace dragonflytray
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -4,6 +4,13 @@
 
 namespace dragonflytray {
 
+namespace {
+
+    constexpr std::size_t explainedSteps = 24; // of one request id, which callers may repeat
+    constexpr TokenBucket::Options retryBudgetOptions { .perSecond = 1, .capacity = 10 }; // the floor of retries, and the burst
+
+} // namespace
+
 // In the order of RoutingCommandKind.
 const std::array<Routing::Handler, routingCommandNames.size()> Routing::handlers {
     &Routing::submitRequest,
@@ -14,6 +21,7 @@
     &Routing::changeHosts,
     &Routing::changeConfiguration,
     &Routing::changeShares,
+    &Routing::transactionResult,
     &Routing::stopAdmission,
     &Routing::tick,
 };
@@ -21,6 +29,7 @@
 Routing::Routing(Options options)
     : options(std::move(options))
     , choice(makeRunnerChoice(this->options.choice, this->options.seed))
+    , random(this->options.seed)
 {
 }
 
@@ -30,6 +39,7 @@
     (this->*handlers[command.index()])(command, now, effects);
     if (std::exchange(this->hasFreedShare, false))
         this->reportShares(now, effects);
+    this->checkCounts();
     return effects;
 }
 
@@ -40,84 +50,47 @@
     return (this->*queries[query.index()])(query);
 }
 
-void Routing::enqueue(Waiting work)
-{
-    this->queues[work.request.service].push_back(std::move(work));
-    ++this->waitingCount;
-}
-
-void Routing::dispatch(const ServiceName& service, Instant now, RoutingEffects& effects)
-{
-    std::deque<Waiting>& queue = this->queues[service];
-    while (!queue.empty() && this->sendOne(queue.front(), now, effects)) {
-        queue.pop_front();
-        --this->waitingCount;
-    }
-}
-
-bool Routing::sendOne(Waiting& work, Instant now, RoutingEffects& effects)
-{
-    auto chosen = this->chooseRunner(work);
-    if (!chosen)
-        return false;
-    Runner& runner = this->runners.at(*chosen);
-    require(runner.inFlight < runner.share, "Routing: an attempt would exceed this entry host's share");
-    ++runner.inFlight;
-    const AttemptId id { ++this->lastAttempt };
-    effects.push_back(SendToRunner { id, *chosen, runner.host.endpoint, work.request, work.request.deadline - now });
-    this->explain(work.request.id, "Sent to runner " + chosen->value() + ".");
-    this->attempts.emplace(id, Attempt { std::move(work), *chosen });
-    return true;
-}
-
-std::optional<HostName> Routing::chooseRunner(const Waiting& work)
+Routing::ServiceState& Routing::serviceOf(const ServiceName& name)
 {
-    std::vector<RunnerCandidate> candidates;
-    std::vector<const HostName*> names;
-    for (const auto& [name, runner] : this->runners) {
-        const bool isFit = runner.isListed && runner.host.service == work.request.service && runner.host.state == HostState::Live && name != work.lastRunner;
-        if (!isFit || runner.inFlight >= runner.share)
-            continue;
-        candidates.push_back({ runner.distance, runner.inFlight, runner.share });
-        names.push_back(&name);
-    }
-    auto chosen = this->choice->choose(candidates);
-    if (!chosen)
-        return std::nullopt;
-    return *names[*chosen];
+    auto found = this->services.find(name);
+    if (found != this->services.end())
+        return found->second;
+    ServiceState state { makeRequestQueue(this->options.order, this->options.floors), {}, TokenBucket(retryBudgetOptions), 0, 0, 0, {} };
+    return this->services.emplace(name, std::move(state)).first->second;
 }
 
-std::optional<Routing::Attempt> Routing::takeAttempt(AttemptId id)
+void Routing::end(const WaitingRequest& work, Outcome outcome, Instant now, RoutingEffects& effects)
 {
-    auto found = this->attempts.find(id);
-    if (found == this->attempts.end())
-        return std::nullopt;
-    Attempt attempt = std::move(found->second);
-    this->attempts.erase(found);
-    Runner& runner = this->runners.at(attempt.runner);
-    --runner.inFlight;
-    this->hasFreedShare = this->hasFreedShare || runner.inFlight >= runner.share;
-    if (!runner.isListed && runner.inFlight == 0)
-        this->runners.erase(attempt.runner);
-    return attempt;
+    require(outcome.kind != OutcomeKind::NotRun || !work.mayHaveRun, "Routing: NotRun was said after a send that may have been run");
+    if (outcome.kind == OutcomeKind::NotRun && work.claim != 0)
+        this->releaseClaim(work.request, work.claim, now, effects);
+    this->close(work);
+    effects.push_back(ReplyToCaller { work.token, work.request.source, work.request.id, std::move(outcome) });
 }
 
-void Routing::reply(const Waiting& work, Outcome outcome, RoutingEffects& effects)
+void Routing::refuse(const WaitingRequest& work, RefusalReason reason, Instant now, RoutingEffects& effects, Duration retryAfter)
 {
-    effects.push_back(ReplyToCaller { work.token, work.request.source, work.request.id, std::move(outcome) });
+    ++this->classes[work.request.priority].refusals[reason];
+    Outcome outcome = work.mayHaveRun ? unknown(reason) : notRun(reason, {}, retryAfter);
+    this->explain(work.request.id, "Ended " + std::string(outcomeKindNames.nameOf(outcome.kind)) + ": " + std::string(refusalReasonNames.nameOf(reason)) + ".");
+    this->end(work, std::move(outcome), now, effects);
 }
 
-void Routing::refuse(const Waiting& work, Outcome outcome, RoutingEffects& effects)
+void Routing::close(const WaitingRequest& work)
 {
-    ++this->refusals[outcome.reason];
-    this->explain(work.request.id, "Ended " + std::string(outcomeKindNames.nameOf(outcome.kind)) + ": " + std::string(refusalReasonNames.nameOf(outcome.reason)) + ".");
-    this->reply(work, std::move(outcome), effects);
+    require(this->openCount > 0, "Routing: a request had more than one outcome");
+    --this->openCount;
+    auto open = this->openByTeam.find(work.request.team);
+    require(open != this->openByTeam.end(), "Routing: a team's request was not counted");
+    if (--open->second == 0)
+        this->openByTeam.erase(open);
 }
 
 void Routing::explain(const RequestId& request, std::string step)
 {
     auto [entry, isNew] = this->explanations.try_emplace(request);
-    entry->second.push_back(std::move(step));
+    if (entry->second.size() < explainedSteps)
+        entry->second.push_back(std::move(step));
     if (!isNew)
         return;
     this->explainedOrder.push_back(request);
@@ -127,6 +100,20 @@
     this->explainedOrder.pop_front();
 }
 
+std::size_t Routing::waitingCount() const
+{
+    std::size_t sum = this->delayed.size() + this->claims.size() - this->abandonedClaims;
+    for (const auto& [name, service] : this->services)
+        sum += service.queue->size();
+    return sum;
+}
+
+void Routing::checkCounts() const
+{
+    // Every open request is in exactly one place, so that none is lost and none ends twice.
+    require(this->openCount == this->waitingCount() + this->attempts.size(), "Routing: open requests and their places don't add up");
+}
+
 int Routing::distanceTo(const DataCentreName& dataCentre) const
 {
     if (dataCentre == this->options.dataCentre)
--- a/packages/routing/routing_commands.h
+++ b/packages/routing/routing_commands.h
@@ -50,7 +50,7 @@
 };
 
 // RoutingCommand is any command; its kind is the index of the alternative.
-using RoutingCommand = std::variant<SubmitRequest, RunnerAnswered, RunnerFailed, CallerGone, OpenWatch, ChangeHosts, ChangeConfiguration, ChangeShares, StopAdmission, RoutingTick>;
+using RoutingCommand = std::variant<SubmitRequest, RunnerAnswered, RunnerFailed, CallerGone, OpenWatch, ChangeHosts, ChangeConfiguration, ChangeShares, TransactionResult, StopAdmission, RoutingTick>;
 
 // RoutingCommandKind names the alternatives of RoutingCommand, in their order.
 enum class RoutingCommandKind {
@@ -62,6 +62,7 @@
     ChangeHosts,
     ChangeConfiguration,
     ChangeShares,
+    TransactionResult,
     StopAdmission,
     Tick,
 };
@@ -75,6 +76,7 @@
     { RoutingCommandKind::ChangeHosts, "change-hosts" },
     { RoutingCommandKind::ChangeConfiguration, "change-configuration" },
     { RoutingCommandKind::ChangeShares, "change-shares" },
+    { RoutingCommandKind::TransactionResult, "transaction-result" },
     { RoutingCommandKind::StopAdmission, "stop-admission" },
     { RoutingCommandKind::Tick, "tick" },
 }) };
--- a/packages/routing/routing_effects.h
+++ b/packages/routing/routing_effects.h
@@ -43,7 +43,7 @@
     std::string cursor;
 };
 
-using RoutingEffect = std::variant<SendToRunner, ForwardToPeer, ReplyToCaller, StartWatch, SharesHeld>;
+using RoutingEffect = std::variant<SendToRunner, ForwardToPeer, ReplyToCaller, StartWatch, SharesHeld, WriteTransaction>;
 using RoutingEffects = std::vector<RoutingEffect>;
 
 } // namespace dragonflytray
--- a/packages/routing/routing_queries.h
+++ b/packages/routing/routing_queries.h
@@ -3,6 +3,7 @@
 // The queries of `Routing`. Each reads its state and returns a value; one file under `queries/` each.
 
 #include "model/model.h"
+#include "routing/latency_histogram.h"
 #include <optional>
 #include <variant>
 #include <vector>
@@ -21,6 +22,14 @@
     int share { 0 }; // slots that this entry host may use
 };
 
+// ClassSummary is what happened to the requests of one class.
+struct ClassSummary {
+    std::uint64_t answered { 0 };
+    RefusalCounts refusals;
+    RetryCounts retries;
+    EnumArray<RequestStage, LatencyHistogram, requestStageNames.size()> stages;
+};
+
 // RoutingSummary is the answer to RoutingSummaryQuery.
 struct RoutingSummary {
     std::uint64_t answered { 0 };
@@ -29,6 +38,8 @@
     std::size_t inFlight { 0 };
     RefusalCounts refusals;
     RetryCounts retries;
+    std::uint64_t forwarded { 0 }; // attempts through peers
+    EnumArray<Priority, ClassSummary, priorityNames.size()> classes;
     std::vector<RunnerSummary> runners;
 };
 
--- a/packages/routing/runner_choice.cc
+++ b/packages/routing/runner_choice.cc
@@ -1,15 +1,29 @@
 #include "routing/runner_choice.h"
 
 #include <random>
-#include <tuple>
 
 namespace dragonflytray {
 
 namespace {
 
-    class LeastOutstanding : public RunnerChoice {
+    constexpr double shortestAnswerSeconds = 0.001; // so that load counts between unmeasured runners
+
+    // expectedSeconds() is when an answer of the runner may be expected if one more is sent to it.
+    double expectedSeconds(const RunnerCandidate& candidate)
+    {
+        return (candidate.answerSeconds + shortestAnswerSeconds) * (candidate.inFlight + 1);
+    }
+
+    double loadOf(const RunnerCandidate& candidate)
+    {
+        return static_cast<double>(candidate.inFlight) / candidate.share;
+    }
+
+    // Scan picks the least of all by `Rank`; ties fall at random.
+    template <double (*Rank)(const RunnerCandidate&)>
+    class Scan : public RunnerChoice {
     public:
-        explicit LeastOutstanding(std::uint64_t seed)
+        explicit Scan(std::uint64_t seed)
             : random(seed)
         {
         }
@@ -17,26 +31,45 @@
         std::optional<std::size_t> choose(std::span<const RunnerCandidate> candidates) override
         {
             std::optional<std::size_t> best;
+            double bestRank = 0;
             std::size_t ties = 0;
             for (std::size_t i = 0; i < candidates.size(); ++i) {
-                if (!best || this->rank(candidates[i]) < this->rank(candidates[*best])) {
-                    best = i;
-                    ties = 1;
-                } else if (this->rank(candidates[i]) == this->rank(candidates[*best])) {
-                    ++ties;
-                    if (this->random() % ties == 0)
-                        best = i;
-                }
+                const double rank = Rank(candidates[i]);
+                if (best && rank > bestRank)
+                    continue;
+                ties = best && rank == bestRank ? ties + 1 : 1;
+                if (ties > 1 && this->random() % ties != 0)
+                    continue;
+                best = i;
+                bestRank = rank;
             }
             return best;
         }
 
     private:
-        static std::tuple<int, double> rank(const RunnerCandidate& candidate)
+        std::mt19937_64 random;
+    };
+
+    using LatencyScan = Scan<&expectedSeconds>;
+    using LeastOutstanding = Scan<&loadOf>;
+
+    class LatencyTwoChoices : public RunnerChoice {
+    public:
+        explicit LatencyTwoChoices(std::uint64_t seed)
+            : random(seed)
+        {
+        }
+
+        std::optional<std::size_t> choose(std::span<const RunnerCandidate> candidates) override
         {
-            return { candidate.distance, static_cast<double>(candidate.inFlight) / candidate.share };
+            if (candidates.empty())
+                return std::nullopt;
+            const std::size_t first = this->random() % candidates.size();
+            const std::size_t second = this->random() % candidates.size();
+            return expectedSeconds(candidates[second]) < expectedSeconds(candidates[first]) ? second : first;
         }
 
+    private:
         std::mt19937_64 random;
     };
 
@@ -83,7 +116,7 @@
     }
 
     using Factory = std::unique_ptr<RunnerChoice> (*)(std::uint64_t);
-    constexpr std::array<Factory, runnerChoiceNames.size()> factories { &make<LeastOutstanding>, &make<RoundRobin>, &make<Random> };
+    constexpr std::array<Factory, runnerChoiceNames.size()> factories { &make<LatencyTwoChoices>, &make<LatencyScan>, &make<LeastOutstanding>, &make<RoundRobin>, &make<Random> };
 
 } // namespace
 
--- a/packages/routing/runner_choice.h
+++ b/packages/routing/runner_choice.h
@@ -16,19 +16,23 @@
 
 // RunnerCandidate is a runner with a free slot of this entry host's share.
 struct RunnerCandidate {
-    int distance { 0 }; // 0: same data centre, 1: same region, 2: other region
     int inFlight { 0 };
     int share { 1 };
+    double answerSeconds { 0 }; // smoothed; 0: not measured
 };
 
 // RunnerChoiceKind names the strategies.
 enum class RunnerChoiceKind {
+    LatencyTwoChoices, // the better of two drawn at random, by answer time and load
+    LatencyScan, // the best of all, by answer time and load
     LeastOutstanding,
     RoundRobin,
     Random,
 };
 
 inline constexpr NameTable runnerChoiceNames { std::to_array<NameEntry<RunnerChoiceKind>>({
+    { RunnerChoiceKind::LatencyTwoChoices, "latency-two-choices" },
+    { RunnerChoiceKind::LatencyScan, "latency-scan" },
     { RunnerChoiceKind::LeastOutstanding, "least-outstanding" },
     { RunnerChoiceKind::RoundRobin, "round-robin" },
     { RunnerChoiceKind::Random, "random" },
