--- a/packages/routing/commands/change_hosts.cc
+++ b/packages/routing/commands/change_hosts.cc
@@ -6,31 +6,65 @@
 
 namespace {
 
-    // shareOf() splits a runner's slots evenly among the entry hosts of its data centre.
-    int shareOf(const Host& runner, const std::vector<Host>& hosts)
-    {
-        const auto sharers = std::count_if(hosts.begin(), hosts.end(), [&](const Host& host) {
-            return host.kind == HostKind::EntryHost && host.dataCentre == runner.dataCentre;
-        });
-        return std::max<int>(1, runner.slots / std::max<int>(1, static_cast<int>(sharers)));
-    }
+    constexpr double leastLinkBurst = 64 * 1024; // bytes; one answer of usual size always fits
 
 } // namespace
 
 void Routing::changeHosts(const RoutingCommand& command, Instant now, RoutingEffects& effects)
 {
     const auto& hosts = std::get<ChangeHosts>(command).hosts;
-    std::map<HostName, Runner> next;
+    this->entryHosts.clear();
+    for (auto& [name, runner] : this->runners)
+        runner.isListed = false;
+    for (auto& [name, peer] : this->peers)
+        peer.isListed = false;
     for (const Host& host : hosts) {
-        if (host.kind != HostKind::Runner)
-            continue;
-        auto known = this->runners.find(host.name);
-        const int inFlight = known == this->runners.end() ? 0 : known->second.inFlight;
-        const int share = std::max(shareOf(host, hosts), inFlight);
-        next.emplace(host.name, Runner { host, share, inFlight, this->distanceTo(host.dataCentre) });
+        if (host.kind == HostKind::EntryHost)
+            this->listPeer(host);
+        if (host.kind == HostKind::Runner)
+            this->listRunner(host);
     }
-    this->runners = std::move(next);
-    this->tick(RoutingTick {}, now, effects);
+    this->assignShares();
+    this->forgetUnlisted();
+    this->adjustLinkBudget();
+    this->serveQueues(now, effects);
+}
+
+void Routing::listRunner(const Host& host)
+{
+    RunnerState& runner = this->runners[host.name];
+    if (runner.host.service != host.service && runner.position != RunnerState::notPooled)
+        this->serviceOf(runner.host.service).pool.update(runner, false);
+    runner.host = host;
+    runner.isListed = true;
+    runner.distance = this->distanceTo(host.dataCentre);
+}
+
+void Routing::listPeer(const Host& host)
+{
+    this->entryHosts.push_back(host);
+    if (host.dataCentre == this->options.dataCentre)
+        return;
+    Peer& peer = this->peers[host.name];
+    peer.host = host;
+    peer.isListed = true;
+    peer.distance = this->distanceTo(host.dataCentre);
+}
+
+void Routing::forgetUnlisted()
+{
+    // A runner that left the list may come back with attempts of ours still running: they keep counting.
+    std::erase_if(this->runners, [](const auto& entry) { return !entry.second.isListed && entry.second.inFlight == 0; });
+    std::erase_if(this->peers, [](const auto& entry) { return !entry.second.isListed && entry.second.outstanding == 0; });
+}
+
+void Routing::adjustLinkBudget()
+{
+    if (!this->inForce.declaration)
+        return;
+    const auto sharers = std::count_if(this->entryHosts.begin(), this->entryHosts.end(), [&](const Host& host) { return this->distanceTo(host.dataCentre) < 2; });
+    const double part = this->inForce.declaration->linkBytesPerSecond / static_cast<double>(std::max<std::ptrdiff_t>(1, sharers));
+    this->linkBudget.adjust({ .perSecond = part, .capacity = std::max(leastLinkBurst, part) });
 }
 
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/routing/commands/change_shares.cc
@@ -0,0 +1,97 @@
+#include "routing/routing.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr Duration demandInterval = std::chrono::milliseconds(200);
+
+    // evenShare() splits a runner's slots among the entry hosts of its data centre.
+    int evenShare(const Host& runner, const std::vector<Host>& entryHosts)
+    {
+        const auto sharers = std::count_if(entryHosts.begin(), entryHosts.end(), [&](const Host& host) { return host.dataCentre == runner.dataCentre; });
+        return std::max<int>(1, runner.slots / std::max<int>(1, static_cast<int>(sharers)));
+    }
+
+} // namespace
+
+void Routing::changeShares(const RoutingCommand& command, Instant now, RoutingEffects& effects)
+{
+    this->assignedShares.clear();
+    for (const SlotShare& share : std::get<ChangeShares>(command).shares)
+        this->assignedShares[share.runner] = share.slots;
+    this->assignShares();
+    this->serveQueues(now, effects);
+    this->reportShares(now, effects);
+}
+
+void Routing::assignShares()
+{
+    for (auto& [name, service] : this->services) {
+        service.slots = 0;
+        service.sites.clear();
+    }
+    for (auto& [name, runner] : this->runners) {
+        runner.share = this->shareOf(runner);
+        this->refresh(runner);
+        if (!runner.isListed || runner.host.state != HostState::Live)
+            continue;
+        ServiceState& service = this->serviceOf(runner.host.service);
+        service.slots += runner.share;
+        service.sites.insert(runner.host.dataCentre);
+    }
+}
+
+int Routing::shareOf(const RunnerState& runner) const
+{
+    // The slots of another data centre belong to the entry hosts there.
+    if (runner.host.dataCentre != this->options.dataCentre)
+        return 0;
+    if (this->options.shareSource == ShareSource::EvenSplit)
+        return evenShare(runner.host, this->entryHosts);
+    auto assigned = this->assignedShares.find(runner.host.name);
+    return assigned == this->assignedShares.end() ? 0 : assigned->second;
+}
+
+void Routing::refresh(RunnerState& runner)
+{
+    const bool isFit = runner.isListed && runner.host.state == HostState::Live && runner.inFlight < runner.share;
+    this->serviceOf(runner.host.service).pool.update(runner, isFit);
+}
+
+void Routing::reportDemand(Instant now, RoutingEffects& effects)
+{
+    if (now < this->demandReportedAt + demandInterval || this->sharesHeld().wanted == this->reportedDemand)
+        return;
+    this->reportShares(now, effects);
+}
+
+void Routing::reportShares(Instant now, RoutingEffects& effects)
+{
+    if (this->options.shareSource != ShareSource::Assigned)
+        return;
+    SharesHeld report = this->sharesHeld();
+    this->reportedDemand = report.wanted;
+    this->demandReportedAt = now;
+    effects.push_back(std::move(report));
+}
+
+SharesHeld Routing::sharesHeld() const
+{
+    SharesHeld report;
+    for (const auto& [name, runner] : this->runners) {
+        if (const int held = std::max(runner.share, runner.inFlight); held > 0)
+            report.held.push_back({ name, held });
+        if (runner.host.dataCentre != this->options.dataCentre)
+            continue;
+        auto service = this->services.find(runner.host.service);
+        const int waiting = service == this->services.end() ? 0 : static_cast<int>(service->second.queue->size());
+        if (const int wanted = runner.inFlight + waiting; wanted > 0)
+            report.wanted.push_back({ name, wanted });
+    }
+    return report;
+}
+
+} // namespace dragonflytray
