Check declarations for contradictions and bound what is parsed

Cause: a file could carry zero weights, one data centre in two regions, names that no key can carry, keys that stand twice, and values that overflow; aliases and deep nesting were expanded by the YAML library.

--- a/packages/declarations/parse_declaration.cc
+++ b/packages/declarations/parse_declaration.cc
@@ -10,6 +10,18 @@
     constexpr double bytesPerMegabit = 125000;
     constexpr double maximumSeconds = 30.0 * 24 * 3600;
 
+    constexpr std::size_t nameLimit = 64; // characters
+    constexpr double countLimit = 1e9;
+    constexpr double maximumMegabits = 1e6;
+
+    // checkName() reports characters that paths, metrics and keys of the table could not carry.
+    void checkName(YamlMap& map, const std::string& key, const std::string& name)
+    {
+        const bool isLegal = name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") == std::string::npos;
+        if (!isLegal || name.size() > nameLimit)
+            map.addFinding(key, "the name `" + name.substr(0, nameLimit) + "` is not allowed", "up to 64 letters, digits, `.`, `_` and `-`");
+    }
+
     Duration secondsToDuration(double seconds)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -21,6 +33,7 @@
         std::string read(YamlMap& map)
         {
             std::string name = map.text("name");
+            checkName(map, "name", name);
             if (!name.empty() && !this->seen.insert(name).second)
                 map.addFinding("name", "the name `" + name + "` stands twice in this list");
             return name;
@@ -33,9 +46,11 @@
     Objective readObjective(YamlMap map)
     {
         Objective objective;
-        objective.tailLatency = map.number("tailLatency", { .fallback = 1 });
-        objective.throughput = map.number("throughput", { .fallback = 1 });
-        objective.evictions = map.number("evictions", { .fallback = 1 });
+        objective.tailLatency = map.number("tailLatency", { .maximum = countLimit, .fallback = 1 });
+        objective.throughput = map.number("throughput", { .maximum = countLimit, .fallback = 1 });
+        objective.evictions = map.number("evictions", { .maximum = countLimit, .fallback = 1 });
+        if (objective.tailLatency + objective.throughput + objective.evictions <= 0)
+            map.addFinding({}, "the weights of `objective` are all zero", "give at least one weight above zero");
         map.finish();
         return objective;
     }
@@ -44,11 +59,16 @@
     {
         std::vector<RegionDeclaration> regions;
         UniqueNames names;
+        std::set<std::string> placed;
         for (YamlMap& map : root.maps("regions", true)) {
             RegionDeclaration region;
             region.name = RegionName(names.read(map));
-            for (std::string& dataCentre : map.texts("dataCentres", true))
+            for (std::string& dataCentre : map.texts("dataCentres", true)) {
+                checkName(map, "dataCentres", dataCentre);
+                if (!placed.insert(dataCentre).second)
+                    map.addFinding("dataCentres", "the data centre `" + dataCentre + "` stands twice", "each data centre belongs to one region");
                 region.dataCentres.emplace_back(std::move(dataCentre));
+            }
             map.finish();
             regions.push_back(std::move(region));
         }
@@ -63,8 +83,8 @@
             TeamDeclaration team;
             team.name = TeamName(names.read(map));
             team.weight = map.number("weight", { .minimum = 0.01, .maximum = 1000, .fallback = 1 });
-            team.requestsInFlight = static_cast<std::size_t>(map.number("requestsInFlight", { .fallback = 0, .isWhole = true }));
-            team.processors = map.number("processors", { .fallback = 0 });
+            team.requestsInFlight = static_cast<std::size_t>(map.number("requestsInFlight", { .maximum = countLimit, .fallback = 0, .isWhole = true }));
+            team.processors = map.number("processors", { .maximum = countLimit, .fallback = 0 });
             map.finish();
             teams.push_back(std::move(team));
         }
@@ -109,12 +129,15 @@
     std::vector<WorkersDeclaration> readWorkers(YamlMap& root, const Declaration& declaration)
     {
         std::vector<WorkersDeclaration> workers;
+        std::set<DataCentreName> seen;
         for (YamlMap& map : root.maps("workers")) {
             WorkersDeclaration entry;
             entry.dataCentre = DataCentreName(map.text("dataCentre"));
             entry.hasGuards = map.flag("guards", true);
             if (!entry.dataCentre.isEmpty() && !declaration.findRegionOf(entry.dataCentre))
                 map.addFinding("dataCentre", "the data centre `" + entry.dataCentre.value() + "` belongs to no region");
+            if (!entry.dataCentre.isEmpty() && !seen.insert(entry.dataCentre).second)
+                map.addFinding("dataCentre", "the data centre `" + entry.dataCentre.value() + "` stands twice in this list");
             map.finish();
             workers.push_back(std::move(entry));
         }
@@ -133,7 +156,7 @@
     declaration.customer = root.text("customer");
     declaration.objective = readObjective(root.map("objective"));
     YamlMap link = root.map("link");
-    declaration.linkBytesPerSecond = bytesPerMegabit * link.number("megabitsPerSecond", { .fallback = 30 });
+    declaration.linkBytesPerSecond = bytesPerMegabit * link.number("megabitsPerSecond", { .maximum = maximumMegabits, .fallback = 30 });
     link.finish();
     declaration.regions = readRegions(root);
     declaration.teams = readTeams(root);
--- a/packages/declarations/parse_declaration_test.cc
+++ b/packages/declarations/parse_declaration_test.cc
@@ -53,5 +53,34 @@
                                             "a.yaml:11:19: the data centre `nowhere` belongs to no region\n");
     }
 
+    TEST_CASE_METHOD(ParseDeclarationFixture, "ParseDeclaration_contradictions_areAllReported")
+    {
+        auto declaration = parseDeclaration(R"(customer: a
+objective: { tailLatency: 0, throughput: 0, evictions: 0 }
+regions:
+  - { name: r1, dataCentres: [d1] }
+  - { name: r2, dataCentres: [d1] }
+teams:
+  - { name: a/b }
+customer: b
+)",
+            "a.yaml");
+
+        REQUIRE_FALSE(declaration);
+        CHECK(declaration.error().text() == "a.yaml:2:12: the weights of `objective` are all zero (give at least one weight above zero)\n"
+                                            "a.yaml:5:30: the data centre `d1` stands twice (each data centre belongs to one region)\n"
+                                            "a.yaml:7:13: the name `a/b` is not allowed (up to 64 letters, digits, `.`, `_` and `-`)\n"
+                                            "a.yaml:8:1: the key `customer` stands twice\n");
+    }
+
+    TEST_CASE_METHOD(ParseDeclarationFixture, "ParseDeclaration_aliasBombDeepOrLargeFile_isRefusedWithItsPlace")
+    {
+        const auto firstFinding = [](const std::string& faulty) { return parseDeclaration(faulty, "a.yaml").error().text(); };
+
+        CHECK(firstFinding("a: &a [x, x]\nb: &b [*a, *a]\n") == "a.yaml:1:4: not well-formed YAML: anchors are not allowed\n");
+        CHECK(firstFinding("a: " + std::string(100, '[') + std::string(100, ']')) == "a.yaml:1:19: not well-formed YAML: the file is nested too deeply\n");
+        CHECK(firstFinding(std::string(300000, '#')) == "a.yaml:1:1: the file is larger than 256 KB\n");
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/yaml/yaml_map.cc
+++ b/packages/yaml/yaml_map.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 namespace dragonflytray {
@@ -14,10 +16,57 @@
 
     constexpr std::size_t hintDistance = 3; // edits at most between a wrong key and the one hinted at
 
+    constexpr std::size_t textLimit = 256 * 1024; // bytes
+    constexpr std::size_t nodeLimit = 100000;
+    constexpr std::size_t depthLimit = 16;
+    constexpr std::size_t listLimit = 10000;
+
+    // ShapeCheck walks the events of a text before a tree is built, and throws at the first that is refused:
+    // anchors and aliases, which can multiply a text, and too many or too deep nodes.
+    class ShapeCheck : public YAML::EventHandler {
+    public:
+        void OnDocumentStart(const YAML::Mark&) override { }
+        void OnDocumentEnd() override { }
+        void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override { this->count(mark, anchor); }
+        void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override { throw YAML::ParserException(mark, "aliases are not allowed"); }
+        void OnScalar(const YAML::Mark& mark, const std::string&, YAML::anchor_t anchor, const std::string&) override { this->count(mark, anchor); }
+        void OnSequenceStart(const YAML::Mark& mark, const std::string&, YAML::anchor_t anchor, YAML::EmitterStyle::value) override { this->enter(mark, anchor); }
+        void OnSequenceEnd() override { --this->depth; }
+        void OnMapStart(const YAML::Mark& mark, const std::string&, YAML::anchor_t anchor, YAML::EmitterStyle::value) override { this->enter(mark, anchor); }
+        void OnMapEnd() override { --this->depth; }
+
+    private:
+        void count(const YAML::Mark& mark, YAML::anchor_t anchor)
+        {
+            if (anchor != 0)
+                throw YAML::ParserException(mark, "anchors are not allowed");
+            if (++this->nodes > nodeLimit)
+                throw YAML::ParserException(mark, "the file has too many values");
+        }
+
+        void enter(const YAML::Mark& mark, YAML::anchor_t anchor)
+        {
+            this->count(mark, anchor);
+            if (++this->depth > depthLimit)
+                throw YAML::ParserException(mark, "the file is nested too deeply");
+        }
+
+        std::size_t nodes { 0 };
+        std::size_t depth { 0 };
+    };
+
+    void checkShape(const std::string& text)
+    {
+        std::istringstream stream(text);
+        YAML::Parser parser(stream);
+        ShapeCheck check;
+        parser.HandleNextDocument(check);
+    }
+
     Place placeOf(const std::string& file, const YAML::Mark& mark)
     {
         if (mark.is_null())
-            return { .file = file };
+            return { .file = file, .line = 1, .column = 1 };
         return { .file = file, .line = mark.line + 1, .column = mark.column + 1 };
     }
 
@@ -73,7 +122,12 @@
 YamlMap YamlMap::parse(const std::string& text, const std::string& file, Findings& findings)
 {
     YamlMap empty(std::make_shared<Node>(Node { YAML::Node(YAML::NodeType::Map) }), file, findings);
+    if (text.size() > textLimit) {
+        findings.add({ .file = file, .line = 1, .column = 1 }, "the file is larger than 256 KB");
+        return empty;
+    }
     try {
+        checkShape(text);
         YAML::Node root = YAML::Load(text);
         if (root.IsMap())
             return { std::make_shared<Node>(Node { root }), file, findings };
@@ -163,6 +217,10 @@
         this->addFinding(key, "`" + key + "` must be a list");
         return result;
     }
+    if (found->yaml.size() > listLimit) {
+        this->addFinding(key, "`" + key + "` has too many items", "at most 10000");
+        return result;
+    }
     for (const YAML::Node& item : found->yaml) {
         if (item.IsMap())
             result.push_back(YamlMap(std::make_shared<Node>(Node { item }), this->file, *this->findings));
@@ -182,6 +240,10 @@
         this->addFinding(key, "`" + key + "` must be a list");
         return result;
     }
+    if (found->yaml.size() > listLimit) {
+        this->addFinding(key, "`" + key + "` has too many items", "at most 10000");
+        return result;
+    }
     for (const YAML::Node& item : found->yaml) {
         if (item.IsScalar())
             result.push_back(item.Scalar());
@@ -206,10 +268,13 @@
 
 void YamlMap::finish()
 {
+    std::set<std::string> seen;
     for (const auto& entry : this->node->yaml) {
         const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : std::string("?");
         if (!this->known.contains(key))
             this->findings->add(placeOf(this->file, entry.first.Mark()), "unknown key `" + key + "`", nearestHint(key, this->known));
+        else if (!seen.insert(key).second)
+            this->findings->add(placeOf(this->file, entry.first.Mark()), "the key `" + key + "` stands twice");
     }
 }
 
