Join the host list with heartbeats, and tell a loser what differs

Cause: a leaving host was known only by the lagging list; the status had no ages or counters; a lost race told the version and nothing else.

Hosts are live, leaving, suspected (3 s of silence) or gone (shown for 60 s), each with its age; a host that says itself that it leaves is published as leaving at once.

--- a/packages/cli/commands/apply.cc
+++ b/packages/cli/commands/apply.cc
@@ -46,6 +46,11 @@
             printFindings(body["findings"]);
             body.erase("findings");
         }
+        if (body.is_object() && body.contains("changes") && context.output == OutputForm::Table) {
+            for (const auto& change : body["changes"])
+                std::cerr << "your file over the version in force: " << change.value("kind", "") << " " << change.value("path", "") << ": " << change.value("before", "") << " -> " << change.value("after", "") << '\n';
+            body.erase("changes");
+        }
         render(std::cout, body, context.output);
     }
 
--- a/packages/cli/queries/diff.cc
+++ b/packages/cli/queries/diff.cc
@@ -1,29 +1,39 @@
 #include "cli/cli.h"
 
+#include "declarations/declarations.h"
 #include <iostream>
-#include <set>
-#include <sstream>
 
 namespace dragonflytray {
 
 namespace {
 
-    std::vector<std::string> linesOf(const std::string& text)
+    // parseOrExplain() is the declaration of `text`, or nothing once its findings are printed.
+    std::optional<Declaration> parseOrExplain(Context& context, const std::string& text, const std::string& file)
     {
-        std::vector<std::string> lines;
-        std::istringstream stream(text);
-        for (std::string line; std::getline(stream, line);)
-            lines.push_back(line);
-        return lines;
+        auto declaration = parseDeclaration(text, file);
+        if (declaration)
+            return std::move(*declaration);
+        std::cerr << declaration.error().text();
+        context.exitCode = ExitCode::Faulty;
+        return std::nullopt;
     }
 
-    void printMissing(const std::vector<std::string>& lines, const std::vector<std::string>& others, char mark)
+    void run(Context& context, const std::string& file)
     {
-        const std::multiset<std::string> present(others.begin(), others.end());
-        for (const std::string& line : lines) {
-            if (!present.contains(line))
-                std::cout << mark << ' ' << line << '\n';
-        }
+        auto text = readInput(context, file);
+        if (!text)
+            return;
+        auto response = exchange(context, { .target = "/v1/configuration", .headers = {}, .body = {} });
+        if (!response)
+            return;
+        const auto body = nlohmann::json::parse(response->body, nullptr, false);
+        const std::string inForce = body.is_object() ? body.value("text", "") : "";
+        const auto after = parseOrExplain(context, *text, file);
+        const auto before = inForce.empty() ? std::optional(Declaration {}) : parseOrExplain(context, inForce, "in force");
+        if (!before || !after)
+            return;
+        for (const DeclarationChange& change : diffDeclarations(*before, *after))
+            std::cout << describeChange(change) << '\n';
     }
 
 } // namespace
@@ -31,21 +41,9 @@
 void addDiff(CLI::App& app, Context& context)
 {
     auto file = std::make_shared<std::string>();
-    CLI::App* command = app.add_subcommand("diff", "Show the lines that an apply of the file would change");
+    CLI::App* command = app.add_subcommand("diff", "Show what an apply of the file would change");
     command->add_option("file", *file, "the file, or - for standard input")->required();
-    command->callback([&context, file] {
-        auto text = readInput(context, *file);
-        if (!text)
-            return;
-        auto response = exchange(context, { .target = "/v1/configuration", .headers = {}, .body = {} });
-        if (!response)
-            return;
-        const auto body = nlohmann::json::parse(response->body, nullptr, false);
-        const auto before = linesOf(body.is_object() ? body.value("text", "") : "");
-        const auto after = linesOf(*text);
-        printMissing(before, after, '-');
-        printMissing(after, before, '+');
-    });
+    command->callback([&context, file] { run(context, *file); });
 }
 
 } // namespace dragonflytray
--- a/packages/cli/queries/show.cc
+++ b/packages/cli/queries/show.cc
@@ -17,14 +17,14 @@
         render(std::cout, body.is_object() && body.contains("jobs") ? body["jobs"] : body, context.output);
     }
 
-    void showConfiguration(Context& context)
+    void showConfiguration(Context& context, std::uint64_t version)
     {
-        auto response = exchange(context, { .target = "/v1/configuration", .headers = {}, .body = {} });
+        auto response = exchange(context, { .target = "/v1/configuration?version=" + std::to_string(version), .headers = {}, .body = {} });
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
         const auto body = nlohmann::json::parse(response->body, nullptr, false);
-        if (context.output != OutputForm::Table || !body.is_object())
+        if (context.output != OutputForm::Table || !body.is_object() || context.exitCode != ExitCode::Done)
             return render(std::cout, body, context.output);
         std::cout << "# version " << body.value("version", 0) << "\n"
                   << body.value("text", "");
@@ -40,7 +40,10 @@
     CLI::App* jobs = command->add_subcommand("jobs", "The jobs of every data centre");
     jobs->add_option("--state", *state, "only the jobs in this state");
     jobs->callback([&context, state] { showJobs(context, *state); });
-    command->add_subcommand("configuration", "The declaration in force")->callback([&context] { showConfiguration(context); });
+    auto version = std::make_shared<std::uint64_t>(0);
+    CLI::App* configuration = command->add_subcommand("configuration", "The declaration in force, or an earlier one");
+    configuration->add_option("--version", *version, "one of the last 16 versions; 0 is the one in force");
+    configuration->callback([&context, version] { showConfiguration(context, *version); });
 }
 
 } // namespace dragonflytray
--- a/packages/gateway/caller_decoding.cc
+++ b/packages/gateway/caller_decoding.cc
@@ -143,9 +143,12 @@
         return ApplyDeclaration { incoming.token, incoming.request.query("file").value_or("declaration"), std::move(incoming.request.body), static_cast<ConfigurationVersion>(*base) };
     }
 
-    Decoded decodeConfiguration(Incoming)
+    Decoded decodeConfiguration(Incoming incoming)
     {
-        return MembershipQuery(ConfigurationQuery {});
+        const auto version = wholeNumber(incoming.request.query("version").value_or("0"));
+        if (!version || *version < 0)
+            return malformed("the query `version` must be a version of the configuration");
+        return MembershipQuery(ConfigurationQuery { static_cast<ConfigurationVersion>(*version) });
     }
 
     Decoded decodeStatus(Incoming)
--- a/packages/gateway/reply_encoding.cc
+++ b/packages/gateway/reply_encoding.cc
@@ -123,7 +123,10 @@
         json peers = json::array();
         for (const PeerStatus& peer : status.peers)
             peers.push_back({ { "host", peer.host.value() }, { "dataCentre", peer.dataCentre.value() }, { "version", peer.version }, { "isHeard", peer.isHeard }, { "ageSeconds", toSeconds(peer.age) } });
-        return respond(200, { { "host", status.self.value() }, { "dataCentre", status.dataCentre.value() }, { "version", status.version }, { "isReady", status.isReady }, { "listAgeSeconds", toSeconds(status.listAge) }, { "hosts", hosts }, { "peers", peers } });
+        json states = json::array();
+        for (const HostStatus& state : status.states)
+            states.push_back({ { "host", state.host.value() }, { "kind", hostKindNames.nameOf(state.kind) }, { "liveness", hostLivenessNames.nameOf(state.liveness) }, { "ageSeconds", toSeconds(state.age) } });
+        return respond(200, { { "host", status.self.value() }, { "dataCentre", status.dataCentre.value() }, { "version", status.version }, { "isReady", status.isReady }, { "listAgeSeconds", toSeconds(status.listAge) }, { "hosts", hosts }, { "peers", peers }, { "states", states }, { "applies", encodeCounts(status.counts.applies, applyStatusNames) } });
     }
 
     HttpResponse encode(const ConfigurationText& text)
@@ -172,7 +175,10 @@
     json findings = json::array();
     for (const Finding& finding : reply.findings.all())
         findings.push_back({ { "file", finding.place.file }, { "line", finding.place.line }, { "column", finding.place.column }, { "message", finding.message }, { "hint", finding.hint } });
-    return respond(applyHttpStatus[indexOf(reply.status)], { { "status", applyStatusNames.nameOf(reply.status) }, { "version", reply.version }, { "findings", findings } });
+    json changes = json::array();
+    for (const DeclarationChange& change : reply.changes)
+        changes.push_back({ { "kind", declarationChangeKindNames.nameOf(change.kind) }, { "path", change.path }, { "before", change.before }, { "after", change.after } });
+    return respond(applyHttpStatus[indexOf(reply.status)], { { "status", applyStatusNames.nameOf(reply.status) }, { "version", reply.version }, { "findings", findings }, { "changes", changes } });
 }
 
 HttpResponse encodeView(const RoutingView& view)
--- a/packages/membership/commands/apply_declaration.cc
+++ b/packages/membership/commands/apply_declaration.cc
@@ -9,6 +9,7 @@
     const auto& apply = std::get<ApplyDeclaration>(command);
     auto declaration = parseDeclaration(apply.text, apply.file);
     if (!declaration) {
+        ++this->counts.applies[ApplyStatus::Faulty];
         effects.push_back(ReplyToOperator { apply.token, ApplyStatus::Faulty, this->version, declaration.error() });
         return;
     }
--- a/packages/membership/commands/end_platform_work.cc
+++ b/packages/membership/commands/end_platform_work.cc
@@ -63,6 +63,7 @@
         return;
     if (read.key == this->row.value.objectKey)
         this->putInForce(this->row.value.version, read.key, *read.value, now, effects);
+    this->rememberText(read.key, *read.value);
     ConfigurationVersion claimed = 0;
     for (const auto& [name, peer] : this->peers) {
         if (peer.heartbeat.objectKey == read.key && this->isClaimBelieved(peer.heartbeat, now))
--- a/packages/membership/commands/hear_peer.cc
+++ b/packages/membership/commands/hear_peer.cc
@@ -7,7 +7,12 @@
     const PeerHeartbeat& heartbeat = std::get<PeerHeard>(command).heartbeat;
     const auto before = this->peers.find(heartbeat.host);
     const ConfigurationVersion claimed = before == this->peers.end() ? 0 : before->second.heartbeat.version;
+    if (heartbeat.host == this->options.self)
+        return;
+    ++this->counts.heartbeatsHeard;
     this->peers[heartbeat.host] = { heartbeat, now };
+    if (this->isListRead)
+        this->publishHosts(effects);
     // A higher version is a hint to read the table now, once for each new claim.
     if (heartbeat.version > claimed && heartbeat.version > std::max(this->version, this->row.value.version))
         effects.push_back(ReadRows { { RowKind::Configuration }, this->row.revision });
--- a/packages/membership/commands/read_host_list.cc
+++ b/packages/membership/commands/read_host_list.cc
@@ -1,24 +1,31 @@
 #include "membership/membership.h"
 
-#include <algorithm>
-
 namespace dragonflytray {
 
 void Membership::hostListRead(const MembershipCommand& command, Instant now, MembershipEffects& effects)
 {
     const auto& read = std::get<HostListRead>(command);
-    if (!read.isRead)
+    if (!read.isRead) {
+        ++this->counts.listReadsFailed;
         return;
+    }
     const bool isFirst = !this->isListRead;
     this->isListRead = true;
     this->listReadAt = now;
     if (!isFirst && read.hosts == this->hosts)
         return;
+    for (const Host& host : this->hosts)
+        this->gone.insert_or_assign(host.name, GoneHost { host, now });
     this->hosts = read.hosts;
-    std::erase_if(this->peers, [&](const auto& peer) {
-        return std::none_of(this->hosts.begin(), this->hosts.end(), [&](const Host& host) { return host.name == peer.first; });
-    });
-    effects.push_back(PublishHosts { this->hosts });
+    for (const Host& host : this->hosts)
+        this->gone.erase(host.name);
+    for (const auto& [name, entry] : this->gone) {
+        if (entry.since == now)
+            this->peers.erase(name);
+    }
+    if (isFirst && this->hosts.empty())
+        effects.push_back(PublishHosts {});
+    this->publishHosts(effects);
 }
 
 } // namespace dragonflytray
--- a/packages/membership/commands/tick.cc
+++ b/packages/membership/commands/tick.cc
@@ -14,9 +14,12 @@
             this->tableReadAt = now;
         effects.push_back(ReadRows { { RowKind::Configuration }, this->row.revision });
         this->follow(now, effects);
+        this->readHistory(effects);
     }
     this->advanceApplies(now, effects);
+    this->forgetOld(now);
     if (now >= this->nextHeartbeat) {
+        this->countMissedHeartbeats(now);
         this->nextHeartbeat = now + this->options.heartbeatInterval;
         this->sendHeartbeats(effects);
     }
--- a/packages/membership/follow_configuration.cc
+++ b/packages/membership/follow_configuration.cc
@@ -36,6 +36,25 @@
     }
 }
 
+void Membership::readHistory(MembershipEffects& effects)
+{
+    if (this->version != this->row.value.version || this->historyReadAt == this->row.revision)
+        return;
+    this->historyReadAt = this->row.revision; // once for each row: these texts only serve questions
+    for (const ConfigurationRecord& record : this->row.value.history) {
+        if (!this->texts.contains(record.version))
+            effects.push_back(ReadObject { record.objectKey });
+    }
+}
+
+void Membership::rememberText(const std::string& key, const std::string& earlier)
+{
+    for (const ConfigurationRecord& record : this->row.value.history) {
+        if (record.objectKey == key && objectKeyOf(earlier) == key)
+            this->texts[record.version] = earlier;
+    }
+}
+
 bool Membership::isClaimBelieved(const PeerHeartbeat& claim, Instant now) const
 {
     const bool isTableSilent = this->tableReadAt && now - *this->tableReadAt > this->options.tableSilence;
@@ -57,7 +76,9 @@
     this->version = newVersion;
     this->objectKey = key;
     this->text = newText;
-    effects.push_back(PublishConfiguration { { newVersion, std::make_shared<const Declaration>(std::move(*declaration)) } });
+    this->texts[newVersion] = newText;
+    this->declaration = std::make_shared<const Declaration>(std::move(*declaration));
+    effects.push_back(PublishConfiguration { { newVersion, this->declaration } });
     this->sendHeartbeats(effects);
     for (PendingApply& apply : this->applies) {
         if (apply.stage == ApplyStage::AwaitingWinner)
--- a/packages/membership/membership_effects.h
+++ b/packages/membership/membership_effects.h
@@ -47,6 +47,7 @@
     ApplyStatus status { ApplyStatus::Unavailable };
     ConfigurationVersion version { 0 }; // applied, or in force on conflict
     Findings findings;
+    std::vector<DeclarationChange> changes {}; // on conflict: what the file would change of what is in force
 };
 
 using MembershipEffect = std::variant<WriteTransaction, ReadRows, ReadObject, WriteObject, ReadHostList, SendHeartbeat, PublishHosts, PublishConfiguration, ReplyToOperator>;
--- a/packages/membership/membership_queries.h
+++ b/packages/membership/membership_queries.h
@@ -2,6 +2,7 @@
 
 // The queries of `Membership`. Each reads its state and returns a value; one file under `queries/` each.
 
+#include "membership/membership_effects.h"
 #include "model/model.h"
 #include <variant>
 #include <vector>
@@ -12,6 +13,38 @@
 struct StatusQuery {
 };
 
+// HostLiveness joins the platform's word about a host with what the host says itself.
+enum class HostLiveness {
+    Live,
+    Leaving, // the list or the host itself says so; it gets nothing new
+    Suspected, // an entry host on the list that has been silent
+    Gone, // no longer on the list
+};
+
+inline constexpr NameTable hostLivenessNames { std::to_array<NameEntry<HostLiveness>>({
+    { HostLiveness::Live, "live" },
+    { HostLiveness::Leaving, "leaving" },
+    { HostLiveness::Suspected, "suspected" },
+    { HostLiveness::Gone, "gone" },
+}) };
+static_assert(hostLivenessNames.isWhole(HostLiveness::Gone));
+
+// HostStatus is one host in this entry host's view. Views of two entry hosts may differ for a while.
+struct HostStatus {
+    HostName host;
+    HostKind kind { HostKind::Worker };
+    HostLiveness liveness { HostLiveness::Live };
+    Duration age { 0 }; // since the last word of it or about it
+};
+
+// MembershipCounts counts events since this process started.
+struct MembershipCounts {
+    std::uint64_t listReadsFailed { 0 };
+    std::uint64_t heartbeatsHeard { 0 };
+    std::uint64_t heartbeatsMissed { 0 }; // intervals in which a listed peer was silent
+    EnumArray<ApplyStatus, std::uint64_t, applyStatusNames.size()> applies;
+};
+
 // PeerStatus is what is known about one other entry host.
 struct PeerStatus {
     HostName host;
@@ -31,13 +64,16 @@
     Duration listAge { 0 }; // since the platform's list was last read
     std::vector<Host> hosts;
     std::vector<PeerStatus> peers;
+    std::vector<HostStatus> states; // of `hosts` and of those that left the list lately
+    MembershipCounts counts;
 };
 
-// ConfigurationQuery asks for the declaration in force.
+// ConfigurationQuery asks for the declaration in force, or for an earlier one that is remembered.
 struct ConfigurationQuery {
+    ConfigurationVersion version { 0 }; // 0: the one in force
 };
 
-// ConfigurationText is the answer to ConfigurationQuery.
+// ConfigurationText is the answer to ConfigurationQuery; version 0 when there is none.
 struct ConfigurationText {
     ConfigurationVersion version { 0 };
     std::string text;
--- a/packages/membership/membership_state.h
+++ b/packages/membership/membership_state.h
@@ -40,6 +40,8 @@
         Duration configurationInterval { std::chrono::seconds(2) };
         Duration applyTimeout { std::chrono::seconds(8) }; // an operator is told by then
         Duration resendPause { std::chrono::milliseconds(500) }; // between tries of an ambiguous apply
+        Duration suspectAfter { std::chrono::seconds(3) }; // silence of a listed entry host
+        Duration goneRetention { std::chrono::minutes(1) }; // hosts off the list are shown this long
         Duration winnerWait { std::chrono::seconds(3) }; // for the text of the version that won a race
         Duration tableSilence { std::chrono::seconds(5) }; // after it peers are believed about versions
     };
@@ -94,6 +96,17 @@
     MembershipView status(const MembershipQuery& query, Instant now) const;
     MembershipView configuration(const MembershipQuery& query, Instant now) const;
 
+    struct GoneHost {
+        Host host;
+        Instant since;
+    };
+
+    // publishHosts() publishes the list with the hosts that say themselves that they leave marked so.
+    void publishHosts(MembershipEffects& effects);
+    HostStatus statusOf(const Host& host, Instant now) const;
+    void forgetOld(Instant now);
+    void countMissedHeartbeats(Instant now);
+
     PeerHeartbeat ownHeartbeat() const;
     void sendHeartbeats(MembershipEffects& effects);
 
@@ -101,6 +114,9 @@
     void noteRow(const RowChange& change, Instant now, MembershipEffects& effects);
     // follow() reads the texts of versions that are higher than the one in force.
     void follow(Instant now, MembershipEffects& effects);
+    // readHistory() reads the newest text of the row's history that is not here; rememberText() keeps it.
+    void readHistory(MembershipEffects& effects);
+    void rememberText(const std::string& key, const std::string& earlier);
     // isClaimBelieved() says whether the table is silent and two peers agree on this version.
     bool isClaimBelieved(const PeerHeartbeat& claim, Instant now) const;
     void putInForce(ConfigurationVersion newVersion, const std::string& key, const std::string& newText, Instant now, MembershipEffects& effects);
@@ -116,7 +132,10 @@
     void advanceApplies(Instant now, MembershipEffects& effects);
 
     Options options;
-    std::vector<Host> hosts;
+    std::vector<Host> hosts; // as listed
+    std::vector<Host> published;
+    std::map<HostName, GoneHost> gone;
+    MembershipCounts counts;
     bool isListRead { false };
     Instant listReadAt;
     Instant nextList;
@@ -126,7 +145,10 @@
     ConfigurationVersion version { 0 };
     std::string objectKey;
     std::string text;
+    std::map<ConfigurationVersion, std::string> texts; // of the versions in the row's history that are here
+    std::shared_ptr<const Declaration> declaration; // in force
     KnownRow row;
+    RowVersion historyReadAt { 0 }; // the row's revision whose history was asked for
     std::optional<Instant> tableReadAt; // or since when it is waited for
     std::vector<PendingApply> applies;
     std::uint64_t lastTransaction { 0 };
--- a/packages/membership/membership_test.cc
+++ b/packages/membership/membership_test.cc
@@ -54,5 +54,71 @@
         CHECK(this->version() == 1);
     }
 
+    struct HostViewFixture : MembershipFixture {
+        HostViewFixture()
+        {
+            this->peer.name = HostName("e2");
+            this->peer.kind = HostKind::EntryHost;
+            this->hear(false);
+            this->list({ this->peer });
+        }
+
+        MembershipEffects hear(bool isLeaving) { return this->membership.handle(PeerHeard { { HostName("e2"), DataCentreName("dc1"), 0, "", isLeaving } }, this->now); }
+        MembershipEffects list(std::vector<Host> hosts) { return this->membership.handle(HostListRead { true, std::move(hosts) }, this->now); }
+        HostStatus state() const { return std::get<MembershipStatus>(this->membership.ask(StatusQuery {}, this->now)).states.at(0); }
+
+        Host peer;
+    };
+
+    TEST_CASE_METHOD(HostViewFixture, "PeerHeard_leaving_isPublishedBeforeTheListSaysSo")
+    {
+        const MembershipEffects effects = this->hear(true);
+
+        REQUIRE(effects.size() == 1);
+        CHECK(std::get<PublishHosts>(effects[0]).hosts.at(0).state == HostState::Leaving);
+        CHECK(this->state().liveness == HostLiveness::Leaving);
+    }
+
+    TEST_CASE_METHOD(HostViewFixture, "HostView_silentPeer_isSuspectedWithItsAge")
+    {
+        CHECK(this->state().liveness == HostLiveness::Live);
+
+        this->now += std::chrono::seconds(4);
+
+        CHECK(this->state().liveness == HostLiveness::Suspected);
+        CHECK(this->state().age == std::chrono::seconds(4));
+    }
+
+    TEST_CASE_METHOD(HostViewFixture, "HostListRead_peerMissing_isGoneForAWhile")
+    {
+        this->list({});
+
+        CHECK(this->state().liveness == HostLiveness::Gone);
+        this->now += std::chrono::seconds(61);
+        this->membership.handle(MembershipTick {}, this->now);
+        CHECK(std::get<MembershipStatus>(this->membership.ask(StatusQuery {}, this->now)).states.empty());
+    }
+
+    TEST_CASE_METHOD(HostViewFixture, "IsReady_onlyListOrOnlyConfiguration_isFalse")
+    {
+        CHECK_FALSE(this->membership.isReady());
+        this->apply(0, TransactionStatus::Committed);
+        CHECK(this->membership.isReady());
+        MembershipFixture withoutList;
+        withoutList.apply(0, TransactionStatus::Committed);
+        CHECK_FALSE(withoutList.membership.isReady());
+    }
+
+    TEST_CASE_METHOD(MembershipFixture, "ApplyDeclaration_lostRace_isToldWhatItWouldChange")
+    {
+        this->apply(0, TransactionStatus::Committed);
+        this->text = "customer: b\nregions: []\nteams: []\n";
+
+        const ReplyToOperator reply = this->apply(0, TransactionStatus::Committed);
+
+        REQUIRE(reply.changes.size() == 1);
+        CHECK(describeChange(reply.changes[0]) == "changed customer: a -> b");
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/membership/pending_apply.cc
+++ b/packages/membership/pending_apply.cc
@@ -109,7 +109,11 @@
     require(!apply.isEnded, "Membership: an operator is told twice");
     apply.isEnded = true;
     const ConfigurationVersion told = status == ApplyStatus::Applied ? apply.command.base + 1 : std::max(this->version, apply.winner);
-    effects.push_back(ReplyToOperator { apply.command.token, status, told, {} });
+    ++this->counts.applies[status];
+    ReplyToOperator reply { apply.command.token, status, told, {} };
+    if (const auto wanted = parseDeclaration(apply.command.text, apply.command.file); wanted && this->declaration && status == ApplyStatus::Conflict)
+        reply.changes = diffDeclarations(*this->declaration, *wanted);
+    effects.push_back(std::move(reply));
 }
 
 void Membership::advanceApplies(Instant now, MembershipEffects& effects)
--- a/packages/membership/queries/configuration.cc
+++ b/packages/membership/queries/configuration.cc
@@ -2,8 +2,13 @@
 
 namespace dragonflytray {
 
-MembershipView Membership::configuration(const MembershipQuery&, Instant) const
+MembershipView Membership::configuration(const MembershipQuery& query, Instant) const
 {
+    const ConfigurationVersion wanted = std::get<ConfigurationQuery>(query).version;
+    if (wanted != 0 && wanted != this->version) {
+        const auto found = this->texts.find(wanted);
+        return found == this->texts.end() ? ConfigurationText {} : ConfigurationText { wanted, found->second };
+    }
     return ConfigurationText { this->version, this->text };
 }
 
--- a/packages/membership/queries/status.cc
+++ b/packages/membership/queries/status.cc
@@ -21,6 +21,11 @@
         else
             status.peers.push_back({ host.name, host.dataCentre, peer->second.heartbeat.version, true, now - peer->second.heardAt });
     }
+    for (const Host& host : this->hosts)
+        status.states.push_back(this->statusOf(host, now));
+    for (const auto& [name, entry] : this->gone)
+        status.states.push_back({ name, entry.host.kind, HostLiveness::Gone, now - entry.since });
+    status.counts = this->counts;
     return status;
 }
 
