--- a/packages/declarations/diff_declarations.cc
+++ b/packages/declarations/diff_declarations.cc
@@ -107,7 +107,7 @@
 {
     std::string text;
     for (const auto& [path, value] : flatten(declaration))
-        text += path + ": " + value + "\n";
+        text.append(path).append(": ").append(value).append("\n");
     return text;
 }
 
--- a/packages/yaml/yaml_map.cc
+++ b/packages/yaml/yaml_map.cc
@@ -16,7 +16,7 @@
 
     constexpr std::size_t hintDistance = 3; // edits at most between a wrong key and the one hinted at
 
-    constexpr std::size_t textLimit = 256 * 1024; // bytes
+    constexpr std::size_t textLimit = 256UL * 1024; // bytes
     constexpr std::size_t nodeLimit = 100000;
     constexpr std::size_t depthLimit = 16;
     constexpr std::size_t listLimit = 10000;
