Bound open brackets before the YAML scanner keeps them

Cause: 250,000 opening brackets were refused by depth, but the scanner kept a token for each before its first event: 62,848 KB resident in dragonflytray check. Now more than 1,000 open brackets are refused first: 4,988 KB. declarations_test 46,982 assertions and yaml_test pass; the whole ctest was not run again.

--- a/packages/declarations/parse_declaration_test.cc
+++ b/packages/declarations/parse_declaration_test.cc
@@ -79,6 +79,7 @@
 
         CHECK(firstFinding("a: &a [x, x]\nb: &b [*a, *a]\n") == "a.yaml:1:4: not well-formed YAML: anchors are not allowed\n");
         CHECK(firstFinding("a: " + std::string(100, '[') + std::string(100, ']')) == "a.yaml:1:19: not well-formed YAML: the file is nested too deeply\n");
+        CHECK(firstFinding(std::string(250000, '[')) == "a.yaml:1:1: not well-formed YAML: the file is nested too deeply\n");
         CHECK(firstFinding(std::string(300000, '#')) == "a.yaml:1:1: the file is larger than 256 KB\n");
     }
 
--- a/packages/yaml/yaml_map.cc
+++ b/packages/yaml/yaml_map.cc
@@ -20,6 +20,7 @@
     constexpr std::size_t nodeLimit = 100000;
     constexpr std::size_t depthLimit = 16;
     constexpr std::size_t listLimit = 10000;
+    constexpr std::ptrdiff_t openBracketLimit = 1000; // more than any comment or text would leave open
 
     // ShapeCheck walks the events of a text before a tree is built, and throws at the first that is refused:
     // anchors and aliases, which can multiply a text, and too many or too deep nodes.
@@ -55,8 +56,20 @@
         std::size_t depth { 0 };
     };
 
+    // checkBrackets() bounds the brackets left open, since the scanner keeps a token for each before its first event.
+    void checkBrackets(const std::string& text)
+    {
+        std::ptrdiff_t open = 0;
+        for (char character : text) {
+            open += (character == '[' || character == '{') - (character == ']' || character == '}');
+            if (open > openBracketLimit)
+                throw YAML::ParserException(YAML::Mark(), "the file is nested too deeply");
+        }
+    }
+
     void checkShape(const std::string& text)
     {
+        checkBrackets(text);
         std::istringstream stream(text);
         YAML::Parser parser(stream);
         ShapeCheck check;
