Add quotas with borrowing, eviction for urgent work, placement strategies, quarantine and corrections

Jobs within quota now go first, the most urgent before others; idle room is lent to teams over quota. An urgent job without room evicts the cheapest victim (work since checkpoint, doubled for normal priority), one a worker in a measurement lag. A worker on which three jobs in a row fail that failed nowhere else is quarantined and probed, at no cost to jobs; retries back off with jitter; a job that fails on three healthy workers is parked. Usage over declaration raises the need of the job and of first attempts of its class. Needs over any listed worker are refused. explain job names quota, backoff, quarantine, size, leader, and since when.

Run times are not corrected: no decision uses them yet.

--- a/packages/batch/batch.h
+++ b/packages/batch/batch.h
@@ -15,4 +15,5 @@
 #include "batch/batch_effects.h"
 #include "batch/batch_queries.h"
 #include "batch/batch_state.h"
+#include "batch/placement_strategy.h"
 #include "batch/transitions.h"
--- a/packages/batch/batch_state.h
+++ b/packages/batch/batch_state.h
@@ -5,10 +5,12 @@
 #include "batch/batch_commands.h"
 #include "batch/batch_effects.h"
 #include "batch/batch_queries.h"
+#include "batch/placement_strategy.h"
 #include "capacity/capacity.h"
 #include <array>
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 
 namespace dragonflytray {
@@ -42,6 +44,18 @@
         std::size_t cancellationsInTransaction { 128 };
         std::size_t submissionsInFlight { 512 };
         std::size_t cancellationsWaiting { 8192 };
+        PlacementPolicy placement { PlacementPolicy::Scored };
+        std::shared_ptr<const PlacementPenalty> penalty {}; // may be empty
+        double failedHereCost { 10 }; // added for a worker on which the job failed before
+        Duration placementInterval { std::chrono::milliseconds(200) }; // after a pass that placed nothing
+        std::size_t searchesInTick { 64 }; // for a worker with room
+        std::size_t examinedInTick { 4096 }; // waiting jobs looked at
+        std::size_t evictionSearchesInTick { 4 };
+        Duration measurementLag { std::chrono::seconds(5) }; // at most one eviction a worker within it
+        Duration retryBackoff { std::chrono::seconds(1) }; // before the first retry; doubles with each failure
+        std::uint32_t failuresToQuarantine { 3 }; // in a row, of jobs that failed nowhere else
+        Duration quarantine { std::chrono::seconds(30) }; // doubles with each failed probe
+        std::size_t workersToPark { 3 }; // healthy workers on which a job failed
         std::size_t endedJobsKept { 2000 }; // in memory; their rows stay in the table
     };
 
@@ -75,6 +89,10 @@
         Instant lastConfirmed; // when the last answered contact with the worker was sent
         Instant lastRenewal; // latest moment at which the worker's lease may have been renewed
         std::uint64_t contact { 0 }; // number of the last contact that knew of the attempt
+        Instant notBefore; // of the next attempt
+        Instant checkpointed; // when the attempt started, or its checkpoint last changed
+        JobId victim; // the job that was last evicted to make room for this one
+        double charged { 0 }; // processors counted against the team's quota
         std::optional<WaitingKey> waitingKey; // set while in `waiting`
         HostName heldBy; // set while in the worker's `held`
     };
@@ -86,6 +104,24 @@
         Instant contactSent;
         Instant nextContact;
         std::map<JobId, JobEntry*> held;
+        std::uint32_t failuresInRow { 0 };
+        Instant quarantinedUntil;
+        Instant nextEviction;
+    };
+    // UsageRatio is the largest usage seen over what was declared.
+    struct UsageRatio {
+        double processors { 1 };
+        double memory { 1 };
+    };
+    // PlacementPass is what one pass over the queue found.
+    struct PlacementPass {
+        std::vector<Job> placed;
+        std::vector<Job> evicted;
+        std::vector<Capacity> withoutRoom; // needs for which no worker has room
+        bool hasJobWithoutRoom { false };
+        std::size_t searches { 0 };
+        std::size_t examined { 0 };
+        std::size_t evictionSearches { 0 };
     };
     // Purpose says what a transaction was for.
     enum class Purpose {
@@ -122,6 +158,7 @@
     BatchView listJobs(const BatchQuery& query, Instant now) const;
     BatchView explainJob(const BatchQuery& query, Instant now) const;
     BatchView summary(const BatchQuery& query, Instant now) const;
+    std::string whyItWaits(const JobEntry& entry, Instant now) const;
 
     // Leadership.
     bool holdsLeaderRow() const;
@@ -137,12 +174,27 @@
 
     // Placement and tasks.
     void placeQueued(Instant now, BatchEffects& effects);
-    std::optional<HostName> chooseWorker(const Job& job) const;
+    void placeJobs(bool isBorrowing, PlacementPass& pass, Instant now);
+    void placeJob(JobEntry& entry, PlacementPass& pass, Instant now);
+    std::optional<HostName> chooseWorker(const Job& job, Instant now) const;
+    bool takesTasks(const Worker& worker, Instant now) const;
+    void evictFor(JobEntry& entry, PlacementPass& pass, Instant now);
+    double evictionCost(const JobEntry& held, Instant now) const;
+    double quotaOf(const TeamName& team) const;
+    bool isWithinQuota(const Job& job) const;
+    void charge(JobEntry& entry, double processors);
+    Capacity correctedNeed(const Job& job) const;
+    bool fitsAnyWorker(const Capacity& need) const;
+    void observeUsage(JobEntry& entry, const Capacity& usage);
+    void noteWorkerFailure(Worker& worker, const Job& job, Instant now);
+    void noteWorkerSuccess(Worker& worker);
+    Job failAttempt(const JobEntry& entry, const Worker& worker) const;
+    Duration retryBackoff(const Job& job) const;
     void contactWorkers(Instant now, BatchEffects& effects);
     ContactWorker composeContact(Worker& worker, Instant now);
     void listTask(ContactWorker& contact, JobEntry& entry, Instant now) const;
     void expireLeases(Instant now);
-    void applyReport(const TaskReport& report, JobEntry& entry);
+    void applyReport(const TaskReport& report, JobEntry& entry, Worker& worker, Instant now);
     void endAttempt(JobEntry& entry, Job job);
 
     // Transactions.
@@ -171,6 +223,10 @@
     Ledger ledger;
     std::map<JobId, JobEntry> jobs;
     std::set<WaitingKey> waiting; // queued jobs of this data centre
+    std::map<TeamName, double> teamProcessors; // held or about to start, in all data centres
+    std::map<RackName, std::size_t> heldInRack;
+    std::map<BatchClassName, UsageRatio> usageRatios;
+    Instant nextPlacement;
     std::deque<JobId> ended;
     std::deque<JobId> owedOrder; // at most one for each held job
     std::map<JobId, Cancellation> cancellations;
--- a/packages/batch/batch_test.cc
+++ b/packages/batch/batch_test.cc
@@ -98,6 +98,22 @@
         CHECK(this->stateOf("j1") == JobState::Finished);
     }
 
+    TEST_CASE_METHOD(BatchFixture, "WorkerReported_usageOverDeclaration_raisesNeedOfClass")
+    {
+        this->commit(this->submit("j1"));
+        this->commit(this->tick());
+        this->tick();
+        this->commit(this->batch.handle(WorkerReported { HostName("w1"), 1, { { JobId("j1"), 1, TaskPhase::Running, "", "", { 6, 8, 0 } } } }, this->now));
+        CHECK(std::get<JobExplanation>(this->batch.ask(ExplainJobQuery { JobId("j1") }, this->now)).job->need == Capacity { 6, 8, 0 });
+        this->now += std::chrono::seconds(1);
+        this->commit(this->batch.handle(WorkerReported { HostName("w1"), 1, { { JobId("j1"), 1, TaskPhase::Finished, "done", "", {} } } }, this->now));
+
+        this->commit(this->submit("j2"));
+        this->commit(this->tick());
+
+        CHECK(std::get<JobExplanation>(this->batch.ask(ExplainJobQuery { JobId("j2") }, this->now)).job->need == Capacity { 6, 8, 0 });
+    }
+
     TEST_CASE_METHOD(BatchFixture, "Tick_ownLeaseLapsed_placesNothing")
     {
         this->commit(this->submit("j1"));
--- a/packages/batch/commands/end_transaction.cc
+++ b/packages/batch/commands/end_transaction.cc
@@ -79,10 +79,12 @@
             continue;
         }
         ++this->retries[result.status == TransactionStatus::Conflict ? RetryReason::StoreConflict : RetryReason::StoreTimeout];
-        if (!isHeld(entry.job.state))
+        if (!isHeld(entry.job.state)) {
             this->ledger.release(job.id);
-        else if (!isHeld(job.state) && entry.job.attempt == job.attempt)
+            this->charge(entry, 0);
+        } else if (!isHeld(job.state) && entry.job.attempt == job.attempt) {
             this->endAttempt(entry, job);
+        }
     }
 }
 
--- a/packages/batch/commands/submit_job.cc
+++ b/packages/batch/commands/submit_job.cc
@@ -26,6 +26,8 @@
         return;
     }
     auto reason = reasonToRefuse(this->inForce, job);
+    if (!reason && !this->workers.empty() && !this->fitsAnyWorker(job.need == Capacity {} ? this->inForce.declaration->findBatchClass(job.batchClass)->need : job.need))
+        reason = RefusalReason::NeverRunnable;
     // A store that has been silent for a while would only leave the submitter with an unclear end.
     if (!reason && this->storeFailingSince && now - *this->storeFailingSince > this->options.pauseMargin)
         reason = RefusalReason::StoreUnavailable;
--- a/packages/batch/commands/worker_report.cc
+++ b/packages/batch/commands/worker_report.cc
@@ -23,33 +23,34 @@
         auto report = std::find_if(reported.reports.begin(), reported.reports.end(), [&](const TaskReport& item) { return item.job == id && item.attempt == entry->job.attempt; });
         // A worker tells every attempt that it has, so one that it leaves out has ended.
         const bool isMissing = report == reported.reports.end();
-        this->applyReport(isMissing ? TaskReport { id, entry->job.attempt, TaskPhase::Unknown, "", "", {} } : *report, *entry);
+        this->applyReport(isMissing ? TaskReport { id, entry->job.attempt, TaskPhase::Unknown, "", "", {} } : *report, *entry, worker, now);
     }
     this->writeOwed(now, effects);
 }
 
-void Batch::applyReport(const TaskReport& report, JobEntry& entry)
+void Batch::applyReport(const TaskReport& report, JobEntry& entry, Worker& worker, Instant now)
 {
     if (entry.owed || (entry.isWriting && report.phase != TaskPhase::Running))
         return;
-    if (!report.checkpoint.empty())
+    if (!report.checkpoint.empty() && report.checkpoint != entry.job.checkpoint) {
         entry.job.checkpoint = report.checkpoint;
+        entry.checkpointed = now;
+    }
     if (report.phase == TaskPhase::Running) {
         // Running is known from the worker alone; writing it would only cost the table.
         if (entry.job.state == JobState::Starting)
             entry.job.state = JobState::Running;
+        this->observeUsage(entry, report.usage);
         return;
     }
     Job job = entry.job;
     if (report.phase == TaskPhase::Finished) {
         job.state = JobState::Finished;
         job.result = report.result;
+        this->noteWorkerSuccess(worker);
     } else if (report.phase == TaskPhase::Failed) {
-        const BatchClassDeclaration* batchClass = this->inForce.declaration ? this->inForce.declaration->findBatchClass(job.batchClass) : nullptr;
-        ++job.failures;
-        const bool isOutOfAttempts = batchClass && job.failures >= batchClass->attemptLimit;
-        job.state = isOutOfAttempts ? JobState::Failed : JobState::Queued;
-        job.reason = isOutOfAttempts ? "out of attempts" : "the last attempt failed";
+        this->noteWorkerFailure(worker, job, now);
+        job = this->failAttempt(entry, worker);
         ++this->retries[RetryReason::TaskFailed];
     } else if (report.phase == TaskPhase::Stopped && job.state == JobState::Evicting) {
         job.state = JobState::Queued;
--- a/packages/batch/contacts.cc
+++ b/packages/batch/contacts.cc
@@ -43,9 +43,10 @@
     if (now - entry.lastConfirmed > this->options.renewalPatience)
         return;
     entry.lastRenewal = std::max(entry.lastRenewal, now);
-    // Past its own lease a holder may have been replaced: it starts nothing. Nor is an attempt started whose
+    // Past its own lease a holder may have been replaced, and one that has not read what the holder before
+    // wrote may know an attempt that has ended: neither starts anything. Nor is an attempt started whose
     // end is being recorded.
-    const bool shouldStart = job.state == JobState::Starting && !entry.isWriting && !job.isCancelRequested && this->isLeader(now);
+    const bool shouldStart = job.state == JobState::Starting && !entry.isWriting && !job.isCancelRequested && this->isDeciding(now);
     if (shouldStart)
         contact.starts.push_back({ job.id, job.attempt, job.need, job.declaredRunTime, job.payload, job.checkpoint });
     else
--- /dev/null
+++ b/packages/batch/corrections.cc
@@ -0,0 +1,87 @@
+#include "batch/batch.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr std::uint32_t doublingsLimit = 6;
+    constexpr std::size_t jitterSteps = 1000;
+
+} // namespace
+
+// A task that uses more than it declared is charged for it, and its class is expected to do the same.
+void Batch::observeUsage(JobEntry& entry, const Capacity& usage)
+{
+    Capacity& need = entry.job.need;
+    const Capacity raised { std::max(need.processors, usage.processors), std::max(need.memoryGigabytes, usage.memoryGigabytes), std::max(need.accelerators, usage.accelerators) };
+    if (raised == need || need.processors <= 0 || need.memoryGigabytes <= 0)
+        return;
+    UsageRatio& ratio = this->usageRatios[entry.job.batchClass];
+    ratio.processors = std::max(ratio.processors, raised.processors / need.processors);
+    ratio.memory = std::max(ratio.memory, raised.memoryGigabytes / need.memoryGigabytes);
+    need = raised;
+    this->ledger.adopt(entry.heldBy, entry.job.id, need);
+    this->charge(entry, need.processors);
+}
+
+// A failure is the worker's fault once several jobs in a row failed there that failed nowhere else before.
+void Batch::noteWorkerFailure(Worker& worker, const Job& job, Instant now)
+{
+    const bool isFirstPlace = std::all_of(job.failedOn.begin(), job.failedOn.end(), [&](const HostName& name) { return name == worker.host.name; });
+    if (!isFirstPlace || ++worker.failuresInRow < this->options.failuresToQuarantine)
+        return;
+    const std::uint32_t doublings = std::min(worker.failuresInRow - this->options.failuresToQuarantine, doublingsLimit);
+    worker.quarantinedUntil = now + this->options.quarantine * (1 << doublings);
+}
+
+void Batch::noteWorkerSuccess(Worker& worker)
+{
+    worker.failuresInRow = 0;
+    worker.quarantinedUntil = Instant();
+}
+
+Job Batch::failAttempt(const JobEntry& entry, const Worker& worker) const
+{
+    Job job = entry.job;
+    job.state = JobState::Queued;
+    job.reason = "the last attempt failed";
+    const bool isWorkersFault = worker.failuresInRow >= this->options.failuresToQuarantine;
+    if (isWorkersFault) {
+        job.reason = "the last attempt failed on a worker that fails everything";
+        return job;
+    }
+    ++job.failures;
+    if (std::find(job.failedOn.begin(), job.failedOn.end(), worker.host.name) == job.failedOn.end())
+        job.failedOn.push_back(worker.host.name);
+    const BatchClassDeclaration* batchClass = this->inForce.declaration ? this->inForce.declaration->findBatchClass(job.batchClass) : nullptr;
+    if (batchClass && job.failures >= batchClass->attemptLimit) {
+        job.state = JobState::Failed;
+        job.reason = "out of attempts";
+    } else if (job.failedOn.size() >= this->options.workersToPark) {
+        job.state = JobState::Parked;
+        job.reason = "failed on " + std::to_string(job.failedOn.size()) + " healthy workers";
+    }
+    return job;
+}
+
+// The jitter comes from the job itself, so that a run can be repeated.
+Duration Batch::retryBackoff(const Job& job) const
+{
+    const std::uint32_t doublings = std::min(job.failures, doublingsLimit);
+    const std::size_t jitter = std::hash<std::string>()(job.id.value() + "/" + std::to_string(job.attempt)) % jitterSteps;
+    const Duration whole = this->options.retryBackoff * (1 << doublings);
+    return whole / 2 + whole / (2 * jitterSteps) * static_cast<Duration::rep>(jitter);
+}
+
+// charge() sets what a job takes of its team's quota.
+void Batch::charge(JobEntry& entry, double processors)
+{
+    double& used = this->teamProcessors[entry.job.team];
+    used += processors - entry.charged;
+    entry.charged = processors;
+}
+
+} // namespace dragonflytray
--- a/packages/batch/job_store.cc
+++ b/packages/batch/job_store.cc
@@ -14,6 +14,7 @@
         entry.firstVersion = version;
     this->unindexJob(entry);
     const std::string checkpoint = std::move(entry.job.checkpoint);
+    const Capacity observed = entry.job.need;
     entry.job = job;
     entry.version = version;
     if (isSameAttempt) {
@@ -21,11 +22,14 @@
         if (before == JobState::Running && job.state == JobState::Starting)
             entry.job.state = JobState::Running;
         entry.job.checkpoint = checkpoint;
+        entry.job.need = observed;
         if (entry.owed)
             entry.owed->isCancelRequested = job.isCancelRequested;
     } else {
         entry.owed.reset();
         entry.contact = 0;
+        entry.checkpointed = now;
+        entry.notBefore = job.state == JobState::Queued && job.failures > 0 ? now + this->retryBackoff(job) : now;
         entry.lastConfirmed = now;
         const bool isOwn = this->holdsLeaderRow() && job.epoch == this->ownEpoch;
         entry.lastRenewal = isOwn ? now : std::max(now, this->foreignEnd);
@@ -47,8 +51,12 @@
     } else {
         this->ledger.adopt(job.worker, job.id, job.need);
         entry.heldBy = job.worker;
-        this->workers[job.worker].held[job.id] = &entry;
+        Worker& worker = this->workers[job.worker];
+        worker.held[job.id] = &entry;
+        ++this->heldInRack[worker.host.rack];
     }
+    this->charge(entry, isHeld(job.state) ? job.need.processors : 0);
+    this->nextPlacement = Instant(); // there may be room, or a job that fits
     if (isOurs && job.state == JobState::Queued) {
         entry.waitingKey = WaitingKey { job.priority, entry.firstVersion, job.id };
         this->waiting.insert(*entry.waitingKey);
@@ -60,8 +68,10 @@
     if (entry.waitingKey)
         this->waiting.erase(*entry.waitingKey);
     entry.waitingKey.reset();
-    if (auto worker = this->workers.find(entry.heldBy); worker != this->workers.end())
-        worker->second.held.erase(entry.job.id);
+    if (auto worker = this->workers.find(entry.heldBy); worker != this->workers.end()) {
+        if (worker->second.held.erase(entry.job.id) > 0)
+            --this->heldInRack[worker->second.host.rack];
+    }
     entry.heldBy = {};
 }
 
--- a/packages/batch/placement.cc
+++ b/packages/batch/placement.cc
@@ -1,39 +1,178 @@
 #include "batch/batch.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace dragonflytray {
 
+namespace {
+
+    constexpr double tolerance = 1e-6; // cores
+
+    // isAtLeast() says whether `need` is no smaller than `other` in any dimension.
+    bool isAtLeast(const Capacity& need, const Capacity& other)
+    {
+        return fits(other, need);
+    }
+
+} // namespace
+
+double Batch::quotaOf(const TeamName& team) const
+{
+    const TeamDeclaration* declared = this->inForce.declaration ? this->inForce.declaration->findTeam(team) : nullptr;
+    return declared && declared->processors > 0 ? declared->processors : std::numeric_limits<double>::infinity();
+}
+
+bool Batch::isWithinQuota(const Job& job) const
+{
+    auto used = this->teamProcessors.find(job.team);
+    return (used == this->teamProcessors.end() ? 0 : used->second) + job.need.processors <= this->quotaOf(job.team) + tolerance;
+}
+
+// Jobs within their team's quota go first, the most urgent before the others. What they leave is lent to
+// teams over their quota, unless one of them found no room.
 void Batch::placeQueued(Instant now, BatchEffects& effects)
 {
-    std::vector<Job> placed;
+    if (now < this->nextPlacement)
+        return;
+    PlacementPass pass;
+    this->placeJobs(false, pass, now);
+    if (!pass.hasJobWithoutRoom)
+        this->placeJobs(true, pass, now);
+    if (pass.placed.empty())
+        this->nextPlacement = now + this->options.placementInterval;
+    this->writeJobs(std::move(pass.placed), now, effects);
+    this->writeJobs(std::move(pass.evicted), now, effects);
+}
+
+void Batch::placeJobs(bool isBorrowing, PlacementPass& pass, Instant now)
+{
     for (const WaitingKey& key : this->waiting) {
-        if (placed.size() >= this->options.startsInTransaction)
-            break;
+        if (pass.placed.size() >= this->options.startsInTransaction || pass.searches >= this->options.searchesInTick || ++pass.examined > this->options.examinedInTick)
+            return;
         JobEntry& entry = this->jobs.at(key.job);
-        if (entry.isWriting || entry.job.isCancelRequested)
+        const bool isPlaced = entry.isWriting || this->ledger.holder(key.job);
+        if (isPlaced || entry.job.isCancelRequested || now < entry.notBefore)
             continue;
-        auto worker = this->chooseWorker(entry.job);
-        if (!worker || !this->ledger.reserve(*worker, key.job, entry.job.need))
+        if (this->isWithinQuota(entry.job) == isBorrowing)
             continue;
-        Job job = entry.job;
-        job.state = JobState::Starting;
-        ++job.attempt;
-        job.worker = *worker;
-        job.reason.clear();
-        placed.push_back(std::move(job));
+        this->placeJob(entry, pass, now);
+    }
+}
+
+void Batch::placeJob(JobEntry& entry, PlacementPass& pass, Instant now)
+{
+    Job job = entry.job;
+    job.need = this->correctedNeed(job);
+    const bool isHopeless = std::any_of(pass.withoutRoom.begin(), pass.withoutRoom.end(), [&](const Capacity& need) { return isAtLeast(job.need, need); });
+    auto worker = isHopeless ? std::nullopt : this->chooseWorker(job, now);
+    pass.searches += isHopeless ? 0 : 1;
+    if (!worker || !this->ledger.reserve(*worker, job.id, job.need)) {
+        if (!isHopeless)
+            pass.withoutRoom.push_back(job.need);
+        pass.hasJobWithoutRoom = true;
+        if (job.priority == Priority::Urgent)
+            this->evictFor(entry, pass, now);
+        return;
     }
-    this->writeJobs(std::move(placed), now, effects);
+    this->charge(entry, job.need.processors);
+    job.state = JobState::Starting;
+    ++job.attempt;
+    job.worker = *worker;
+    job.reason.clear();
+    pass.placed.push_back(std::move(job));
 }
 
-std::optional<HostName> Batch::chooseWorker(const Job& job) const
+std::optional<HostName> Batch::chooseWorker(const Job& job, Instant now) const
 {
+    const PlacementStrategy& strategy = placementStrategy(this->options.placement);
+    const double tasks = static_cast<double>(std::max<std::size_t>(this->ledger.size(), 1));
+    std::optional<HostName> best;
+    double lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, worker] : this->workers) {
-        if (!worker.isListed || worker.host.state != HostState::Live)
+        if (!this->takesTasks(worker, now))
             continue;
-        auto free = this->ledger.free(name);
-        if (free && fits(job.need, *free))
-            return name;
+        const Capacity free = *this->ledger.free(name);
+        if (!fits(job.need, free))
+            continue;
+        PlacementCandidate candidate { worker.host.capacity, free };
+        if (auto rack = this->heldInRack.find(worker.host.rack); rack != this->heldInRack.end())
+            candidate.rackShare = static_cast<double>(rack->second) / tasks;
+        if (this->options.penalty)
+            candidate.penalty = this->options.penalty->penalty(name, job.batchClass);
+        double cost = strategy.cost(candidate, job.need);
+        const bool hasFailedHere = std::find(job.failedOn.begin(), job.failedOn.end(), name) != job.failedOn.end();
+        cost += hasFailedHere ? this->options.failedHereCost : 0;
+        if (cost < lowest) {
+            lowest = cost;
+            best = name;
+        }
+    }
+    return best;
+}
+
+bool Batch::takesTasks(const Worker& worker, Instant now) const
+{
+    if (!worker.isListed || worker.host.state != HostState::Live || now < worker.quarantinedUntil)
+        return false;
+    // After a quarantine one task shows whether the worker has recovered.
+    return worker.failuresInRow < this->options.failuresToQuarantine || this->ledger.isIdle(worker.host.name);
+}
+
+// At most one eviction a worker in a measurement lag, so that its effect is seen before the next.
+void Batch::evictFor(JobEntry& entry, PlacementPass& pass, Instant now)
+{
+    if (auto victim = this->jobs.find(entry.victim); victim != this->jobs.end() && victim->second.job.state == JobState::Evicting)
+        return;
+    if (pass.evictionSearches++ >= this->options.evictionSearchesInTick)
+        return;
+    JobEntry* cheapest = nullptr;
+    double lowest = std::numeric_limits<double>::infinity();
+    for (auto& [name, worker] : this->workers) {
+        if (!this->takesTasks(worker, now) || now < worker.nextEviction)
+            continue;
+        const Capacity free = *this->ledger.free(name);
+        for (auto& [id, held] : worker.held) {
+            const double cost = this->evictionCost(*held, now);
+            const Capacity room { free.processors + held->job.need.processors, free.memoryGigabytes + held->job.need.memoryGigabytes, free.accelerators + held->job.need.accelerators };
+            if (cost < lowest && held->job.priority > entry.job.priority && fits(entry.job.need, room)) {
+                lowest = cost;
+                cheapest = held;
+            }
+        }
     }
-    return std::nullopt;
+    if (!cheapest)
+        return;
+    entry.victim = cheapest->job.id;
+    this->workers.at(cheapest->heldBy).nextEviction = now + this->options.measurementLag;
+    Job job = cheapest->job;
+    job.state = JobState::Evicting;
+    job.reason = "makes room for urgent work";
+    pass.evicted.push_back(std::move(job));
+}
+
+double Batch::evictionCost(const JobEntry& held, Instant now) const
+{
+    const bool canBeEvicted = held.job.state == JobState::Running && !held.isWriting && !held.owed && !held.job.isCancelRequested;
+    if (!canBeEvicted)
+        return std::numeric_limits<double>::infinity();
+    const double priorityWeight = held.job.priority == Priority::Low ? 1 : 2;
+    return priorityWeight * (1 + toSeconds(now - held.checkpointed));
+}
+
+// A first attempt gets what others of its class have really used, as far as any worker holds it.
+Capacity Batch::correctedNeed(const Job& job) const
+{
+    auto ratio = this->usageRatios.find(job.batchClass);
+    if (job.attempt > 0 || ratio == this->usageRatios.end())
+        return job.need;
+    Capacity need { job.need.processors * ratio->second.processors, job.need.memoryGigabytes * ratio->second.memory, job.need.accelerators };
+    return this->fitsAnyWorker(need) ? need : job.need;
+}
+
+bool Batch::fitsAnyWorker(const Capacity& need) const
+{
+    return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& entry) { return entry.second.isListed && fits(need, entry.second.host.capacity); });
 }
 
 } // namespace dragonflytray
--- a/packages/batch/queries/explain_job.cc
+++ b/packages/batch/queries/explain_job.cc
@@ -1,5 +1,7 @@
 #include "batch/batch.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
 BatchView Batch::explainJob(const BatchQuery& query, Instant now) const
@@ -13,10 +15,28 @@
     const JobEntry& entry = found->second;
     explanation.job = entry.job;
     explanation.since = now - entry.since;
-    explanation.why = entry.job.reason;
-    if (explanation.why.empty() && entry.job.state == JobState::Queued)
-        explanation.why = "It waits for a worker with room.";
+    explanation.why = entry.job.state == JobState::Queued ? this->whyItWaits(entry, now) : entry.job.reason;
+    if (entry.owed)
+        explanation.why = "The attempt has ended; the table does not take its end yet.";
     return explanation;
 }
 
+std::string Batch::whyItWaits(const JobEntry& entry, Instant now) const
+{
+    const Job& job = entry.job;
+    if (job.dataCentre != this->options.dataCentre)
+        return "It waits in the data centre " + job.dataCentre.value() + "; ask an entry host there.";
+    if (!this->isLeader(now))
+        return this->leaderRow ? "It waits for the leader " + this->leaderRow->holder.value() + "; ask there for more." : "It waits for a leader of the data centre.";
+    if (now < entry.notBefore)
+        return "It backs off after " + std::to_string(job.failures) + " failures: " + job.reason + ".";
+    if (!this->fitsAnyWorker(job.need))
+        return "Its need is larger than any listed worker.";
+    const bool hasQuarantined = std::any_of(this->workers.begin(), this->workers.end(), [&](const auto& worker) { return now < worker.second.quarantinedUntil; });
+    const std::string quarantine = hasQuarantined ? " Some workers are in quarantine because they fail everything." : "";
+    if (!this->isWithinQuota(job))
+        return "Its team is at its quota, and no idle room is lent at the moment." + quarantine;
+    return "It waits for a worker with room." + quarantine;
+}
+
 } // namespace dragonflytray
