--- a/packages/batch/batch_state.h
+++ b/packages/batch/batch_state.h
@@ -11,7 +11,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 
 namespace dragonflytray {
 
@@ -47,7 +46,7 @@
         PlacementPolicy placement { PlacementPolicy::Scored };
         std::shared_ptr<const PlacementPenalty> penalty {}; // may be empty
         double failedHereCost { 10 }; // added for a worker on which the job failed before
-        Duration placementInterval { std::chrono::milliseconds(200) }; // after a pass that placed nothing
+        Duration placementInterval { std::chrono::milliseconds(500) }; // after a pass that placed nothing
         std::size_t searchesInTick { 64 }; // for a worker with room
         std::size_t examinedInTick { 4096 }; // waiting jobs looked at
         std::size_t evictionSearchesInTick { 4 };
@@ -117,6 +116,7 @@
     struct PlacementPass {
         std::vector<Job> placed;
         std::vector<Job> evicted;
+        std::vector<JobEntry*> overQuota; // in the order of the queue
         std::vector<Capacity> withoutRoom; // needs for which no worker has room
         bool hasJobWithoutRoom { false };
         std::size_t searches { 0 };
@@ -174,7 +174,8 @@
 
     // Placement and tasks.
     void placeQueued(Instant now, BatchEffects& effects);
-    void placeJobs(bool isBorrowing, PlacementPass& pass, Instant now);
+    void placeWithinQuota(PlacementPass& pass, Instant now);
+    bool isPassOver(const PlacementPass& pass) const;
     void placeJob(JobEntry& entry, PlacementPass& pass, Instant now);
     std::optional<HostName> chooseWorker(const Job& job, Instant now) const;
     bool takesTasks(const Worker& worker, Instant now) const;
@@ -222,7 +223,7 @@
     std::map<HostName, Worker> workers; // of this data centre: listed, or still holding an attempt
     Ledger ledger;
     std::map<JobId, JobEntry> jobs;
-    std::set<WaitingKey> waiting; // queued jobs of this data centre
+    std::map<WaitingKey, JobEntry*> waiting; // queued jobs of this data centre
     std::map<TeamName, double> teamProcessors; // held or about to start, in all data centres
     std::map<RackName, std::size_t> heldInRack;
     std::map<BatchClassName, UsageRatio> usageRatios;
--- a/packages/batch/job_store.cc
+++ b/packages/batch/job_store.cc
@@ -56,10 +56,9 @@
         ++this->heldInRack[worker.host.rack];
     }
     this->charge(entry, isHeld(job.state) ? job.need.processors : 0);
-    this->nextPlacement = Instant(); // there may be room, or a job that fits
     if (isOurs && job.state == JobState::Queued) {
         entry.waitingKey = WaitingKey { job.priority, entry.firstVersion, job.id };
-        this->waiting.insert(*entry.waitingKey);
+        this->waiting.emplace(*entry.waitingKey, &entry);
     }
 }
 
--- a/packages/batch/placement.cc
+++ b/packages/batch/placement.cc
@@ -36,27 +36,35 @@
     if (now < this->nextPlacement)
         return;
     PlacementPass pass;
-    this->placeJobs(false, pass, now);
-    if (!pass.hasJobWithoutRoom)
-        this->placeJobs(true, pass, now);
+    this->placeWithinQuota(pass, now);
+    for (JobEntry* entry : pass.overQuota) {
+        if (pass.hasJobWithoutRoom || this->isPassOver(pass))
+            break;
+        this->placeJob(*entry, pass, now);
+    }
     if (pass.placed.empty())
         this->nextPlacement = now + this->options.placementInterval;
     this->writeJobs(std::move(pass.placed), now, effects);
     this->writeJobs(std::move(pass.evicted), now, effects);
 }
 
-void Batch::placeJobs(bool isBorrowing, PlacementPass& pass, Instant now)
+bool Batch::isPassOver(const PlacementPass& pass) const
 {
-    for (const WaitingKey& key : this->waiting) {
-        if (pass.placed.size() >= this->options.startsInTransaction || pass.searches >= this->options.searchesInTick || ++pass.examined > this->options.examinedInTick)
+    return pass.placed.size() >= this->options.startsInTransaction || pass.searches >= this->options.searchesInTick || pass.examined > this->options.examinedInTick;
+}
+
+void Batch::placeWithinQuota(PlacementPass& pass, Instant now)
+{
+    for (auto& [key, entry] : this->waiting) {
+        ++pass.examined;
+        if (this->isPassOver(pass))
             return;
-        JobEntry& entry = this->jobs.at(key.job);
-        const bool isPlaced = entry.isWriting || this->ledger.holder(key.job);
-        if (isPlaced || entry.job.isCancelRequested || now < entry.notBefore)
-            continue;
-        if (this->isWithinQuota(entry.job) == isBorrowing)
+        if (entry->isWriting || entry->job.isCancelRequested || now < entry->notBefore)
             continue;
-        this->placeJob(entry, pass, now);
+        if (this->isWithinQuota(entry->job))
+            this->placeJob(*entry, pass, now);
+        else
+            pass.overQuota.push_back(entry);
     }
 }
 
