--- a/packages/platform/internal/row_json.cc
+++ b/packages/platform/internal/row_json.cc
@@ -37,7 +37,10 @@
 
     json encode(const ConfigurationRow& row)
     {
-        return { { "version", row.version }, { "objectKey", row.objectKey } };
+        json history = json::array();
+        for (const ConfigurationRecord& record : row.history)
+            history.push_back({ { "version", record.version }, { "objectKey", record.objectKey }, { "writer", record.writer.value() } });
+        return { { "version", row.version }, { "objectKey", row.objectKey }, { "history", history } };
     }
 
     json encode(const RequestRow& row)
@@ -47,6 +50,9 @@
 
     json encode(const Job& job)
     {
+        json failedOn = json::array();
+        for (const HostName& worker : job.failedOn)
+            failedOn.push_back(worker.value());
         return {
             { "id", job.id.value() },
             { "team", job.team.value() },
@@ -65,6 +71,8 @@
             { "checkpoint", job.checkpoint },
             { "result", job.result },
             { "reason", job.reason },
+            { "isCancelRequested", job.isCancelRequested },
+            { "failedOn", failedOn },
         };
     }
 
@@ -98,12 +106,18 @@
         job.checkpoint = value.at("checkpoint").get<std::string>();
         job.result = value.at("result").get<std::string>();
         job.reason = value.at("reason").get<std::string>();
+        job.isCancelRequested = value.value("isCancelRequested", false);
+        for (const json& worker : value.value("failedOn", json::array()))
+            job.failedOn.emplace_back(worker.get<std::string>());
         return job;
     }
 
     TableRow decodeConfiguration(const json& value)
     {
-        return ConfigurationRow { value.at("version").get<ConfigurationVersion>(), value.at("objectKey").get<std::string>() };
+        ConfigurationRow row { value.at("version").get<ConfigurationVersion>(), value.at("objectKey").get<std::string>(), {} };
+        for (const json& record : value.value("history", json::array()))
+            row.history.push_back({ record.at("version").get<ConfigurationVersion>(), record.at("objectKey").get<std::string>(), TransactionId(record.at("writer").get<std::string>()) });
+        return row;
     }
 
     TableRow decodeRequest(const json& value)
--- a/packages/testing/slopes_benchmark.cc
+++ b/packages/testing/slopes_benchmark.cc
@@ -15,6 +15,7 @@
 #include <functional>
 #include <malloc.h>
 #include <nlohmann/json.hpp>
+#include <type_traits>
 
 namespace dragonflytray {
 namespace {
@@ -99,6 +100,18 @@
         return hosts;
     }
 
+    // assignShares() gives this entry host every slot, for a Routing that waits for shares to be assigned.
+    template <typename Command = RoutingCommand>
+    void assignShares(Routing& routing, int runners, Instant now)
+    {
+        if constexpr (std::is_constructible_v<Command, ChangeShares>) {
+            ChangeShares change;
+            for (const Host& runner : makeHosts(HostKind::Runner, runners))
+                change.shares.push_back({ runner.name, runner.slots });
+            routing.handle(Command(change), now);
+        }
+    }
+
     // RoutingBench is one entry host in front of some runners.
     struct RoutingBench {
         Instant now { std::chrono::seconds(100) };
@@ -109,6 +122,7 @@
         {
             this->routing.handle(ChangeConfiguration { { 1, declaration() } }, this->now);
             this->routing.handle(ChangeHosts { makeHosts(HostKind::Runner, runners) }, this->now);
+            assignShares(this->routing, runners, this->now);
         }
 
         RoutingEffects submit()
@@ -125,10 +139,14 @@
         void submitAndAnswer()
         {
             this->now += std::chrono::milliseconds(1);
+            std::size_t sent = 0;
             for (const RoutingEffect& effect : this->submit()) {
-                if (const auto* send = std::get_if<SendToRunner>(&effect))
+                if (const auto* send = std::get_if<SendToRunner>(&effect)) {
                     this->routing.handle(RunnerAnswered { send->attempt, "ok" }, this->now);
+                    ++sent;
+                }
             }
+            require(sent == 1, "slopes_benchmark: a request was not sent");
         }
     };
 
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -1,7 +1,9 @@
 #include "transport/http_client.h"
 
 #include "transport/internal/io_loop_internals.h"
+#include <cerrno>
 #include <optional>
+#include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -26,6 +28,15 @@
         Instant idleSince;
     };
 
+    // isQuiet() says whether an idle connection is open and has nothing to read. What comes unasked is a
+    // close, or an answer that crossed: in both cases the connection must not be used again.
+    bool isQuiet(Connection& connection)
+    {
+        char byte = 0;
+        const auto received = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     struct Pool {
         std::vector<std::unique_ptr<Connection>> idle;
         std::size_t open { 0 };
@@ -39,13 +50,17 @@
     std::map<Endpoint, Pool> pools;
 
     // takeIdle() is a connection that was idle for less than the limit, newest first, or nothing.
-    std::unique_ptr<Connection> takeIdle(Pool& pool)
+    std::unique_ptr<Connection> takeIdle(Pool& pool) const
     {
         const Instant oldest = BootClock::now() - this->options.idleLimit;
         std::unique_ptr<Connection> taken;
-        if (!pool.idle.empty() && pool.idle.back()->idleSince >= oldest) {
+        while (!taken && !pool.idle.empty() && pool.idle.back()->idleSince >= oldest) {
             taken = std::move(pool.idle.back());
             pool.idle.pop_back();
+            if (isQuiet(*taken))
+                break;
+            taken.reset();
+            --pool.open;
         }
         while (!pool.idle.empty() && pool.idle.front()->idleSince < oldest) {
             pool.idle.erase(pool.idle.begin());
@@ -53,6 +68,13 @@
         }
         return taken;
     }
+
+    // closeIdle() drops every idle connection of one endpoint.
+    static void closeIdle(Pool& pool)
+    {
+        pool.open -= pool.idle.size();
+        pool.idle.clear();
+    }
 };
 
 namespace internal {
@@ -200,8 +222,10 @@
         // dropAfterSend() ends an exchange of which the peer may have seen the whole request.
         void dropAfterSend(beast::error_code error)
         {
-            if (error == beast::error::timeout)
+            if (error == beast::error::timeout) {
+                State::closeIdle(this->state->pools[this->plan.endpoint]);
                 return this->drop({ SendFailureKind::AnswerTimeout, false, "no answer in time" });
+            }
             const bool isLost = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == boost::asio::error::get_system_category();
             this->drop({ isLost ? SendFailureKind::ConnectionLost : SendFailureKind::MalformedAnswer, false, error.message() });
         }
@@ -264,9 +288,7 @@
 
 void HttpClient::closeIdle(const Endpoint& endpoint)
 {
-    Pool& pool = this->state->pools[endpoint];
-    pool.open -= pool.idle.size();
-    pool.idle.clear();
+    State::closeIdle(this->state->pools[endpoint]);
 }
 
 tl::expected<HttpResponse, SendFailure> sendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
