--- a/packages/interference/golden_session_test.cc
+++ b/packages/interference/golden_session_test.cc
@@ -67,7 +67,7 @@
         void penalties(const std::string& worker)
         {
             for (const char* batchClass : { "report", "train" }) {
-                const auto penalty = std::get<PlacementPenalty>(this->interference.ask(PlacementPenaltyQuery { HostName(worker), BatchClassName(batchClass) }, this->now));
+                const auto penalty = std::get<PlacementCost>(this->interference.ask(PlacementPenaltyQuery { HostName(worker), BatchClassName(batchClass) }, this->now));
                 std::ostringstream line;
                 line << "penalty of " << batchClass << " on " << worker << ": " << std::fixed << std::setprecision(2) << penalty.cost << (penalty.isAvoided ? ", avoided" : "");
                 this->write(line.str());
--- a/packages/interference/interference.cc
+++ b/packages/interference/interference.cc
@@ -50,7 +50,6 @@
 {
     WorkerSituation situation;
     situation.objective = this->objective;
-    situation.throttledShare = this->options.throttledShare;
     for (const auto& [service, runner] : worker.runners) {
         auto estimator = this->estimators.find(service);
         situation.services.push_back({ service, runner.load, estimator == this->estimators.end() ? nullptr : &estimator->second });
--- a/packages/interference/interference_queries.h
+++ b/packages/interference/interference_queries.h
@@ -14,9 +14,9 @@
     BatchClassName batchClass;
 };
 
-// PlacementPenalty is the answer to PlacementPenaltyQuery. A lower cost is better; costs of different
+// PlacementCost is the answer to PlacementPenaltyQuery. A lower cost is better; costs of different
 // workers compare, whatever their services.
-struct PlacementPenalty {
+struct PlacementCost {
     double cost { 0 }; // expected added log-slowdown, weighed by the objective
     double deviation { 0 }; // standard deviation of the added log-slowdown
     bool isAvoided { false }; // place nothing of the class there now
@@ -77,6 +77,6 @@
 };
 
 using InterferenceQuery = std::variant<PlacementPenaltyQuery, PairEstimatesQuery, InterferenceSummaryQuery>;
-using InterferenceView = std::variant<PlacementPenalty, PairEstimates, InterferenceSummary>;
+using InterferenceView = std::variant<PlacementCost, PairEstimates, InterferenceSummary>;
 
 } // namespace dragonflytray
--- a/packages/interference/interference_test.cc
+++ b/packages/interference/interference_test.cc
@@ -73,9 +73,9 @@
 
         InterferenceSummary summary() const { return std::get<InterferenceSummary>(this->interference.ask(InterferenceSummaryQuery {}, this->now)); }
 
-        PlacementPenalty penaltyOf(const BatchClassName& batchClass) const
+        PlacementCost penaltyOf(const BatchClassName& batchClass) const
         {
-            return std::get<PlacementPenalty>(this->interference.ask(PlacementPenaltyQuery { worker, batchClass }, this->now));
+            return std::get<PlacementCost>(this->interference.ask(PlacementPenaltyQuery { worker, batchClass }, this->now));
         }
     };
 
--- a/packages/interference/long_run_test.cc
+++ b/packages/interference/long_run_test.cc
@@ -157,7 +157,7 @@
                 this->now += std::chrono::milliseconds(this->pick(3000));
                 const InterferenceCommand command = this->randomCommand();
                 this->check(this->interference.handle(command, this->now));
-                const auto penalty = std::get<PlacementPenalty>(this->interference.ask(PlacementPenaltyQuery { this->randomWorker(), this->randomClass() }, this->now));
+                const auto penalty = std::get<PlacementCost>(this->interference.ask(PlacementPenaltyQuery { this->randomWorker(), this->randomClass() }, this->now));
                 require(std::isfinite(penalty.cost) && penalty.cost >= 0, "LongRun: a penalty is not finite");
                 this->checkBounds();
             }
--- a/packages/interference/policy.cc
+++ b/packages/interference/policy.cc
@@ -11,7 +11,7 @@
     public:
         explicit None(PolicyOptions) { }
 
-        PlacementPenalty penalty(const WorkerSituation&, const BatchClassName&) const override { return {}; }
+        PlacementCost penalty(const WorkerSituation&, const BatchClassName&) const override { return {}; }
         std::optional<LadderStep> nextStep(const WorkerSituation&) const override { return std::nullopt; }
     };
 
@@ -28,7 +28,7 @@
         {
         }
 
-        PlacementPenalty penalty(const WorkerSituation& situation, const BatchClassName&) const override
+        PlacementCost penalty(const WorkerSituation& situation, const BatchClassName&) const override
         {
             return { .cost = 0, .deviation = 0, .isAvoided = !situation.services.empty() && stayingTasks(situation) >= this->cap };
         }
@@ -93,11 +93,11 @@
         {
         }
 
-        PlacementPenalty penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const override
+        PlacementCost penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const override
         {
             const double tailWeight = this->tailShare(situation.objective);
             const double tolerance = this->thresholds(situation.objective).throttle;
-            PlacementPenalty penalty;
+            PlacementCost penalty;
             for (const NeighbouringService& service : situation.services) {
                 const EffectEstimate added = effectOn(service, batchClass);
                 const double optimistic = std::max(added.mean - this->options.optimism * added.deviation, 0.0);
--- a/packages/interference/policy.h
+++ b/packages/interference/policy.h
@@ -64,7 +64,6 @@
 // WorkerSituation is what a strategy sees of one worker.
 struct WorkerSituation {
     Objective objective;
-    double throttledShare { 0.5 };
     std::vector<NeighbouringService> services;
     std::vector<Neighbour> tasks;
 };
@@ -107,7 +106,7 @@
     virtual ~InterferencePolicy() = default;
 
     // penalty() is the cost of one more task of a class. Linear in services times tasks.
-    virtual PlacementPenalty penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const = 0;
+    virtual PlacementCost penalty(const WorkerSituation& situation, const BatchClassName& batchClass) const = 0;
 
     // nextStep() is the most useful allowed step, or nothing. Linear in services times tasks.
     virtual std::optional<LadderStep> nextStep(const WorkerSituation& situation) const = 0;
--- a/packages/interference/policy_trial.cc
+++ b/packages/interference/policy_trial.cc
@@ -169,7 +169,7 @@
         const std::size_t worker = (i + offset) % workerCount;
         if (this->roomOf(worker) == 0)
             continue;
-        const PlacementPenalty penalty = this->penaltyOf(worker, task.batchClass);
+        const PlacementCost penalty = this->penaltyOf(worker, task.batchClass);
         if (penalty.isAvoided && !task.isUrgent)
             continue;
         const double cost = penalty.cost + (penalty.isAvoided ? 100 : 0);
@@ -181,9 +181,9 @@
     return best;
 }
 
-PlacementPenalty PolicyTrial::penaltyOf(std::size_t worker, std::size_t batchClass) const
+PlacementCost PolicyTrial::penaltyOf(std::size_t worker, std::size_t batchClass) const
 {
-    return std::get<PlacementPenalty>(this->interference.ask(PlacementPenaltyQuery { workerName(worker), BatchClassName(classNames[batchClass]) }, this->now));
+    return std::get<PlacementCost>(this->interference.ask(PlacementPenaltyQuery { workerName(worker), BatchClassName(classNames[batchClass]) }, this->now));
 }
 
 std::size_t PolicyTrial::roomOf(std::size_t worker) const
--- a/packages/interference/policy_trial.h
+++ b/packages/interference/policy_trial.h
@@ -66,7 +66,7 @@
     void place();
     bool placeOne(const JobId& job, Task& task);
     std::optional<std::size_t> chooseWorker(const Task& task);
-    PlacementPenalty penaltyOf(std::size_t worker, std::size_t batchClass) const;
+    PlacementCost penaltyOf(std::size_t worker, std::size_t batchClass) const;
     std::size_t roomOf(std::size_t worker) const;
     bool hasRunner(std::size_t worker) const;
     void moveRunner();
--- a/packages/interference/queries/placement_penalty.cc
+++ b/packages/interference/queries/placement_penalty.cc
@@ -6,11 +6,11 @@
 {
     const auto& asked = std::get<PlacementPenaltyQuery>(query);
     auto worker = this->workers.find(asked.worker);
-    if (worker == this->workers.end())
+    if (worker == this->workers.end() || worker->second.runners.empty())
         return this->policy->penalty({ .objective = this->objective, .services = {}, .tasks = {} }, asked.batchClass);
-    PlacementPenalty penalty = this->policy->penalty(this->situationOf(worker->second, now), asked.batchClass);
+    PlacementCost penalty = this->policy->penalty(this->situationOf(worker->second, now), asked.batchClass);
     auto avoided = worker->second.avoidedUntil.find(asked.batchClass);
-    if (avoided != worker->second.avoidedUntil.end() && now < avoided->second && !worker->second.runners.empty())
+    if (avoided != worker->second.avoidedUntil.end() && now < avoided->second)
         penalty.isAvoided = true;
     return penalty;
 }
