--- a/packages/interference/long_run_test.cc
+++ b/packages/interference/long_run_test.cc
@@ -139,7 +139,7 @@
             require(summary.workers <= workerCount, "LongRun: more workers than there are");
             require(summary.historyEntries <= workerCount * this->options.history.limit, "LongRun: the history outgrew its limit");
             const auto table = std::get<PairEstimates>(this->interference.ask(PairEstimatesQuery {}, this->now));
-            require(table.pairs.size() <= 3 * 6, "LongRun: more pairs than there are");
+            require(table.pairs.size() <= std::size_t { 3 } * 6, "LongRun: more pairs than there are");
             const double lowest = std::exp(-this->options.estimator.bound);
             const double highest = std::exp(this->options.estimator.bound);
             for (const PairEstimate& pair : table.pairs) {
--- a/packages/interference/presence_history.cc
+++ b/packages/interference/presence_history.cc
@@ -51,6 +51,7 @@
     for (const auto& [job, stay] : this->open)
         add(stay, to);
     std::vector<Exposure> result;
+    result.reserve(sums.size());
     for (const auto& [batchClass, weight] : sums)
         result.push_back({ batchClass, weight });
     return result;
--- a/packages/testing/slopes_benchmark.cc
+++ b/packages/testing/slopes_benchmark.cc
@@ -95,6 +95,7 @@
     std::vector<Host> makeHosts(HostKind kind, int count)
     {
         std::vector<Host> hosts;
+        hosts.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             hosts.push_back(makeHost(kind, i));
         return hosts;
