--- a/packages/interference/long_run_test.cc
+++ b/packages/interference/long_run_test.cc
@@ -139,7 +139,7 @@
             require(summary.workers <= workerCount, "LongRun: more workers than there are");
             require(summary.historyEntries <= workerCount * this->options.history.limit, "LongRun: the history outgrew its limit");
             const auto table = std::get<PairEstimates>(this->interference.ask(PairEstimatesQuery {}, this->now));
-            require(table.pairs.size() <= 3 * 6, "LongRun: more pairs than there are");
+            require(table.pairs.size() <= std::size_t { 3 } * 6, "LongRun: more pairs than there are");
             const double lowest = std::exp(-this->options.estimator.bound);
             const double highest = std::exp(this->options.estimator.bound);
             for (const PairEstimate& pair : table.pairs) {
@@ -157,7 +157,7 @@
                 this->now += std::chrono::milliseconds(this->pick(3000));
                 const InterferenceCommand command = this->randomCommand();
                 this->check(this->interference.handle(command, this->now));
-                const auto penalty = std::get<PlacementPenalty>(this->interference.ask(PlacementPenaltyQuery { this->randomWorker(), this->randomClass() }, this->now));
+                const auto penalty = std::get<PlacementCost>(this->interference.ask(PlacementPenaltyQuery { this->randomWorker(), this->randomClass() }, this->now));
                 require(std::isfinite(penalty.cost) && penalty.cost >= 0, "LongRun: a penalty is not finite");
                 this->checkBounds();
             }
