--- a/packages/shares/commands/change_hosts.cc
+++ b/packages/shares/commands/change_hosts.cc
@@ -21,10 +21,10 @@
 {
     if (!this->book)
         return;
-    std::set<HostName> names;
+    std::map<HostName, Endpoint> endpoints;
     for (const auto& [name, host] : this->entryHosts)
-        names.insert(name);
-    this->book->changeHosts(names, this->runners, now);
+        endpoints.emplace(name, host.peerEndpoint);
+    this->book->changeHosts(endpoints, this->runners, now);
 }
 
 } // namespace dragonflytray
--- a/packages/shares/share_book.cc
+++ b/packages/shares/share_book.cc
@@ -51,14 +51,12 @@
 {
 }
 
-void ShareBook::changeHosts(const std::set<HostName>& nextHosts, const std::map<HostName, int>& nextRunners, Instant now)
+void ShareBook::changeHosts(const std::map<HostName, Endpoint>& nextHosts, const std::map<HostName, int>& nextRunners, Instant now)
 {
-    for (const HostName& host : this->entryHosts) {
-        if (!nextHosts.contains(host))
-            this->unlistedAt[host] = now;
-    }
-    for (const HostName& host : nextHosts)
-        this->unlistedAt.erase(host);
+    for (const auto& [host, endpoint] : this->entryHosts)
+        this->unlistedAt[{ host, endpoint }] = now;
+    for (const auto& [host, endpoint] : nextHosts)
+        this->unlistedAt.erase({ host, endpoint });
     this->entryHosts = nextHosts;
     this->runners = nextRunners;
 }
@@ -68,7 +66,7 @@
     this->beganAt = now;
     for (auto& [id, holder] : this->holders)
         holder.heardAt = now;
-    for (auto& [host, since] : this->unlistedAt)
+    for (auto& [address, since] : this->unlistedAt)
         since = now;
 }
 
@@ -100,31 +98,46 @@
     return &holder;
 }
 
-const ShareBook::Holder* ShareBook::latestOf(const HostName& host) const
+ShareBook::Address ShareBook::addressOf(const Holder& holder) const
+{
+    if (holder.endpoint.port != 0)
+        return { holder.id.host, holder.endpoint };
+    auto listed = this->entryHosts.find(holder.id.host);
+    return { holder.id.host, listed == this->entryHosts.end() ? Endpoint {} : listed->second };
+}
+
+const ShareBook::Holder* ShareBook::latestAt(const Address& address) const
 {
     const Holder* latest = nullptr;
     for (const auto& [id, holder] : this->holders) {
-        if (id.host == host && (!latest || holder.heardAt > latest->heardAt))
+        if (this->addressOf(holder) == address && (!latest || holder.heardAt > latest->heardAt))
             latest = &holder;
     }
     return latest;
 }
 
+bool ShareBook::isListed(const Holder& holder) const
+{
+    auto listed = this->entryHosts.find(holder.id.host);
+    return listed != this->entryHosts.end() && this->addressOf(holder).second == listed->second;
+}
+
 bool ShareBook::isCurrent(const Holder& holder, Instant now) const
 {
-    return !holder.isLeaving && now - holder.heardAt <= this->options.silentAfter && this->entryHosts.contains(holder.id.host)
-        && this->latestOf(holder.id.host) == &holder;
+    return !holder.isLeaving && now - holder.heardAt <= this->options.silentAfter && this->isListed(holder)
+        && this->latestAt(this->addressOf(holder)) == &holder;
 }
 
 bool ShareBook::isReleasable(const Holder& holder, Instant now) const
 {
     if (now - holder.heardAt <= this->options.releaseAfter)
         return false;
-    if (this->latestOf(holder.id.host) != &holder)
-        return true; // another process has the name
-    if (this->entryHosts.contains(holder.id.host))
+    const Address address = this->addressOf(holder);
+    if (this->latestAt(address) != &holder)
+        return true; // another process listens there, so this one has ended
+    if (this->isListed(holder))
         return false;
-    auto unlisted = this->unlistedAt.find(holder.id.host);
+    auto unlisted = this->unlistedAt.find(address);
     return unlisted == this->unlistedAt.end() || now - unlisted->second > this->options.releaseAfter;
 }
 
@@ -135,7 +148,7 @@
     for (auto entry = this->holders.begin(); entry != this->holders.end();)
         entry = this->isReleasable(entry->second, now) ? this->holders.erase(entry) : std::next(entry);
     const bool isAwaited = std::any_of(this->unlistedAt.begin(), this->unlistedAt.end(), [&](const auto& entry) {
-        return now - entry.second <= this->options.settleAfter && !this->latestOf(entry.first);
+        return now - entry.second <= this->options.settleAfter && !this->latestAt(entry.first);
     });
     if (!isAwaited && now - this->beganAt > this->options.settleAfter && this->unheard().empty())
         this->settle();
@@ -150,8 +163,8 @@
 std::vector<HostName> ShareBook::unheard() const
 {
     std::vector<HostName> names;
-    for (const HostName& host : this->entryHosts) {
-        if (!this->latestOf(host))
+    for (const auto& [host, endpoint] : this->entryHosts) {
+        if (!this->latestAt({ host, endpoint }))
             names.push_back(host);
     }
     return names;
--- a/packages/shares/share_book.h
+++ b/packages/shares/share_book.h
@@ -12,7 +12,7 @@
 
 #include "shares/shares_commands.h"
 #include <map>
-#include <set>
+#include <utility>
 
 namespace dragonflytray {
 
@@ -56,8 +56,11 @@
 
     ShareBook(Options options, Instant now);
 
-    // changeHosts() takes the entry hosts and the slots of the runners of the data centre.
-    void changeHosts(const std::set<HostName>& entryHosts, const std::map<HostName, int>& runners, Instant now);
+    // Address tells the process that the list means from an earlier one under the same name.
+    using Address = std::pair<HostName, Endpoint>;
+
+    // changeHosts() takes the entry hosts with their peer endpoints and the slots of the runners of the data centre.
+    void changeHosts(const std::map<HostName, Endpoint>& entryHosts, const std::map<HostName, int>& runners, Instant now);
 
     // resume() begins again after a time in which reports may have been missed.
     void resume(Instant now);
@@ -89,7 +92,9 @@
 
     bool isCurrent(const Holder& holder, Instant now) const;
     bool isReleasable(const Holder& holder, Instant now) const;
-    const Holder* latestOf(const HostName& host) const;
+    const Holder* latestAt(const Address& address) const;
+    bool isListed(const Holder& holder) const;
+    Address addressOf(const Holder& holder) const;
     void forgetDeparted();
     void rebalanceRunner(const HostName& runner, int slots, Instant now);
     void lowerSurplus(const HostName& runner, std::vector<Member>& members, int excess);
@@ -102,8 +107,8 @@
     Instant beganAt;
     bool settled { false };
     std::map<HostName, int> runners;
-    std::set<HostName> entryHosts;
-    std::map<HostName, Instant> unlistedAt; // entry hosts that were listed once and are not now
+    std::map<HostName, Endpoint> entryHosts;
+    std::map<Address, Instant> unlistedAt; // those that were listed once and are not now
     std::map<HolderId, Holder> holders;
     std::map<HostName, int> withheld;
     std::map<HostName, Instant> movedAt;
--- a/packages/shares/shares_simulation.cc
+++ b/packages/shares/shares_simulation.cc
@@ -119,7 +119,8 @@
     }
     for (const HostName& runner : this->runners)
         listing.hosts.push_back(runnerHost(runner, this->options.slots));
-    this->listings.push_back(std::move(listing));
+    if (this->listings.empty() || this->listings.back().hosts != listing.hosts)
+        this->listings.push_back(std::move(listing));
     // Older ones than the longest lag are never read, but for the one then in force.
     while (this->listings.size() > 1 && this->listings[1].at + timing.listLag < this->now)
         this->listings.erase(this->listings.begin());
@@ -127,15 +128,17 @@
 
 void SharesSimulation::maintainList()
 {
-    for (const HostName& host : std::set<HostName>(this->hostNames)) {
+    bool isChanged = this->chance(10); // picks up other changes
+    for (const HostName& host : this->hostNames) {
         Process& latest = this->process(host);
         const bool isReachable = latest.isAlive && !this->isFrozen(latest) && !this->platformCuts.contains(host);
         if (!isReachable && this->chance(static_cast<std::uint64_t>(unlistAfter / stepTime)))
-            this->unlist(host);
+            isChanged |= this->unlisted.insert(host).second;
         else if (isReachable && this->unlisted.contains(host) && this->chance(100))
-            this->unlisted.erase(host);
+            isChanged |= this->unlisted.erase(host) > 0;
     }
-    this->publishList();
+    if (isChanged)
+        this->publishList();
 }
 
 void SharesSimulation::maintainLeader()
@@ -154,9 +157,17 @@
             this->leaderName = process->host;
             this->leaseEnd = this->now + lease;
         }
-        const bool isSelf = process->incarnation == this->leaderIncarnation && this->now < this->leaseEnd;
-        if ((canWrite || isHolder) && this->leaderEpoch > 0 && this->chance(5))
-            process->inbox.emplace_back(this->now, LeaderChanged { this->leaderName, this->leaderEpoch, isSelf });
+        if (process->incarnation == this->leaderIncarnation) {
+            process->ledEpoch = this->leaderEpoch;
+            process->leaseEnd = this->leaseEnd;
+        }
+        if (!this->chance(5))
+            continue;
+        // A host that can't read the table still knows when its own lease ends.
+        if (canWrite && this->leaderEpoch > 0)
+            process->inbox.emplace_back(this->now, LeaderChanged { this->leaderName, this->leaderEpoch, process->ledEpoch == this->leaderEpoch && this->now < process->leaseEnd });
+        else if (process->ledEpoch > 0)
+            process->inbox.emplace_back(this->now, LeaderChanged { process->host, process->ledEpoch, this->now < process->leaseEnd });
     }
 }
 
@@ -168,6 +179,9 @@
             ++restart;
             continue;
         }
+        Process& before = this->process(restart->first);
+        if (before.isAlive)
+            this->kill(before);
         this->start(restart->first);
         restart = this->restartAt.erase(restart);
     }
@@ -175,6 +189,10 @@
     this->maintainLeader();
     for (std::size_t i = 0; i < this->processes.size(); ++i)
         this->run(*this->processes[i]);
+    for (Process* process : this->living()) {
+        if (&this->process(process->host) != process && this->chance(3000))
+            this->kill(*process);
+    }
     std::erase_if(this->processes, [&](const auto& process) {
         return !process->isAlive && process->inFlight.empty() && &this->process(process->host) != process.get();
     });
@@ -225,9 +243,11 @@
         if (listing.at <= readAt)
             seen = &listing;
     }
-    process.seenHosts = seen->hosts;
     const Instant arrival = this->now + stepTime * static_cast<long>(this->random(3));
-    process.inbox.emplace_back(arrival, ChangeHosts { seen->hosts });
+    if (process.seenHosts != seen->hosts) {
+        process.seenHosts = seen->hosts;
+        process.inbox.emplace_back(arrival, ChangeHosts { seen->hosts });
+    }
     process.inbox.emplace_back(arrival, ListConfirmed { this->local(process) });
 }
 
--- a/packages/shares/shares_simulation.h
+++ b/packages/shares/shares_simulation.h
@@ -44,7 +44,8 @@
         Duration clockOffset { 0 };
         bool isAlive { true };
         Instant frozenUntil;
-        Instant isolatedSince; // guards: since when it heard neither leader nor list
+        Epoch ledEpoch { 0 }; // the last that it led
+        Instant leaseEnd; // of that epoch, as it knows itself
         std::vector<std::pair<Instant, SharesCommand>> inbox;
         std::vector<std::pair<Instant, ChangeShares>> changes; // on their way to routing
         std::map<HostName, int> allowed;
