--- a/packages/shares/shares_simulation.h
+++ b/packages/shares/shares_simulation.h
@@ -44,7 +44,8 @@
         Duration clockOffset { 0 };
         bool isAlive { true };
         Instant frozenUntil;
-        Instant isolatedSince; // guards: since when it heard neither leader nor list
+        Epoch ledEpoch { 0 }; // the last that it led
+        Instant leaseEnd; // of that epoch, as it knows itself
         std::vector<std::pair<Instant, SharesCommand>> inbox;
         std::vector<std::pair<Instant, ChangeShares>> changes; // on their way to routing
         std::map<HostName, int> allowed;
@@ -79,6 +80,8 @@
 
     // worstSum() is the largest sum that any runner's processes may use now; limit() is its slots.
     int worstSum() const;
+    // idleSlots() counts the slots of all runners that no process may use.
+    int idleSlots() const;
     int limit() const { return this->options.slots; }
     int allowedOf(const HostName& host, const HostName& runner) const;
     Process& process(const HostName& host);
