Add simulated floods and a failing third of the runners

Cause: nothing measured what a flood leaves to others.

Conclusion: two draws meet two failing runners one time in nine, whatever their answer times say; a failing runner has to rest.

--- /dev/null
+++ b/packages/routing/flood_test.cc
@@ -0,0 +1,87 @@
+#include "routing/routing_simulation.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+namespace {
+
+    double percentile99(std::vector<double> samples)
+    {
+        REQUIRE(!samples.empty());
+        const auto rank = samples.begin() + static_cast<std::ptrdiff_t>(samples.size() * 99 / 100);
+        std::nth_element(samples.begin(), rank, samples.end());
+        return *rank;
+    }
+
+    // Floods of ten times the capacity in one class; the others ask for a share of their floors.
+    struct FloodFixture {
+        static constexpr Duration length = std::chrono::seconds(20);
+        static constexpr double floodFactor = 10;
+        Routing::Options routing { .self = HostName("e1"), .dataCentre = DataCentreName("dc1") };
+
+        RoutingSimulation makeSimulation() const { return RoutingSimulation({ .routing = this->routing, .seed = 7 }); }
+
+        // The loads in the order of Priority; unless flooding, the class `quiet` is silent.
+        std::vector<SimulatedLoad> play(RoutingSimulation& simulation, double shareOfFloor, Priority quiet, bool isFlooding)
+        {
+            std::vector<SimulatedLoad> loads;
+            for (const auto& priority : priorityNames) {
+                const double floor = this->routing.floors[indexOf(priority.value)] * simulation.capacity();
+                if (priority.value != quiet)
+                    loads.push_back({ .priority = priority.value, .perSecond = floor * shareOfFloor });
+                else if (isFlooding)
+                    loads.push_back({ .priority = priority.value, .perSecond = simulation.capacity() * floodFactor });
+            }
+            return simulation.run(length, std::move(loads));
+        }
+
+        void checkFloors(Priority flooder)
+        {
+            RoutingSimulation simulation = this->makeSimulation();
+            std::uint64_t answered = 0;
+            for (const SimulatedLoad& load : this->play(simulation, 1, flooder, true)) {
+                answered += load.answered;
+                const double floor = this->routing.floors[indexOf(load.priority)] * simulation.capacity() * toSeconds(length);
+                INFO(priorityNames.nameOf(load.priority) << " kept " << static_cast<double>(load.answered) / floor << " of its floor");
+                CHECK(static_cast<double>(load.answered) >= 0.95 * floor);
+            }
+            CHECK(static_cast<double>(answered) >= 0.95 * simulation.capacity() * toSeconds(length));
+        }
+
+        void checkLatency(Priority flooder)
+        {
+            RoutingSimulation calm = this->makeSimulation();
+            RoutingSimulation flooded = this->makeSimulation();
+            const auto before = this->play(calm, 0.7, flooder, false);
+            std::size_t compared = 0;
+            for (const SimulatedLoad& load : this->play(flooded, 0.7, flooder, true)) {
+                if (load.priority == flooder)
+                    continue;
+                const double former = percentile99(before.at(compared++).latencies);
+                INFO(priorityNames.nameOf(load.priority) << " p99 " << percentile99(load.latencies) << " s, without a flood " << former << " s");
+                CHECK(percentile99(load.latencies) <= 1.5 * former);
+            }
+        }
+    };
+
+    TEST_CASE_METHOD(FloodFixture, "Flood_lowTenTimesCapacity_othersKeepTheirFloors") { this->checkFloors(Priority::Low); }
+    TEST_CASE_METHOD(FloodFixture, "Flood_urgentTenTimesCapacity_othersKeepTheirFloors") { this->checkFloors(Priority::Urgent); }
+    TEST_CASE_METHOD(FloodFixture, "Flood_lowTenTimesCapacity_othersKeepTheirLatency") { this->checkLatency(Priority::Low); }
+    TEST_CASE_METHOD(FloodFixture, "Flood_urgentTenTimesCapacity_othersKeepTheirLatency") { this->checkLatency(Priority::Urgent); }
+
+    TEST_CASE("Retry_thirdOfRunnersFails_staysWithinTheBudget")
+    {
+        RoutingSimulation simulation({ .routing = { .self = HostName("e1"), .dataCentre = DataCentreName("dc1") }, .runners = 9, .failingShare = 1.0 / 3, .seed = 11 });
+        constexpr double seconds = 20;
+
+        const auto loads = simulation.run(std::chrono::seconds(20), { { .perSecond = 0.5 * simulation.capacity() } });
+
+        const auto summary = simulation.summary();
+        const std::uint64_t retries = simulation.sends() - loads[0].sent;
+        INFO("sent " << loads[0].sent << ", answered " << loads[0].answered << ", retries " << retries);
+        CHECK(static_cast<double>(retries) <= 0.1 * static_cast<double>(summary.answered) + seconds + 10);
+        CHECK(static_cast<double>(loads[0].answered) >= 0.95 * static_cast<double>(loads[0].sent));
+    }
+
+} // namespace
+} // namespace dragonflytray
