--- a/packages/routing/commands/change_shares.cc
+++ b/packages/routing/commands/change_shares.cc
@@ -31,15 +31,21 @@
 {
     for (auto& [name, service] : this->services) {
         service.slots = 0;
+        service.runners = 0;
+        service.resting = 0;
         service.sites.clear();
     }
     for (auto& [name, runner] : this->runners) {
         runner.share = this->shareOf(runner);
+        const bool isLive = runner.isListed && runner.host.state == HostState::Live;
+        runner.isResting = runner.isResting && isLive && runner.share > 0;
         this->refresh(runner);
-        if (!runner.isListed || runner.host.state != HostState::Live)
+        if (!isLive)
             continue;
         ServiceState& service = this->serviceOf(runner.host.service);
         service.slots += runner.share;
+        service.runners += runner.share > 0 ? 1 : 0;
+        service.resting += runner.isResting ? 1 : 0;
         service.sites.insert(runner.host.dataCentre);
     }
 }
@@ -57,7 +63,7 @@
 
 void Routing::refresh(RunnerState& runner)
 {
-    const bool isFit = runner.isListed && runner.host.state == HostState::Live && runner.inFlight < runner.share;
+    const bool isFit = runner.isListed && runner.host.state == HostState::Live && !runner.isResting && runner.inFlight < runner.share;
     this->serviceOf(runner.host.service).pool.update(runner, isFit);
 }
 
--- a/packages/routing/retry_test.cc
+++ b/packages/routing/retry_test.cc
@@ -15,6 +15,24 @@
             return effects.empty() ? this->tickAfter(std::chrono::milliseconds(20)) : effects;
         }
 
+        void answerAll()
+        {
+            for (std::uint64_t attempt = 1; attempt <= 4 * this->nextToken; ++attempt)
+                this->routing.handle(RunnerAnswered { AttemptId(attempt), {} }, this->now);
+        }
+
+        std::set<std::string> runnersOfFour()
+        {
+            std::set<std::string> names;
+            for (int i = 0; i < 4; ++i) {
+                for (const RoutingEffect& effect : this->submit("four" + std::to_string(this->nextToken))) {
+                    if (const auto* send = std::get_if<SendToRunner>(&effect))
+                        names.insert(send->runner.value());
+                }
+            }
+            return names;
+        }
+
         Outcome outcomeOf(const RoutingEffects& effects) { return std::get<ReplyToCaller>(effects.at(0)).outcome; }
     };
 
@@ -63,5 +81,21 @@
         CHECK(this->routing.handle(RunnerFailed { this->sentAttempt(this->submit("x")), RetryReason::ConnectFailed, true }, this->now).empty());
     }
 
+    TEST_CASE_METHOD(RetryFixture, "RunnerFailed_threeInARow_runnerRestsForASecond")
+    {
+        for (int i = 0; i < 3; ++i) {
+            RoutingEffects effects = this->submit("f" + std::to_string(i));
+            while (std::get<SendToRunner>(effects.at(0)).runner != HostName("r1"))
+                effects = this->submit("g" + std::to_string(this->nextToken));
+            this->routing.handle(RunnerFailed { this->sentAttempt(effects), RetryReason::RunnerFailed, false }, this->now);
+            this->answerAll();
+        }
+
+        CHECK(this->runnersOfFour() == std::set<std::string> { "r2" });
+        this->answerAll();
+        this->tickAfter(std::chrono::seconds(1));
+        CHECK(this->runnersOfFour() == std::set<std::string> { "r1", "r2" });
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -55,7 +55,7 @@
     auto found = this->services.find(name);
     if (found != this->services.end())
         return found->second;
-    ServiceState state { makeRequestQueue(this->options.order, this->options.floors), {}, TokenBucket(retryBudgetOptions), 0, 0, 0, {} };
+    ServiceState state { makeRequestQueue(this->options.order, this->options.floors), {}, TokenBucket(retryBudgetOptions), 0, 0, 0, 0, 0, {} };
     return this->services.emplace(name, std::move(state)).first->second;
 }
 
@@ -112,6 +112,8 @@
 {
     // Every open request is in exactly one place, so that none is lost and none ends twice.
     require(this->openCount == this->waitingCount() + this->attempts.size(), "Routing: open requests and their places don't add up");
+    require(this->explainedOrder.size() <= this->options.explainedRequests, "Routing: explanations grow without bound");
+    require(this->openByTeam.size() <= this->openCount, "Routing: a team without open requests is still counted");
 }
 
 int Routing::distanceTo(const DataCentreName& dataCentre) const
--- a/packages/routing/routing_simulation.cc
+++ b/packages/routing/routing_simulation.cc
@@ -129,6 +129,7 @@
     SimulatedLoad& load = this->loads[found->second.load];
     if (reply.outcome.kind == OutcomeKind::Answered) {
         ++load.answered;
+        load.answeredInTime += this->now <= this->endsAt ? 1 : 0;
         load.latencies.push_back(toSeconds(this->now - found->second.submittedAt));
     }
     this->open.erase(found);
--- a/packages/routing/routing_simulation.h
+++ b/packages/routing/routing_simulation.h
@@ -18,6 +18,7 @@
     double perSecond { 1 };
     std::uint64_t sent { 0 };
     std::uint64_t answered { 0 };
+    std::uint64_t answeredInTime { 0 }; // before the loads stopped
     std::vector<double> latencies {}; // seconds, of answered requests
 };
 
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -80,6 +80,8 @@
         TokenBucket retryBudget;
         double holdSeconds { 0 }; // smoothed time that an attempt holds a slot; 0: not measured
         int slots { 0 }; // shares on live runners
+        int runners { 0 }; // live runners with a share
+        int resting { 0 }; // of these
         std::size_t claiming { 0 };
         std::set<DataCentreName> sites; // data centres with a live runner
     };
@@ -135,6 +137,8 @@
     void measureFailure(const Attempt& attempt, Instant now);
     void retry(WaitingRequest work, RetryReason reason, Instant now, RoutingEffects& effects);
     void serveQueues(Instant now, RoutingEffects& effects);
+    void restIfFailing(RunnerState& runner, Instant now);
+    void wakeIfRested(RunnerState& runner, Instant now);
     void forgetOldMeasurements(Instant now);
 
     // Outcomes.
--- a/packages/routing/runner_pool.h
+++ b/packages/routing/runner_pool.h
@@ -17,6 +17,9 @@
     int distance { 0 }; // 0: same data centre, 1: same region, 2: other region
     bool isListed { true }; // false: off the list, kept for its attempts in flight
     double answerSeconds { 0 }; // smoothed; 0: not measured
+    int failuresInRow { 0 };
+    bool isResting { false }; // takes no attempt until `restsUntil`, after failures in a row
+    Instant restsUntil;
     std::size_t position { notPooled }; // in the pool of its service
 };
 
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -11,6 +11,8 @@
     constexpr double longestSeconds = 10; // most that failures add up to
     constexpr int forwardsPerPeer = 32; // attempts at a time
     constexpr Duration peerRest = std::chrono::milliseconds(500); // after a peer's failure
+    constexpr int failuresBeforeRest = 3; // in a row
+    constexpr Duration runnerRest = std::chrono::seconds(1);
     constexpr int otherRegion = 2; // distance
     // Waits at home that are worth a forward: above the round trip within a region and between regions.
     constexpr Duration waitWorthNearForward = std::chrono::milliseconds(10);
@@ -160,6 +162,7 @@
         return;
     RunnerState& runner = this->runners.at(attempt.target);
     runner.answerSeconds = smooth(runner.answerSeconds, seconds);
+    runner.failuresInRow = 0;
     ServiceState& service = this->serviceOf(attempt.work.request.service);
     service.holdSeconds = smooth(service.holdSeconds, seconds);
 }
@@ -174,6 +177,30 @@
     RunnerState& runner = this->runners.at(attempt.target);
     const double seconds = std::max(toSeconds(now - attempt.startedAt), failureSeconds);
     runner.answerSeconds = std::min(longestSeconds, std::max(2 * runner.answerSeconds, seconds));
+    this->restIfFailing(runner, now);
+}
+
+void Routing::restIfFailing(RunnerState& runner, Instant now)
+{
+    ++runner.failuresInRow;
+    ServiceState& service = this->serviceOf(runner.host.service);
+    // When most of a service fails, the cause is hardly its runners: half of them stay in use.
+    const bool canRest = runner.isListed && runner.host.state == HostState::Live && runner.share > 0 && 2 * (service.resting + 1) <= service.runners;
+    if (runner.isResting || runner.failuresInRow < failuresBeforeRest || !canRest)
+        return;
+    runner.isResting = true;
+    runner.restsUntil = now + runnerRest;
+    ++service.resting;
+}
+
+void Routing::wakeIfRested(RunnerState& runner, Instant now)
+{
+    if (!runner.isResting || now < runner.restsUntil)
+        return;
+    runner.isResting = false;
+    runner.failuresInRow = failuresBeforeRest - 1; // one more failure sends it back
+    --this->serviceOf(runner.host.service).resting;
+    this->refresh(runner);
 }
 
 void Routing::forgetOldMeasurements(Instant now)
@@ -183,6 +210,7 @@
     this->measurementsForgottenAt = now;
     // Answer times drift to the mean, so that a runner that was slow or failed is tried again.
     for (auto& [name, runner] : this->runners) {
+        this->wakeIfRested(runner, now);
         auto service = this->services.find(runner.host.service);
         if (service == this->services.end() || runner.answerSeconds == 0)
             continue;
