--- a/packages/routing/request_queue.cc
+++ b/packages/routing/request_queue.cc
@@ -39,7 +39,18 @@
             fail("RequestQueue: take() of an empty queue");
         }
 
-        std::optional<WaitingRequest> shed(const Request&, double) override { return std::nullopt; }
+        std::optional<WaitingRequest> shed(const Request& incoming, double) override
+        {
+            // The last of the least urgent level pays, if that is less urgent than the incoming one.
+            for (std::size_t i = this->levels.size() - 1; i > this->levelOf(incoming); --i) {
+                if (this->levels[i].empty())
+                    continue;
+                WaitingRequest victim = std::move(this->levels[i].back());
+                this->levels[i].pop_back();
+                return victim;
+            }
+            return std::nullopt;
+        }
 
         std::vector<WaitingRequest> takeIf(const std::function<bool(const WaitingRequest&)>& isTaken) override
         {
--- a/packages/routing/routing_benchmark.cc
+++ b/packages/routing/routing_benchmark.cc
@@ -99,7 +99,7 @@
         std::printf("\nqueue order: ten times the capacity of %s work, the others at 0.7 of their floors, 20 s, seed 1\n", formatName(priorityNames.nameOf(flooder)).c_str());
         std::printf("%-22s %10s %10s %10s %10s\n", "order", "class", "p99 ms", "answered", "goodput");
         for (const auto& order : queueOrderNames) {
-            Routing::Options options = optionsFor(RunnerChoiceKind::LatencyTwoChoices);
+            Routing::Options options = optionsFor(RunnerChoiceKind::LatencyEightChoices);
             options.order = order.value;
             RoutingSimulation simulation({ .routing = options });
             std::vector<SimulatedLoad> loads;
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -28,7 +28,7 @@
         HostName self;
         DataCentreName dataCentre;
         std::uint64_t seed { 1 };
-        RunnerChoiceKind choice { RunnerChoiceKind::LatencyTwoChoices };
+        RunnerChoiceKind choice { RunnerChoiceKind::LatencyEightChoices };
         ShareSource shareSource { ShareSource::EvenSplit };
         QueueOrderKind order { QueueOrderKind::WeightedFair };
         ClassFloors floors { 0.5, 0.3, 0.2 };
--- a/packages/routing/runner_choice.cc
+++ b/packages/routing/runner_choice.cc
@@ -53,9 +53,11 @@
     using LatencyScan = Scan<&expectedSeconds>;
     using LeastOutstanding = Scan<&loadOf>;
 
-    class LatencyTwoChoices : public RunnerChoice {
+    // LatencyDraws picks the best of `Draws` candidates drawn at random, with repetition.
+    template <int Draws>
+    class LatencyDraws : public RunnerChoice {
     public:
-        explicit LatencyTwoChoices(std::uint64_t seed)
+        explicit LatencyDraws(std::uint64_t seed)
             : random(seed)
         {
         }
@@ -64,15 +66,22 @@
         {
             if (candidates.empty())
                 return std::nullopt;
-            const std::size_t first = this->random() % candidates.size();
-            const std::size_t second = this->random() % candidates.size();
-            return expectedSeconds(candidates[second]) < expectedSeconds(candidates[first]) ? second : first;
+            std::size_t best = this->random() % candidates.size();
+            for (int draw = 1; draw < Draws; ++draw) {
+                const std::size_t other = this->random() % candidates.size();
+                if (expectedSeconds(candidates[other]) < expectedSeconds(candidates[best]))
+                    best = other;
+            }
+            return best;
         }
 
     private:
         std::mt19937_64 random;
     };
 
+    using LatencyTwoChoices = LatencyDraws<2>;
+    using LatencyEightChoices = LatencyDraws<8>;
+
     class RoundRobin : public RunnerChoice {
     public:
         explicit RoundRobin(std::uint64_t seed)
@@ -116,7 +125,7 @@
     }
 
     using Factory = std::unique_ptr<RunnerChoice> (*)(std::uint64_t);
-    constexpr std::array<Factory, runnerChoiceNames.size()> factories { &make<LatencyTwoChoices>, &make<LatencyScan>, &make<LeastOutstanding>, &make<RoundRobin>, &make<Random> };
+    constexpr std::array<Factory, runnerChoiceNames.size()> factories { &make<LatencyTwoChoices>, &make<LatencyEightChoices>, &make<LatencyScan>, &make<LeastOutstanding>, &make<RoundRobin>, &make<Random> };
 
 } // namespace
 
--- a/packages/routing/runner_choice.h
+++ b/packages/routing/runner_choice.h
@@ -24,6 +24,7 @@
 // RunnerChoiceKind names the strategies.
 enum class RunnerChoiceKind {
     LatencyTwoChoices, // the better of two drawn at random, by answer time and load
+    LatencyEightChoices, // the best of eight drawn at random, by answer time and load
     LatencyScan, // the best of all, by answer time and load
     LeastOutstanding,
     RoundRobin,
@@ -32,6 +33,7 @@
 
 inline constexpr NameTable runnerChoiceNames { std::to_array<NameEntry<RunnerChoiceKind>>({
     { RunnerChoiceKind::LatencyTwoChoices, "latency-two-choices" },
+    { RunnerChoiceKind::LatencyEightChoices, "latency-eight-choices" },
     { RunnerChoiceKind::LatencyScan, "latency-scan" },
     { RunnerChoiceKind::LeastOutstanding, "least-outstanding" },
     { RunnerChoiceKind::RoundRobin, "round-robin" },
