Report refusals, retries and latency stages of each class

Cause: the daemon reported totals only. RoutingSummary carries counts and cumulative buckets for each class; the duty now hands them to telemetry.

Conclusion: the buckets go out as counters; a histogram type in telemetry could render them as one family.

--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -9,6 +9,29 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(5);
     constexpr Duration reportInterval = std::chrono::milliseconds(500);
 
+    void appendLatency(std::vector<Metric>& metrics, const std::string& priority, const std::string& stage, const LatencyHistogram& latency)
+    {
+        const std::string name = "dragonflytray_request_latency_seconds";
+        for (std::size_t i = 0; i < latency.cumulative.size(); ++i) {
+            const std::string bound = i < latencyBoundsInSeconds.size() ? std::to_string(latencyBoundsInSeconds[i]) : "+Inf";
+            metrics.push_back({ name + "_bucket", MetricKind::Counter, { { "class", priority }, { "stage", stage }, { "le", bound } }, static_cast<double>(latency.cumulative[i]) });
+        }
+        metrics.push_back({ name + "_sum", MetricKind::Counter, { { "class", priority }, { "stage", stage } }, latency.sumSeconds });
+        metrics.push_back({ name + "_count", MetricKind::Counter, { { "class", priority }, { "stage", stage } }, static_cast<double>(latency.count()) });
+    }
+
+    // appendClass() adds what happened to the requests of one class, and how long each stage took.
+    void appendClass(std::vector<Metric>& metrics, const std::string& priority, const ClassSummary& counts)
+    {
+        metrics.push_back({ "dragonflytray_class_requests_answered_total", MetricKind::Counter, { { "class", priority } }, static_cast<double>(counts.answered) });
+        for (const auto& reason : refusalReasonNames)
+            metrics.push_back({ "dragonflytray_class_request_refusals_total", MetricKind::Counter, { { "class", priority }, { "reason", std::string(reason.name) } }, static_cast<double>(counts.refusals[reason.value]) });
+        for (const auto& reason : retryReasonNames)
+            metrics.push_back({ "dragonflytray_class_request_retries_total", MetricKind::Counter, { { "class", priority }, { "reason", std::string(reason.name) } }, static_cast<double>(counts.retries[reason.value]) });
+        for (const auto& stage : requestStageNames)
+            appendLatency(metrics, priority, std::string(stage.name), counts.stages[stage.value]);
+    }
+
 } // namespace
 
 RequestDuty::RequestDuty(const Settings& settings, Rings& rings)
@@ -96,6 +119,9 @@
     snapshot.metrics.push_back({ "dragonflytray_late_answers_total", MetricKind::Counter, {}, static_cast<double>(summary.lateAnswers) });
     snapshot.metrics.push_back({ "dragonflytray_requests_waiting", MetricKind::Gauge, {}, static_cast<double>(summary.waiting) });
     snapshot.metrics.push_back({ "dragonflytray_requests_in_flight", MetricKind::Gauge, {}, static_cast<double>(summary.inFlight) });
+    snapshot.metrics.push_back({ "dragonflytray_requests_forwarded_total", MetricKind::Counter, {}, static_cast<double>(summary.forwarded) });
+    for (const auto& priority : priorityNames)
+        appendClass(snapshot.metrics, std::string(priority.name), summary.classes[priority.value]);
     appendRefusals(snapshot.metrics, "request", summary.refusals);
     appendRetries(snapshot.metrics, "request", summary.retries);
     appendRingMetrics(snapshot.metrics, "requests", this->rings.requests);
