Name the distance between regions; mend a lint finding

Cause: bugprone-use-after-move in enqueue (the order was right, the reader can't see it) and a bare number in three places. Behaviour is unchanged: routing_test green.

--- a/packages/routing/admission.cc
+++ b/packages/routing/admission.cc
@@ -52,7 +52,7 @@
     for (const auto& [name, peer] : this->peers) {
         if (request.source == RequestSource::Peer || !peer.isListed || !sites.contains(peer.host.dataCentre))
             continue;
-        if (peer.distance < 2 || this->linkBudget.has(now, size))
+        if (peer.distance < otherRegion || this->linkBudget.has(now, size))
             return std::nullopt;
         reason = RefusalReason::LinkBudget;
     }
@@ -117,7 +117,8 @@
 {
     work.queuedAt = now;
     const double weight = this->weightOf(work.request.team);
-    this->serviceOf(work.request.service).queue->push(std::move(work), weight);
+    RequestQueue& queue = *this->serviceOf(work.request.service).queue;
+    queue.push(std::move(work), weight);
 }
 
 } // namespace dragonflytray
--- a/packages/routing/commands/change_hosts.cc
+++ b/packages/routing/commands/change_hosts.cc
@@ -62,7 +62,7 @@
 {
     if (!this->inForce.declaration)
         return;
-    const auto sharers = std::count_if(this->entryHosts.begin(), this->entryHosts.end(), [&](const Host& host) { return this->distanceTo(host.dataCentre) < 2; });
+    const auto sharers = std::count_if(this->entryHosts.begin(), this->entryHosts.end(), [&](const Host& host) { return this->distanceTo(host.dataCentre) < otherRegion; });
     const double part = this->inForce.declaration->linkBytesPerSecond / static_cast<double>(std::max<std::ptrdiff_t>(1, sharers));
     this->linkBudget.adjust({ .perSecond = part, .capacity = std::max(leastLinkBurst, part) });
 }
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -121,9 +121,9 @@
     if (dataCentre == this->options.dataCentre)
         return 0;
     if (!this->inForce.declaration)
-        return 2;
+        return otherRegion;
     const RegionDeclaration* own = this->inForce.declaration->findRegionOf(this->options.dataCentre);
-    return own && own == this->inForce.declaration->findRegionOf(dataCentre) ? 1 : 2;
+    return own && own == this->inForce.declaration->findRegionOf(dataCentre) ? 1 : otherRegion;
 }
 
 } // namespace dragonflytray
--- a/packages/routing/runner_pool.h
+++ b/packages/routing/runner_pool.h
@@ -7,6 +7,9 @@
 
 namespace dragonflytray {
 
+// otherRegion is the distance to a data centre across the link between regions.
+inline constexpr int otherRegion = 2;
+
 // RunnerState is what one entry host knows about one runner.
 struct RunnerState {
     static constexpr std::size_t notPooled = static_cast<std::size_t>(-1);
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -13,7 +13,6 @@
     constexpr Duration peerRest = std::chrono::milliseconds(500); // after a peer's failure
     constexpr int failuresBeforeRest = 3; // in a row
     constexpr Duration runnerRest = std::chrono::seconds(1);
-    constexpr int otherRegion = 2; // distance
     // Waits at home that are worth a forward: above the round trip within a region and between regions.
     constexpr Duration waitWorthNearForward = std::chrono::milliseconds(10);
     constexpr Duration waitWorthFarForward = std::chrono::milliseconds(100);
