--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -29,7 +29,7 @@
         HostName self;
         DataCentreName dataCentre;
         std::uint64_t seed { 1 };
-        RunnerChoiceKind choice { RunnerChoiceKind::LatencyTwoChoices };
+        RunnerChoiceKind choice { RunnerChoiceKind::LatencyEightChoices };
         ShareSource shareSource { ShareSource::EvenSplit };
         QueueOrderKind order { QueueOrderKind::WeightedFair };
         ClassFloors floors { 0.5, 0.3, 0.2 };
@@ -81,6 +81,8 @@
         TokenBucket retryBudget;
         double holdSeconds { 0 }; // smoothed time that an attempt holds a slot; 0: not measured
         int slots { 0 }; // shares on live runners
+        int runners { 0 }; // live runners with a share
+        int resting { 0 }; // of these
         std::size_t claiming { 0 };
         std::set<DataCentreName> sites; // data centres with a live runner
     };
@@ -136,6 +138,8 @@
     void measureFailure(const Attempt& attempt, Instant now);
     void retry(WaitingRequest work, RetryReason reason, Instant now, RoutingEffects& effects);
     void serveQueues(Instant now, RoutingEffects& effects);
+    void restIfFailing(RunnerState& runner, Instant now);
+    void wakeIfRested(RunnerState& runner, Instant now);
     void forgetOldMeasurements(Instant now);
 
     // Outcomes.
