--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -36,7 +36,7 @@
 
 RequestDuty::RequestDuty(const Settings& settings, Rings& rings)
     : rings(rings)
-    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed })
+    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed, .shareSource = ShareSource::Assigned })
 {
 }
 
@@ -90,9 +90,9 @@
         (void)this->rings.callers.tryPush(WatchEnded { token, false }, RingRoom::Reserved);
 }
 
-void RequestDuty::carryOut(const SharesHeld&)
+void RequestDuty::carryOut(SharesHeld effect)
 {
-    // The duty of `shares` takes it; until that is joined, only shares that are split evenly are in use.
+    (void)this->rings.shares.tryPush(SharesCommand(std::move(effect)), RingRoom::Reserved);
 }
 
 void RequestDuty::carryOut(WriteTransaction effect)
--- a/packages/daemon/duties/request_duty.h
+++ b/packages/daemon/duties/request_duty.h
@@ -23,7 +23,7 @@
     void carryOut(const ForwardToPeer& effect);
     void carryOut(ReplyToCaller effect);
     void carryOut(StartWatch effect);
-    void carryOut(const SharesHeld& effect);
+    void carryOut(SharesHeld effect);
     void carryOut(WriteTransaction effect);
     void tick(Instant now);
     void reportMetrics() const;
--- a/packages/daemon/duties/share_duty.cc
+++ b/packages/daemon/duties/share_duty.cc
@@ -41,10 +41,7 @@
 
 void ShareDuty::carryOut(ChangeShares effect)
 {
-    // To connect once `routing` takes the command: push `RoutingCommand(std::move(effect))` to rings.requests with
-    // RingRoom::Reserved, and push the effect SharesHeld from RequestDuty to rings.shares, with the revision of
-    // the ChangeShares that it obeys.
-    (void)effect;
+    (void)this->rings.requests.tryPush(RoutingCommand(std::move(effect)), RingRoom::Reserved);
 }
 
 void ShareDuty::carryOut(SendShareReport effect)
--- a/packages/routing/commands/change_shares.cc
+++ b/packages/routing/commands/change_shares.cc
@@ -19,8 +19,11 @@
 
 void Routing::changeShares(const RoutingCommand& command, Instant now, RoutingEffects& effects)
 {
+    const auto& change = std::get<ChangeShares>(command);
+    this->shareRevision = change.revision;
+    this->sharesValidUntil = change.validUntil;
     this->assignedShares.clear();
-    for (const SlotShare& share : std::get<ChangeShares>(command).shares)
+    for (const SlotShare& share : change.shares)
         this->assignedShares[share.runner] = share.slots;
     this->assignShares();
     this->serveQueues(now, effects);
@@ -86,7 +89,7 @@
 
 SharesHeld Routing::sharesHeld() const
 {
-    SharesHeld report;
+    SharesHeld report { this->shareRevision, {}, {} };
     for (const auto& [name, runner] : this->runners) {
         if (const int held = std::max(runner.share, runner.inFlight); held > 0)
             report.held.push_back({ name, held });
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -124,7 +124,7 @@
 
     // Sending.
     void dispatch(const ServiceName& service, Instant now, RoutingEffects& effects);
-    RunnerState* chooseRunner(const WaitingRequest& work);
+    RunnerState* chooseRunner(const WaitingRequest& work, Instant now);
     Peer* choosePeer(const WaitingRequest& work, Instant now);
     bool canForward(const Peer& peer, const WaitingRequest& work, Duration localWait, Instant now);
     void sendTo(RunnerState& runner, WaitingRequest work, Instant now, RoutingEffects& effects);
@@ -174,6 +174,8 @@
     std::map<HostName, Peer> peers;
     std::vector<Host> entryHosts;
     std::unordered_map<HostName, int> assignedShares;
+    std::uint64_t shareRevision { 0 }; // of the ChangeShares in force
+    Instant sharesValidUntil { Instant::max() };
     std::vector<SlotShare> reportedDemand;
     Instant demandReportedAt;
     bool hasFreedShare { false }; // attempts beyond a share have ended since the last report
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -35,7 +35,7 @@
 {
     RequestQueue& queue = *this->serviceOf(service).queue;
     while (const WaitingRequest* next = queue.front()) {
-        if (RunnerState* runner = this->chooseRunner(*next))
+        if (RunnerState* runner = this->chooseRunner(*next, now))
             this->sendTo(*runner, queue.take(), now, effects);
         else if (Peer* peer = this->choosePeer(*next, now))
             this->forwardTo(*peer, queue.take(), now, effects);
@@ -44,8 +44,10 @@
     }
 }
 
-RunnerState* Routing::chooseRunner(const WaitingRequest& work)
+RunnerState* Routing::chooseRunner(const WaitingRequest& work, Instant now)
 {
+    if (now >= this->sharesValidUntil)
+        return nullptr;
     RunnerPool& pool = this->serviceOf(work.request.service).pool;
     if (pool.isEmpty())
         return nullptr;
