Let a setting choose how slots are shared; even split until a leader hands over

Cause: with assigned shares a fresh entry host has no slots until the leader moves some, the leader's planned stop leaves the data centre without one for a lease, and a give-back sent while stopping is lost. Ruled out: routing (it starts at once when a grant comes). Assigned shares stay behind the setting shareSource until the hand-over is built.

--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -36,7 +36,7 @@
 
 RequestDuty::RequestDuty(const Settings& settings, Rings& rings)
     : rings(rings)
-    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed, .shareSource = ShareSource::Assigned })
+    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed, .shareSource = settings.shareSource })
 {
 }
 
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -69,6 +69,7 @@
     settings.peers = readEndpoint(root, "peers");
     settings.platform = readEndpoint(root, "platform");
     settings.seed = static_cast<std::uint64_t>(root.number("seed", { .maximum = largestCount, .fallback = 1, .isWhole = true }));
+    settings.shareSource = root.choice("shareSource", shareSourceNames, settings.shareSource);
     settings.limits = readLimits(root.map("limits"));
     settings.log = readLog(root.map("log"));
     root.finish();
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -9,6 +9,7 @@
 //         std::cerr << settings.error().text();
 
 #include "model/model.h"
+#include "routing/routing.h"
 #include "telemetry/telemetry.h"
 #include <tl/expected.hpp>
 
@@ -34,6 +35,7 @@
     Endpoint peers;
     Endpoint platform;
     std::uint64_t seed { 1 };
+    ShareSource shareSource { ShareSource::EvenSplit };
     Limits limits;
     LogOptions log;
 };
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -46,7 +46,7 @@
 
 RunnerState* Routing::chooseRunner(const WaitingRequest& work, Instant now)
 {
-    if (now >= this->sharesValidUntil)
+    if (this->options.shareSource == ShareSource::Assigned && now >= this->sharesValidUntil)
         return nullptr;
     RunnerPool& pool = this->serviceOf(work.request.service).pool;
     if (pool.isEmpty())
