--- a/packages/batch/batch_policy_test.cc
+++ b/packages/batch/batch_policy_test.cc
@@ -94,6 +94,7 @@
     TEST_CASE_METHOD(PolicyFixture, "EvictedJob_roomAgain_resumesOnceFromItsCheckpoint")
     {
         std::vector<JobId> low;
+        low.reserve(2);
         for (int i = 0; i < 2; ++i)
             low.push_back(this->submit("desk", Priority::Low, 8, std::chrono::seconds(40)));
         this->advance(std::chrono::seconds(20));
--- a/packages/batch/commands/worker_report.cc
+++ b/packages/batch/commands/worker_report.cc
@@ -20,7 +20,7 @@
         entry->lastConfirmed = worker.contactSent;
         // The worker has seen this epoch: no holder before can renew from now on.
         entry->lastRenewal = std::min(entry->lastRenewal, now);
-        auto report = std::find_if(reported.reports.begin(), reported.reports.end(), [&](const TaskReport& item) { return item.job == id && item.attempt == entry->job.attempt; });
+        auto report = std::find_if(reported.reports.begin(), reported.reports.end(), [&job = id, attempt = entry->job.attempt](const TaskReport& item) { return item.job == job && item.attempt == attempt; });
         // A worker tells every attempt that it has, so one that it leaves out has ended.
         const bool isMissing = report == reported.reports.end();
         this->applyReport(isMissing ? TaskReport { id, entry->job.attempt, TaskPhase::Unknown, "", "", {} } : *report, *entry, worker, now);
--- a/packages/load/load_stream.cc
+++ b/packages/load/load_stream.cc
@@ -21,6 +21,11 @@
         return value;
     }
 
+    std::string quote(const std::string& text)
+    {
+        return "`" + text + "`";
+    }
+
     bool readSeconds(Duration& target, const std::string& value)
     {
         auto number = parseNumber(value, maximumSeconds);
@@ -121,10 +126,10 @@
             if (key.name != name)
                 continue;
             if (!key.set(stream, value))
-                findings.add(place, "`" + value + "` is not a usable value of `" + name + "`");
+                findings.add(place, quote(value) + " is not a usable value of " + quote(name));
             return;
         }
-        findings.add(place, "unknown key `" + name + "`");
+        findings.add(place, "unknown key " + quote(name));
     }
 
 } // namespace
