--- a/packages/testing/runner_standin_main.cc
+++ b/packages/testing/runner_standin_main.cc
@@ -33,7 +33,8 @@
     std::list<RunnerStandin> runners;
     std::vector<std::string> lines;
     for (int i = 1; i <= count; ++i) {
-        const std::string name = dataCentre + "-" + prefix + "-" + std::to_string(i);
+        std::string name = dataCentre;
+        name.append("-").append(prefix).append("-").append(std::to_string(i));
         runners.emplace_back(loop, RunnerStandin::Options { .endpoint = { "127.0.0.1", 0 }, .name = name, .slots = slots, .hasGuards = !hasNoGuards, .serviceTime = std::chrono::milliseconds(serviceTime) });
         auto bound = runners.back().start();
         Host host;
