--- a/packages/yaml/yaml_map.cc
+++ b/packages/yaml/yaml_map.cc
@@ -220,20 +220,28 @@
     return { std::make_shared<Node>(Node { YAML::Node(YAML::NodeType::Map) }), this->file, *this->findings };
 }
 
-std::vector<YamlMap> YamlMap::maps(const std::string& key, bool isRequired)
+std::optional<YamlMap::Node> YamlMap::list(const std::string& key, bool isRequired)
 {
-    std::vector<YamlMap> result;
     auto found = this->child(key, isRequired);
     if (!found)
-        return result;
+        return std::nullopt;
     if (!found->yaml.IsSequence()) {
         this->addFinding(key, "`" + key + "` must be a list");
-        return result;
+        return std::nullopt;
     }
     if (found->yaml.size() > listLimit) {
         this->addFinding(key, "`" + key + "` has too many items", "at most 10000");
-        return result;
+        return std::nullopt;
     }
+    return found;
+}
+
+std::vector<YamlMap> YamlMap::maps(const std::string& key, bool isRequired)
+{
+    std::vector<YamlMap> result;
+    auto found = this->list(key, isRequired);
+    if (!found)
+        return result;
     for (const YAML::Node& item : found->yaml) {
         if (item.IsMap())
             result.push_back(YamlMap(std::make_shared<Node>(Node { item }), this->file, *this->findings));
@@ -246,17 +254,9 @@
 std::vector<std::string> YamlMap::texts(const std::string& key, bool isRequired)
 {
     std::vector<std::string> result;
-    auto found = this->child(key, isRequired);
+    auto found = this->list(key, isRequired);
     if (!found)
         return result;
-    if (!found->yaml.IsSequence()) {
-        this->addFinding(key, "`" + key + "` must be a list");
-        return result;
-    }
-    if (found->yaml.size() > listLimit) {
-        this->addFinding(key, "`" + key + "` has too many items", "at most 10000");
-        return result;
-    }
     for (const YAML::Node& item : found->yaml) {
         if (item.IsScalar())
             result.push_back(item.Scalar());
--- a/packages/yaml/yaml_map.h
+++ b/packages/yaml/yaml_map.h
@@ -95,6 +95,8 @@
     }
 
     std::optional<Node> child(const std::string& key, bool isRequired);
+    // list() is the child when it is a list of a length within the limit; else a finding and nothing.
+    std::optional<Node> list(const std::string& key, bool isRequired);
 
     std::shared_ptr<const Node> node;
     std::string file;
