--- /dev/null
+++ b/packages/entry/duties/front_duty.cc
@@ -0,0 +1,113 @@
+#include "entry/duties/front_duty.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr std::size_t bodyLimit = 256 << 10; // bytes; the largest that the operator's configuration allows
+    constexpr std::size_t probeConnections = 32;
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusUnavailable = 503;
+
+} // namespace
+
+FrontDuty::FrontDuty(const EntrySettings& settings, EntryRings& rings, const CallerProtocol& protocol)
+    : rings(rings)
+    , protocol(protocol)
+    , callers(this->loop, { .endpoint = settings.callers, .bodyLimit = bodyLimit, .connectionLimit = settings.connections }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveCaller(std::move(request), std::move(reply)); })
+    , probes(this->loop, { .endpoint = settings.readiness, .connectionLimit = probeConnections }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveProbe(request, reply); })
+{
+    if (settings.metrics.port != 0)
+        this->metrics.emplace(this->loop, HttpServer::Options { .endpoint = settings.metrics, .connectionLimit = probeConnections }, [this](HttpRequest, std::shared_ptr<HttpReply> reply) { this->serveMetrics(std::move(reply)); });
+    drainOnWake(this->loop, rings.front, [this](FrontMessage message) { std::visit([this](const auto& value) { this->on(value); }, message); });
+}
+
+tl::expected<void, std::string> FrontDuty::start()
+{
+    for (HttpServer* server : { &this->callers, &this->probes, this->metrics ? &*this->metrics : nullptr }) {
+        if (!server)
+            continue;
+        if (auto bound = server->start(); !bound)
+            return tl::unexpected(bound.error());
+    }
+    return {};
+}
+
+void FrontDuty::serveProbe(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    if (this->protocol.isReadinessProbe(request))
+        return reply->send({ .status = this->isReady ? statusOk : statusUnavailable });
+    this->serveMetrics(reply);
+}
+
+void FrontDuty::serveMetrics(std::shared_ptr<HttpReply> reply)
+{
+    const ReplyToken token = this->keep(std::move(reply));
+    if (!this->rings.journal.tryPush(MetricsWanted { token }))
+        this->answer(token, { .status = statusUnavailable });
+}
+
+void FrontDuty::serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply)
+{
+    const ReplyToken token = this->keep(std::move(reply));
+    CallerCall call = this->protocol.decode(request, token);
+    if (const auto* status = std::get_if<ReplyStatus>(&call))
+        return this->on(ReplyToClient { .token = token, .status = *status, .reason = ReplyReason::BadRequest });
+    SchedulingMessage message = std::visit([&](auto value) -> SchedulingMessage {
+        using Value = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<Value, QueueQuery>)
+            return AskQueue { token, std::move(value) };
+        else if constexpr (std::is_same_v<Value, ReplyStatus>)
+            return AskQueue {};
+        else
+            return SchedulerCommand(std::move(value));
+    },
+        std::move(call));
+    if (!this->rings.scheduling.tryPush(std::move(message)))
+        this->on(ReplyToClient { .token = token, .status = ReplyStatus::Refused, .reason = ReplyReason::TooManyPending, .retryAfter = std::chrono::seconds(1) });
+}
+
+ReplyToken FrontDuty::keep(std::shared_ptr<HttpReply> reply)
+{
+    this->replies.emplace(++this->lastToken, std::move(reply));
+    this->open = this->replies.size();
+    return ReplyToken { this->lastToken };
+}
+
+void FrontDuty::answer(ReplyToken token, HttpResponse response)
+{
+    const auto found = this->replies.find(static_cast<std::uint64_t>(token));
+    if (found == this->replies.end())
+        return;
+    found->second->send(std::move(response));
+    this->replies.erase(found);
+    this->open = this->replies.size();
+}
+
+void FrontDuty::on(const ReplyToClient& message)
+{
+    this->answer(message.token, this->protocol.encodeReply(message));
+}
+
+void FrontDuty::on(const QueueAnswered& message)
+{
+    this->answer(message.token, this->protocol.encodeQueue(message.view));
+}
+
+void FrontDuty::on(const HostReadiness& message)
+{
+    this->isReady = message.isReady;
+}
+
+void FrontDuty::on(const BeginDrain&)
+{
+    this->isReady = false;
+    this->callers.announceClose();
+}
+
+void FrontDuty::on(const MetricsRendered& message)
+{
+    this->answer(message.token, { .status = statusOk, .contentType = "text/plain; version=0.0.4", .body = message.text });
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/duties/scheduling_duty.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// The duty that decides: it owns the Scheduler and carries its effects to the other duties.
+
+#include "entry/entry_messages.h"
+#include "entry/entry_settings.h"
+
+namespace dragonflytray {
+
+// SchedulingDuty runs on a thread of its own until its ring is closed and empty.
+class SchedulingDuty {
+public:
+    SchedulingDuty(const EntrySettings& settings, EntryRings& rings);
+
+    void run();
+
+private:
+    void handle(SchedulingMessage message);
+    void decide(const SchedulerCommand& command);
+    void tick(Instant now);
+    void reportMetrics(const SchedulerSummary& summary);
+    void reportReadiness(Instant now);
+
+    void carryOut(WriteStoredRows effect);
+    void carryOut(ReadJobRows effect);
+    void carryOut(HoldWorker effect);
+    void carryOut(StartTask effect);
+    void carryOut(StopTask effect);
+    void carryOut(PaceTask effect);
+    void carryOut(ReplyToClient effect);
+    void carryOut(FollowWorkers effect);
+    void carryOut(LogDecision effect);
+
+    EntryRings& rings;
+    Scheduler scheduler;
+    Instant nextTick;
+    Instant nextReport;
+    bool isLeading { false };
+    bool wasReady { false };
+    bool isDraining { false };
+    bool hasHandedOver { false };
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/duties/store_duty.cc
@@ -0,0 +1,185 @@
+#include "entry/duties/store_duty.h"
+
+#include <iterator>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr Duration writeTimeout = std::chrono::milliseconds(1000); // a caller waits three seconds for all
+    constexpr Duration readTimeout = std::chrono::milliseconds(700);
+    constexpr Duration connectTimeout = std::chrono::milliseconds(500);
+    constexpr Duration feedWait = std::chrono::milliseconds(1000); // bounds how long a silent connection goes unnoticed
+    constexpr Duration retryDelay = std::chrono::milliseconds(150);
+    constexpr Duration idleLimit = std::chrono::seconds(5);
+    constexpr std::size_t connectionLimit = 24;
+
+    // FeedPace is the pause between an answer and the next poll, so that changes gather.
+    struct FeedPace {
+        Duration leading;
+        Duration following;
+    };
+    constexpr std::array<FeedPace, feedKindNames.size()> paces { {
+        { std::chrono::milliseconds(10), std::chrono::milliseconds(100) }, // a new job starts as soon as its leader knows it
+        { std::chrono::milliseconds(0), std::chrono::milliseconds(0) },
+        { std::chrono::milliseconds(200), std::chrono::milliseconds(200) }, // heartbeats come at any time
+    } };
+
+    std::uint32_t partitionsOf(FeedKind feed)
+    {
+        return feed == FeedKind::Jobs ? leasePartition + 1 : 1;
+    }
+
+    template <typename Values>
+    void append(Values& to, Values& from)
+    {
+        to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+    }
+
+} // namespace
+
+StoreDuty::StoreDuty(const EntrySettings& settings, EntryRings& rings, const StoreProtocol& protocol)
+    : rings(rings)
+    , protocol(protocol)
+    , endpoint(settings.store)
+    , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
+{
+    for (const auto& entry : feedKindNames)
+        this->feeds[indexOf(entry.value)].kind = entry.value;
+    drainOnWake(this->loop, rings.store, [this](StoreCall call) { std::visit([this](auto value) { this->perform(std::move(value)); }, std::move(call)); });
+}
+
+void StoreDuty::run()
+{
+    for (const FeedKind kind : { FeedKind::Configuration, FeedKind::Jobs }) {
+        Feed& feed = this->feeds[indexOf(kind)];
+        feed.isWanted = true;
+        this->loop.post([this, &feed] { this->follow(feed); });
+    }
+    this->loop.run();
+}
+
+void StoreDuty::perform(WriteStoredRows call)
+{
+    HttpRequest request = this->protocol.encodeWrite(call);
+    this->client.send(this->endpoint, std::move(request), writeTimeout, [this, call = std::move(call)](HttpOutcome outcome) {
+        this->report(this->protocol.decodeWrite(call, outcome));
+    });
+}
+
+void StoreDuty::perform(ReadJobRows call)
+{
+    this->client.send(this->endpoint, this->protocol.encodeJobRead(call.job), readTimeout, [this, job = call.job](HttpOutcome outcome) {
+        this->report(this->protocol.decodeJobRead(job, outcome));
+    });
+}
+
+void StoreDuty::perform(FollowWorkers call)
+{
+    this->isLeading = call.shouldFollow;
+    Feed& feed = this->feeds[indexOf(FeedKind::Workers)];
+    feed.isWanted = call.shouldFollow;
+    feed.isScanned = false; // a new leader needs the whole list
+    if (feed.isWanted && !feed.isBusy)
+        this->follow(feed);
+}
+
+void StoreDuty::follow(Feed& feed)
+{
+    feed.isBusy = false;
+    if (!feed.isWanted)
+        return;
+    feed.isBusy = true;
+    if (feed.isScanned)
+        return this->poll(feed);
+    feed.partition = 0;
+    feed.scanned = {};
+    this->scanPage(feed, {});
+}
+
+void StoreDuty::scanPage(Feed& feed, const std::string& startKey)
+{
+    this->client.send(this->endpoint, this->protocol.encodeScan(feed.kind, feed.partition, startKey), readTimeout, [this, &feed](HttpOutcome outcome) {
+        this->pageScanned(feed, this->protocol.decodePage(feed.kind, outcome));
+    });
+}
+
+void StoreDuty::pageScanned(Feed& feed, FeedPage page)
+{
+    this->noteContact(feed, page.status == FeedStatus::Read);
+    if (page.status != FeedStatus::Read)
+        return this->again(feed, retryDelay);
+    if (feed.partition == 0 && feed.scanned.revision == 0)
+        feed.scanned.revision = page.revision; // changes after the first page are read again
+    append(feed.scanned.jobs, page.jobs);
+    append(feed.scanned.workers, page.workers);
+    if (page.configuration)
+        feed.scanned.configuration = std::move(page.configuration);
+    if (!page.nextKey.empty())
+        return this->scanPage(feed, page.nextKey);
+    if (++feed.partition < partitionsOf(feed.kind))
+        return this->scanPage(feed, {});
+    feed.isScanned = true;
+    feed.revision = feed.scanned.revision;
+    this->deliver(feed, std::move(feed.scanned), true);
+    feed.scanned = {};
+    this->follow(feed);
+}
+
+void StoreDuty::poll(Feed& feed)
+{
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, feedWait), feedWait + readTimeout, [this, &feed](HttpOutcome outcome) {
+        this->pagePolled(feed, this->protocol.decodePage(feed.kind, outcome));
+    });
+}
+
+void StoreDuty::pagePolled(Feed& feed, FeedPage page)
+{
+    this->noteContact(feed, page.status != FeedStatus::Failed);
+    if (page.status == FeedStatus::HistoryGone) {
+        logInfo(LogPart::Store, "History is gone; the feed " + std::string(feedKindNames.nameOf(feed.kind)) + " is read anew.");
+        feed.isScanned = false;
+        return this->follow(feed);
+    }
+    if (page.status == FeedStatus::Failed)
+        return this->again(feed, retryDelay);
+    if (!feed.isScanned) // a new scan was asked for meanwhile
+        return this->follow(feed);
+    feed.revision = std::max(feed.revision, page.revision);
+    this->deliver(feed, std::move(page), false);
+    const FeedPace& pace = paces[indexOf(feed.kind)];
+    this->again(feed, this->isLeading ? pace.leading : pace.following);
+}
+
+void StoreDuty::again(Feed& feed, Duration delay)
+{
+    if (delay == Duration(0))
+        return this->follow(feed);
+    this->loop.after(delay, [this, &feed] { this->follow(feed); });
+}
+
+void StoreDuty::deliver(const Feed& feed, FeedPage page, bool isWhole)
+{
+    if (page.unreadable > 0)
+        logWarning(LogPart::Store, std::to_string(page.unreadable) + " entries of the feed " + std::string(feedKindNames.nameOf(feed.kind)) + " can't be read and are left out.");
+    if (feed.kind == FeedKind::Jobs)
+        return this->report(StoredRowsRead { std::move(page.jobs), page.revision, isWhole });
+    if (feed.kind == FeedKind::Workers)
+        return this->report(WorkersListed { std::move(page.workers), std::move(page.removedWorkers), isWhole });
+    if (page.configuration)
+        this->report(ConfigurationFollowed { std::move(*page.configuration) });
+}
+
+void StoreDuty::noteContact(const Feed& feed, bool isAnswering)
+{
+    if (feed.kind == FeedKind::Jobs)
+        this->report(StoreContact { isAnswering });
+}
+
+void StoreDuty::report(SchedulerCommand command)
+{
+    if (!this->rings.scheduling.tryPush(std::move(command), RingRoom::Reserved))
+        logError(LogPart::Store, "An answer of the store was dropped because the ring is full.");
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/duties/worker_call_duty.cc
@@ -0,0 +1,78 @@
+#include "entry/duties/worker_call_duty.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr Duration callTimeout = std::chrono::milliseconds(900); // a round trip between regions takes under 100 ms
+    constexpr Duration connectTimeout = std::chrono::milliseconds(500);
+    constexpr Duration idleLimit = std::chrono::seconds(10); // a worker is held more often
+    constexpr std::size_t callsInFlight = 4; // to one worker besides its hold
+    constexpr std::size_t connectionLimit = 8; // to one worker; calls in flight, a hold, and some that time out
+
+} // namespace
+
+WorkerCallDuty::WorkerCallDuty(EntryRings& rings, const WorkerProtocol& protocol)
+    : rings(rings)
+    , protocol(protocol)
+    , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
+{
+    drainOnWake(this->loop, rings.workers, [this](WorkerCall call) { std::visit([this](const auto& value) { this->perform(value); }, call); });
+}
+
+void WorkerCallDuty::perform(const HoldWorker& call)
+{
+    const Instant sentAt = BootClock::now();
+    this->client.send(call.to.endpoint, this->protocol.encodeHold(call), call.wait + callTimeout, [this, sentAt, to = call.to](HttpOutcome outcome) {
+        HoldEnded end = this->protocol.decodeHold(outcome);
+        end.worker = to.worker;
+        end.epoch = to.epoch;
+        end.sentAt = sentAt;
+        this->report(std::move(end));
+    });
+}
+
+void WorkerCallDuty::perform(const StartTask& call)
+{
+    this->enqueue({ { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call) });
+}
+
+void WorkerCallDuty::perform(const StopTask& call)
+{
+    this->enqueue({ { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call) });
+}
+
+void WorkerCallDuty::perform(const PaceTask& call)
+{
+    this->enqueue({ { TaskCallKind::Pace, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodePace(call) });
+}
+
+void WorkerCallDuty::enqueue(TaskCall call)
+{
+    Lane& lane = this->lanes[call.endpoint];
+    lane.waiting.push_back(std::move(call));
+    this->advance(lane);
+}
+
+void WorkerCallDuty::advance(Lane& lane)
+{
+    while (lane.inFlight < callsInFlight && !lane.waiting.empty()) {
+        TaskCall call = std::move(lane.waiting.front());
+        lane.waiting.pop_front();
+        ++lane.inFlight;
+        this->client.send(call.endpoint, std::move(call.request), callTimeout, [this, &lane, end = call.end](HttpOutcome outcome) mutable {
+            end.status = this->protocol.decodeCall(outcome);
+            --lane.inFlight;
+            this->report(std::move(end));
+            this->advance(lane);
+        });
+    }
+}
+
+void WorkerCallDuty::report(SchedulerCommand command)
+{
+    if (!this->rings.scheduling.tryPush(std::move(command), RingRoom::Reserved))
+        logError(LogPart::Workers, "An answer of a worker was dropped because the ring is full.");
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/duties/worker_call_duty.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// The duty towards workers: it carries out holds, starts, stops and paces.
+
+#include "entry/entry_messages.h"
+#include <deque>
+
+namespace dragonflytray {
+
+// WorkerCallDuty runs an event loop on a thread of its own until stop().
+class WorkerCallDuty {
+public:
+    WorkerCallDuty(EntryRings& rings, const WorkerProtocol& protocol);
+
+    void run() { this->loop.run(); }
+    void stop() { this->loop.stop(); }
+
+private:
+    // TaskCall is a start, stop or pace that waits for a connection or an answer.
+    struct TaskCall {
+        TaskCallEnded end; // as it will be reported
+        Endpoint endpoint;
+        HttpRequest request;
+    };
+    // Lane holds the task calls to one endpoint.
+    struct Lane {
+        std::deque<TaskCall> waiting;
+        std::size_t inFlight { 0 };
+    };
+
+    void perform(const HoldWorker& call);
+    void perform(const StartTask& call);
+    void perform(const StopTask& call);
+    void perform(const PaceTask& call);
+    void enqueue(TaskCall call);
+    void advance(Lane& lane);
+    void report(SchedulerCommand command);
+
+    EntryRings& rings;
+    const WorkerProtocol& protocol;
+    IoLoop loop;
+    HttpClient client;
+    std::map<Endpoint, Lane> lanes;
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/entry_settings.cc
@@ -0,0 +1,105 @@
+#include "entry/entry_settings.h"
+
+#include "transport/transport.h"
+#include "yaml/yaml.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr double largestMilliseconds = 3.6e6; // an hour; no limit of a process is longer
+
+    // Part of a worker's longest lease that is granted: shorter leases free the tasks of lost workers sooner,
+    // longer ones outlast a change of leaders.
+    constexpr double leasePart = 0.75;
+
+    Endpoint readEndpoint(YamlMap& map, const std::string& key, bool isRequired)
+    {
+        const std::string text = isRequired ? map.text(key) : map.text(key, "");
+        if (text.empty())
+            return {};
+        auto endpoint = parseEndpoint(text);
+        if (!endpoint)
+            map.addFinding(key, "`" + key + "` must be an IP address and a port", "for example 127.0.0.1:8080");
+        return endpoint.value_or(Endpoint {});
+    }
+
+    Duration readMilliseconds(YamlMap& map, const std::string& key, Duration fallback)
+    {
+        const NumberRule rule { .minimum = 1, .maximum = largestMilliseconds, .fallback = static_cast<double>(toMilliseconds(fallback)) };
+        return std::chrono::milliseconds(static_cast<long long>(map.number(key, rule)));
+    }
+
+    std::vector<CellPlace> readDataCentres(YamlMap& map)
+    {
+        std::vector<CellPlace> places;
+        for (YamlMap& entry : map.maps("dataCentres", true)) {
+            places.push_back({ DataCentreName(entry.text("name")), RegionName(entry.text("region")) });
+            entry.finish();
+        }
+        return places;
+    }
+
+    void readEntry(YamlMap map, EntrySettings& settings)
+    {
+        settings.callers = readEndpoint(map, "callers", true);
+        settings.readiness = readEndpoint(map, "readiness", true);
+        settings.metrics = readEndpoint(map, "metrics", false);
+        settings.store = readEndpoint(map, "store", true);
+        settings.dataCentres = readDataCentres(map);
+        settings.processorShare = map.number("processorShare", { .maximum = 1024, .fallback = settings.processorShare });
+        settings.connections = static_cast<std::size_t>(map.number("connections", { .minimum = 1, .maximum = 1e6, .fallback = static_cast<double>(settings.connections), .isWhole = true }));
+        settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", settings.leaseLimit);
+        settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", settings.stopTimeout);
+        settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", settings.shutdownLimit);
+        map.finish();
+    }
+
+    LogOptions readLog(YamlMap map)
+    {
+        LogOptions log;
+        log.level = map.choice("level", logLevelNames, log.level);
+        log.format = map.choice("format", logFormatNames, log.format);
+        map.finish();
+        return log;
+    }
+
+} // namespace
+
+bool isEntrySettings(const std::string& text, const std::string& file)
+{
+    Findings findings;
+    return YamlMap::parse(text, file, findings).has("entry");
+}
+
+tl::expected<EntrySettings, Findings> parseEntrySettings(const std::string& text, const std::string& file)
+{
+    Findings findings;
+    YamlMap root = YamlMap::parse(text, file, findings);
+    if (!findings.isEmpty())
+        return tl::unexpected(std::move(findings));
+    EntrySettings settings;
+    settings.host = HostName(root.text("host"));
+    settings.dataCentre = DataCentreName(root.text("dataCentre"));
+    readEntry(root.map("entry", true), settings);
+    settings.log = readLog(root.map("log"));
+    root.finish();
+    if (!findings.isEmpty())
+        return tl::unexpected(std::move(findings));
+    return settings;
+}
+
+Scheduler::Options schedulerOptions(const EntrySettings& settings)
+{
+    Scheduler::Options options {
+        .self = settings.host,
+        .home = settings.dataCentre,
+        .cells = settings.dataCentres,
+        .processorShare = settings.processorShare,
+    };
+    options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
+    options.dispatcher.stopTimeout = settings.stopTimeout;
+    return options;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/entry_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// The settings of a scheduler daemon, read from a YAML file and checked as a whole.
+//
+// Example:
+//
+//     auto settings = parseEntrySettings(text, "entry-1.yaml");
+//     if (!settings)
+//         std::cerr << settings.error().text();
+
+#include "scheduling/scheduling.h"
+#include "telemetry/telemetry.h"
+#include <tl/expected.hpp>
+
+namespace dragonflytray {
+
+// EntrySettings is what the process knows before it has spoken to anyone.
+struct EntrySettings {
+    HostName host;
+    DataCentreName dataCentre;
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint metrics; // port 0: not served
+    Endpoint store;
+    std::vector<CellPlace> dataCentres;
+    double processorShare { 1 }; // of a core
+    std::size_t connections { 2000 }; // from callers at a time
+    Duration leaseLimit { std::chrono::seconds(6) }; // a worker shortens longer leases to it
+    Duration stopTimeout { std::chrono::milliseconds(400) }; // of a worker's stop
+    Duration shutdownLimit { std::chrono::seconds(6) }; // between SIGTERM and SIGKILL
+    LogOptions log;
+};
+
+// parseEntrySettings() is the checked settings of `text`, or every finding with its place in `file`. Pure.
+tl::expected<EntrySettings, Findings> parseEntrySettings(const std::string& text, const std::string& file);
+
+// isEntrySettings() says whether `text` is meant for a scheduler daemon: it has a map `entry`.
+bool isEntrySettings(const std::string& text, const std::string& file);
+
+// schedulerOptions() is what the decisions need of the settings.
+Scheduler::Options schedulerOptions(const EntrySettings& settings);
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/entry/row_encoding.cc
@@ -0,0 +1,216 @@
+#include "entry/row_encoding.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflytray {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json encodeResources(const TaskResources& need) { return Json::array({ need.millicores, need.megabytes, need.accelerators }); }
+
+    TaskResources decodeResources(const Json& json) { return { json.at(0), json.at(1), json.at(2) }; }
+
+    // The flags of a step, as bits.
+    enum class StepFlag {
+        Checkpointing,
+        Gang,
+        SameRack,
+        Copies,
+        Lasting,
+        Filling,
+    };
+    using FlagMember = bool StepDefinition::*;
+    constexpr std::array<FlagMember, 6> stepFlags { &StepDefinition::isCheckpointing, &StepDefinition::isGang, &StepDefinition::isSameRack, &StepDefinition::mayRunCopies, &StepDefinition::isLasting, &StepDefinition::isFilling };
+    static_assert(stepFlags.size() == indexOf(StepFlag::Filling) + 1);
+
+    Json encodeStep(const StepDefinition& step)
+    {
+        std::uint32_t flags = 0;
+        for (std::size_t bit = 0; bit < stepFlags.size(); ++bit)
+            flags |= step.*stepFlags[bit] ? 1U << bit : 0;
+        Json json { { "count", step.count }, { "need", encodeResources(step.need) }, { "estimate", toMilliseconds(step.estimate) }, { "flags", flags } };
+        if (!step.after.empty())
+            json["after"] = step.after;
+        if (!step.requiredLabel.empty())
+            json["label"] = step.requiredLabel;
+        if (!step.nearLabel.empty())
+            json["near"] = step.nearLabel;
+        if (step.maxPerWorker > 0)
+            json["perWorker"] = step.maxPerWorker;
+        if (step.disruptionBudget > 0)
+            json["budget"] = step.disruptionBudget;
+        if (!step.image.isEmpty())
+            json["image"] = step.image.value();
+        if (step.latencyTarget > Duration(0))
+            json["target"] = toMilliseconds(step.latencyTarget);
+        return json;
+    }
+
+    StepDefinition decodeStep(const Json& json)
+    {
+        StepDefinition step;
+        step.count = json.at("count");
+        step.need = decodeResources(json.at("need"));
+        step.estimate = std::chrono::milliseconds(json.at("estimate").get<std::int64_t>());
+        const std::uint32_t flags = json.at("flags");
+        for (std::size_t bit = 0; bit < stepFlags.size(); ++bit)
+            step.*stepFlags[bit] = (flags >> bit & 1U) != 0;
+        step.after = json.value("after", step.after);
+        step.requiredLabel = json.value("label", "");
+        step.nearLabel = json.value("near", "");
+        step.maxPerWorker = json.value("perWorker", 0U);
+        step.disruptionBudget = json.value("budget", 0U);
+        step.image = ImageName(json.value("image", ""));
+        step.latencyTarget = std::chrono::milliseconds(json.value("target", std::int64_t { 0 }));
+        return step;
+    }
+
+    Json encodeQueue(const QueueRule& queue)
+    {
+        return { { "name", queue.name.value() }, { "host", queue.host }, { "prefix", queue.pathPrefix }, { "service", queue.service.value() }, { "priority", queue.priority }, { "attempts", queue.maxAttempts }, { "slack", queue.slackFactor }, { "latency", toMilliseconds(queue.targetLatency) }, { "advice", queue.needsAdvice } };
+    }
+
+    QueueRule decodeQueue(const Json& json)
+    {
+        QueueRule queue;
+        queue.name = QueueName(json.at("name"));
+        queue.host = json.at("host");
+        queue.pathPrefix = json.at("prefix");
+        queue.service = ServiceName(json.at("service"));
+        queue.priority = json.at("priority");
+        queue.maxAttempts = json.at("attempts");
+        queue.slackFactor = json.at("slack");
+        queue.targetLatency = std::chrono::milliseconds(json.at("latency").get<std::int64_t>());
+        queue.needsAdvice = json.at("advice");
+        return queue;
+    }
+
+    Json encode(const JobDefinition& job)
+    {
+        Json steps = Json::array();
+        for (const StepDefinition& step : job.steps)
+            steps.push_back(encodeStep(step));
+        Json json { { "id", job.id.value() }, { "queue", encodeQueue(job.queue) }, { "spec", job.spec }, { "steps", std::move(steps) }, { "cell", job.cell.value() }, { "accepted", job.acceptedAt } };
+        if (job.repetitions > 0)
+            json["times"] = { job.repetitions, job.firstDue, toMilliseconds(job.interval) };
+        return json;
+    }
+
+    StoredRow decodeDefinition(const Json& json)
+    {
+        JobDefinition job;
+        job.id = JobId(json.at("id"));
+        job.queue = decodeQueue(json.at("queue"));
+        job.spec = json.at("spec");
+        for (const Json& step : json.at("steps"))
+            job.steps.push_back(decodeStep(step));
+        job.cell = DataCentreName(json.at("cell"));
+        job.acceptedAt = json.at("accepted");
+        if (json.contains("times")) {
+            const Json& times = json.at("times");
+            job.repetitions = times.at(0);
+            job.firstDue = times.at(1);
+            job.interval = std::chrono::milliseconds(times.at(2).get<std::int64_t>());
+        }
+        return job;
+    }
+
+    std::string encodeBits(const std::vector<bool>& bits)
+    {
+        std::string text;
+        for (const bool bit : bits)
+            text += bit ? '1' : '0';
+        return text;
+    }
+
+    Json encode(const JobProgress& progress)
+    {
+        Json units = Json::array();
+        for (const auto& [number, unit] : progress.units) {
+            Json failures = Json::array();
+            for (const auto& [index, failed] : unit.failures)
+                failures.push_back({ index, failed.count, failed.lastRun });
+            Json checkpoints = Json::array();
+            for (const auto& [index, checkpoint] : unit.checkpoints)
+                checkpoints.push_back({ index, checkpoint });
+            units.push_back({ number, encodeBits(unit.done), std::move(failures), std::move(checkpoints) });
+        }
+        return { { "phase", jobPhaseNames.nameOf(progress.phase) }, { "epoch", progress.epoch }, { "generation", progress.generation }, { "ended", progress.endedAt }, { "units", std::move(units) } };
+    }
+
+    UnitProgress decodeUnit(const Json& json)
+    {
+        UnitProgress unit;
+        for (const char bit : json.at(1).get<std::string>())
+            unit.done.push_back(bit == '1');
+        for (const Json& failed : json.at(2))
+            unit.failures[failed.at(0)] = { failed.at(1), failed.at(2) };
+        for (const Json& checkpoint : json.at(3))
+            unit.checkpoints[checkpoint.at(0)] = checkpoint.at(1);
+        return unit;
+    }
+
+    StoredRow decodeProgress(const Json& json)
+    {
+        JobProgress progress;
+        progress.phase = jobPhaseNames.parse(json.at("phase").get<std::string>()).value();
+        progress.epoch = json.at("epoch");
+        progress.generation = json.at("generation");
+        progress.endedAt = json.at("ended");
+        for (const Json& unit : json.at("units"))
+            progress.units[unit.at(0)] = decodeUnit(unit);
+        return progress;
+    }
+
+    Json encode(const CancellationRequest& request) { return { { "requested", request.requestedAt } }; }
+
+    StoredRow decodeCancellation(const Json& json) { return CancellationRequest { json.at("requested") }; }
+
+    Json encode(const CellLease& lease)
+    {
+        Json unconfirmed = Json::array();
+        for (const TaskId& task : lease.unconfirmed)
+            unconfirmed.push_back({ task.job.value(), task.occurrence, task.step, task.index });
+        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.beat }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) } };
+    }
+
+    StoredRow decodeLease(const Json& json)
+    {
+        CellLease lease;
+        lease.holder = HostName(json.at("holder"));
+        lease.epoch = json.at("epoch");
+        lease.beat = json.at("beat");
+        lease.capacityMillicores = json.at("capacity");
+        lease.labels = json.at("labels").get<std::vector<std::string>>();
+        for (const Json& task : json.at("unconfirmed"))
+            lease.unconfirmed.push_back({ JobId(task.at(0)), task.at(1), task.at(2), task.at(3) });
+        return lease;
+    }
+
+    using Decoder = StoredRow (*)(const Json&);
+    constexpr std::array<Decoder, storedRowKindNames.size()> decoders { &decodeDefinition, &decodeProgress, &decodeCancellation, &decodeLease };
+
+} // namespace
+
+std::string encodeRow(const StoredRow& row)
+{
+    std::string bytes;
+    std::visit([&](const auto& value) { Json::to_cbor(encode(value), bytes); }, row);
+    return bytes;
+}
+
+std::optional<StoredRow> decodeRow(StoredRowKind kind, const std::string& bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded())
+        return std::nullopt;
+    try {
+        return decoders[indexOf(kind)](json);
+    } catch (const std::exception&) {
+        return std::nullopt; // another writer's bytes; the caller counts and reports them
+    }
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/cell_leadership.cc
@@ -0,0 +1,109 @@
+#include "scheduling/cell_leadership.h"
+
+namespace dragonflytray {
+
+CellLeadership::CellLeadership(Options options)
+    : options(std::move(options))
+{
+}
+
+LeadershipChange CellLeadership::observe(const CellLease& row, RowVersion version, Instant now)
+{
+    if (this->hasSeen && version <= this->lastVersion)
+        return LeadershipChange::None;
+    this->hasSeen = true;
+    this->lastRow = row;
+    this->lastVersion = version;
+    this->lastSeen = now;
+    const bool isForeign = row.holder != this->options.self || row.epoch != this->ownEpoch;
+    if (this->ownEpoch != 0 && row.epoch >= this->ownEpoch && isForeign)
+        return this->lose();
+    return LeadershipChange::None;
+}
+
+bool CellLeadership::mayTake(Instant now) const
+{
+    if (this->lastRow.holder.isEmpty() || this->lastRow.holder == this->options.self)
+        return now >= this->lastSeen + this->options.takeDelay;
+    return now >= this->lastSeen + this->options.lease + this->options.takeDelay;
+}
+
+std::optional<WriteStoredRows> CellLeadership::nextWrite(std::uint64_t number, const CellReport& report, Instant now)
+{
+    if (this->inFlight != 0 || now < this->nextAttempt)
+        return std::nullopt;
+    const bool isHolder = this->ownEpoch != 0;
+    if (!isHolder && (this->isGivingUp || !this->mayTake(now)))
+        return std::nullopt;
+    this->sentRow = {
+        .holder = isHolder && this->isGivingUp ? HostName() : this->options.self,
+        .epoch = isHolder ? this->ownEpoch : this->lastRow.epoch + 1,
+        .beat = this->lastRow.beat + 1,
+        .capacityMillicores = isHolder ? report.capacityMillicores : this->lastRow.capacityMillicores,
+        .labels = isHolder ? report.labels : this->lastRow.labels,
+        .unconfirmed = isHolder ? report.unconfirmed : this->lastRow.unconfirmed,
+    };
+    this->inFlight = number;
+    this->sentAt = now;
+    const StoredRowKey key { StoredRowKind::CellLease, this->options.cell.value() };
+    return WriteStoredRows { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, this->sentRow } }, .removals = {} };
+}
+
+LeadershipChange CellLeadership::writeEnded(const RowsWriteEnded& end, Instant now)
+{
+    this->inFlight = 0;
+    if (end.status == TransactionStatus::Committed)
+        return this->recorded(end);
+    this->nextAttempt = now + this->options.retryInterval;
+    for (const StoredRowChange& conflict : end.conflicts) {
+        const auto* row = conflict.value ? std::get_if<CellLease>(&*conflict.value) : nullptr;
+        if (!row)
+            continue;
+        // An earlier write whose answer was lost may have taken effect: the row is ours.
+        if (*row == this->sentRow)
+            return this->recorded({ end.write, TransactionStatus::Committed, conflict.version, {} });
+        return this->observe(*row, conflict.version, now);
+    }
+    return LeadershipChange::None;
+}
+
+LeadershipChange CellLeadership::recorded(const RowsWriteEnded& end)
+{
+    this->lastRow = this->sentRow;
+    this->lastVersion = end.revision;
+    this->lastSeen = this->sentAt;
+    this->hasSeen = true;
+    this->nextAttempt = this->sentAt + this->options.renewInterval;
+    if (this->sentRow.holder.isEmpty())
+        return this->lose();
+    this->leaseEnd = this->sentAt + this->options.lease;
+    if (this->ownEpoch == this->sentRow.epoch)
+        return LeadershipChange::None;
+    this->ownEpoch = this->sentRow.epoch;
+    this->takenVersion = end.revision;
+    return LeadershipChange::Taken;
+}
+
+LeadershipChange CellLeadership::fence()
+{
+    return this->ownEpoch == 0 ? LeadershipChange::None : this->lose();
+}
+
+LeadershipChange CellLeadership::lose()
+{
+    this->ownEpoch = 0;
+    this->leaseEnd = {};
+    return LeadershipChange::Lost;
+}
+
+bool CellLeadership::isLeader(Instant now) const
+{
+    return this->ownEpoch != 0 && now < this->leaseEnd + this->options.storeGrace;
+}
+
+bool CellLeadership::holdsLease(Instant now) const
+{
+    return this->ownEpoch != 0 && now < this->leaseEnd;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/client_desk.cc
@@ -0,0 +1,156 @@
+#include "scheduling/client_desk.h"
+
+namespace dragonflytray {
+
+ClientDesk::ClientDesk(Options options)
+    : options(options)
+{
+}
+
+void ClientDesk::refuse(ReplyToken token, ReplyStatus status, ReplyReason reason, Turn& turn)
+{
+    ++this->counts[reason];
+    const bool hasRetry = status == ReplyStatus::Refused;
+    turn.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = hasRetry ? this->options.retryAfter : Duration(0) });
+}
+
+void ClientDesk::submit(ReplyToken token, const JobDefinition& job, const JobBook& book, Turn& turn)
+{
+    const Call call { CallKind::Submit, token };
+    if (const JobRecord* record = book.find(job.id); record && record->isDefined())
+        return this->answerFound(call, *record, turn);
+    if (this->unclear.contains(job.id) && !this->isStoreAnswering)
+        return this->refuse(token, ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
+    if (!this->isStoreAnswering)
+        return this->refuse(token, ReplyStatus::Refused, ReplyReason::StoreUnavailable, turn);
+    if (this->isFull())
+        return this->refuse(token, this->unclear.contains(job.id) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, turn);
+    this->write({ { StoredRowKind::Definition, job.id.value() }, job }, call, turn);
+}
+
+void ClientDesk::cancel(ReplyToken token, const JobId& job, const JobBook& book, Turn& turn)
+{
+    const Call call { CallKind::Cancel, token };
+    const JobRecord* record = book.find(job);
+    if (!record || !record->isDefined())
+        return this->read(job, call, turn);
+    if (isFinal(record->phase()))
+        return this->answerFound(call, *record, turn);
+    this->write({ { StoredRowKind::Cancellation, job.value() }, CancellationRequest { turn.wallTime } }, call, turn);
+}
+
+void ClientDesk::lookUp(ReplyToken token, const JobId& job, const JobBook& book, Turn& turn)
+{
+    const Call call { CallKind::LookUp, token };
+    if (const JobRecord* record = book.find(job); record && record->isDefined())
+        return this->answerFound(call, *record, turn);
+    this->read(job, call, turn);
+}
+
+void ClientDesk::write(StoredRowPut put, Call call, Turn& turn)
+{
+    const auto inFlight = this->writeOf.find(put.key);
+    if (inFlight != this->writeOf.end()) {
+        this->writes.at(inFlight->second).calls.push_back(call);
+        return;
+    }
+    const std::uint64_t number = turn.nextWrite++;
+    this->writeOf.emplace(put.key, number);
+    const StoredRowKey key = put.key;
+    turn.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { key, 0 } }, .puts = { put }, .removals = {} });
+    this->writes.emplace(number, Write { JobId(key.name), std::move(put), { call } });
+}
+
+void ClientDesk::read(const JobId& job, Call call, Turn& turn)
+{
+    Read& read = this->reads[job];
+    read.calls.push_back(call);
+    if (read.calls.size() == 1)
+        turn.add(ReadJobRows { job });
+}
+
+std::optional<StoredRowChange> ClientDesk::writeEnded(const RowsWriteEnded& end, const JobBook& book, Turn& turn)
+{
+    const auto found = this->writes.find(end.write);
+    const Write write = std::move(found->second);
+    this->writes.erase(found);
+    this->writeOf.erase(write.put.key);
+    const bool isStored = end.status == TransactionStatus::Committed || end.status == TransactionStatus::Conflict;
+    for (const Call& call : write.calls) {
+        if (end.status == TransactionStatus::Ambiguous) {
+            this->noteUnclear(write.job);
+            this->read(write.job, call, turn);
+        } else if (!isStored) {
+            this->answerUnread(write.job, call, turn);
+        } else {
+            turn.add(ReplyToClient { .token = call.token, .status = call.kind == CallKind::Submit ? ReplyStatus::Accepted : ReplyStatus::Cancelled });
+        }
+    }
+    (void)book;
+    const bool isJob = write.put.key.kind == StoredRowKind::Definition;
+    if (isStored)
+        turn.add(LogDecision { isJob ? DecisionEvent::JobAccepted : DecisionEvent::JobCancelled, write.job.value(), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
+    if (end.status == TransactionStatus::Committed)
+        return StoredRowChange { write.put.key, end.revision, write.put.value };
+    for (const StoredRowChange& conflict : end.conflicts) {
+        if (conflict.key == write.put.key)
+            return conflict;
+    }
+    return std::nullopt;
+}
+
+void ClientDesk::rowsRead(const JobRowsRead& end, const JobBook& book, Turn& turn)
+{
+    const auto found = this->reads.find(end.job);
+    if (found == this->reads.end())
+        return;
+    const std::vector<Call> calls = std::move(found->second.calls);
+    this->reads.erase(found);
+    const JobRecord* record = book.find(end.job);
+    for (const Call& call : calls) {
+        if (record && record->isDefined() && (call.kind != CallKind::Cancel || isFinal(record->phase())))
+            this->answerFound(call, *record, turn);
+        else if (record && record->isDefined())
+            this->cancel(call.token, end.job, book, turn);
+        else if (!end.isRead)
+            this->answerUnread(end.job, call, turn);
+        else
+            this->answerAbsent(end.job, call, turn);
+    }
+}
+
+void ClientDesk::answerFound(const Call& call, const JobRecord& record, Turn& turn)
+{
+    static constexpr std::array<ReplyStatus, 3> statuses { ReplyStatus::Accepted, ReplyStatus::Cancelled, ReplyStatus::JobFound };
+    turn.add(ReplyToClient { .token = call.token, .status = statuses[indexOf(call.kind)], .phase = record.phase() });
+}
+
+void ClientDesk::answerUnread(const JobId& job, const Call& call, Turn& turn)
+{
+    const bool isUnclear = call.kind != CallKind::LookUp && this->unclear.contains(job);
+    const ReplyReason reason = isUnclear ? ReplyReason::StoreUnclear : ReplyReason::StoreUnavailable;
+    turn.add(LogDecision { isUnclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused, job.value(), {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 });
+    this->refuse(call.token, isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, turn);
+}
+
+void ClientDesk::answerAbsent(const JobId& job, const Call& call, Turn& turn)
+{
+    // The write of a submission that is absent now may still take effect.
+    if (call.kind == CallKind::Submit)
+        return this->refuse(call.token, ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
+    (void)job;
+    this->refuse(call.token, ReplyStatus::NoSuchJob, ReplyReason::UnknownId, turn);
+}
+
+void ClientDesk::noteUnclear(const JobId& job)
+{
+    if (!this->unclear.insert(job).second)
+        return;
+    this->unclearOrder.push_back(job);
+    if (this->unclearOrder.size() <= this->options.unclearKept)
+        return;
+    this->unclear.erase(this->unclearOrder.front());
+    this->unclearOrder.pop_front();
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/client_desk.h
@@ -0,0 +1,102 @@
+#pragma once
+
+// What an entry host does with the calls of callers: it stores jobs and requests to cancel, and answers
+// what is known.
+//
+// A job is accepted by one conditional insert at a place that its id alone determines, so a repeat at any
+// host meets the same row. A refusal is given only when the job is surely not stored.
+//
+// Example:
+//
+//     ClientDesk desk({});
+//     desk.submit(command, queue, cell, book, turn);
+//     desk.writeEnded(end, book, turn);
+
+#include "scheduling/job_book.h"
+#include "scheduling/scheduling_commands.h"
+#include "scheduling/turn.h"
+#include <array>
+#include <deque>
+#include <set>
+
+namespace dragonflytray {
+
+using ReplyCounts = EnumArray<ReplyReason, std::uint64_t, replyReasonNames.size()>;
+
+// ClientDesk holds the calls that wait for the store. Not thread-safe.
+class ClientDesk {
+public:
+    struct Options {
+        Duration retryAfter { std::chrono::seconds(1) }; // told with a refusal; the store's troubles last seconds
+        std::size_t callsPending { 2000 }; // calls that wait for the store; bounds memory
+        std::size_t unclearKept { 5000 }; // ids whose write may yet take effect
+    };
+
+    explicit ClientDesk(Options options);
+
+    // submit() stores one whole job.
+    void submit(ReplyToken token, const JobDefinition& job, const JobBook& book, Turn& turn);
+
+    // cancel() stores a request to cancel.
+    void cancel(ReplyToken token, const JobId& job, const JobBook& book, Turn& turn);
+
+    // lookUp() answers for one job, from the store when it is not in the book.
+    void lookUp(ReplyToken token, const JobId& job, const JobBook& book, Turn& turn);
+
+    // refuse() answers a call that can't be served; nothing was stored for it.
+    void refuse(ReplyToken token, ReplyStatus status, ReplyReason reason, Turn& turn);
+
+    // setStoreAnswering() notes whether the store can be reached.
+    void setStoreAnswering(bool isAnswering) { this->isStoreAnswering = isAnswering; }
+
+    // owns() says whether `write` is one of this desk's in flight.
+    bool owns(std::uint64_t write) const { return this->writes.contains(write); }
+
+    // writeEnded() takes the end of a write. It returns what it surely stored, for the book.
+    std::optional<StoredRowChange> writeEnded(const RowsWriteEnded& end, const JobBook& book, Turn& turn);
+
+    // rowsRead() takes the end of a ReadJobRows, after the rows went into the book.
+    void rowsRead(const JobRowsRead& end, const JobBook& book, Turn& turn);
+
+    // replies() counts the replies that are not what the caller wanted.
+    const ReplyCounts& replies() const { return this->counts; }
+
+private:
+    // Call is what a caller waits for.
+    enum class CallKind {
+        Submit,
+        Cancel,
+        LookUp,
+    };
+    struct Call {
+        CallKind kind { CallKind::Submit };
+        ReplyToken token {};
+    };
+    struct Write {
+        JobId job;
+        StoredRowPut put;
+        std::vector<Call> calls;
+    };
+    struct Read {
+        std::vector<Call> calls;
+    };
+
+    void write(StoredRowPut put, Call call, Turn& turn);
+    void read(const JobId& job, Call call, Turn& turn);
+    void answerFound(const Call& call, const JobRecord& record, Turn& turn);
+    void answerUnread(const JobId& job, const Call& call, Turn& turn);
+    void answerAbsent(const JobId& job, const Call& call, Turn& turn);
+    void noteUnclear(const JobId& job);
+    bool isFull() const { return this->writes.size() + this->reads.size() >= this->options.callsPending; }
+
+    Options options;
+    std::map<std::uint64_t, Write> writes;
+    std::map<StoredRowKey, std::uint64_t> writeOf; // in flight, by row
+    std::map<JobId, Read> reads;
+    std::set<JobId> unclear;
+    std::deque<JobId> unclearOrder;
+    bool isStoreAnswering { true };
+    ReplyCounts counts;
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/commands/client_calls.cc
@@ -0,0 +1,81 @@
+// Commands of callers: submit, cancel, look up.
+
+#include "scheduling/scheduler.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr std::size_t jobIdLength = 16; // hexadecimal digits
+
+    bool isJobId(std::string_view text)
+    {
+        return text.size() == jobIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+    }
+
+    // isWellFormed() says whether there are steps, each with tasks, and each waits only for earlier ones.
+    bool isWellFormed(const JobDefinition& job)
+    {
+        for (std::size_t step = 0; step < job.steps.size(); ++step) {
+            const StepDefinition& definition = job.steps[step];
+            const bool isOrdered = std::all_of(definition.after.begin(), definition.after.end(), [&](std::uint32_t earlier) { return earlier < step; });
+            if (!isOrdered || definition.count == 0)
+                return false;
+        }
+        return !job.steps.empty();
+    }
+
+} // namespace
+
+std::optional<Scheduler::JobAddress> Scheduler::resolve(ReplyToken token, const std::string& host, const std::string& path, Turn& turn)
+{
+    if (this->configuration.version == 0) {
+        this->desk.refuse(token, ReplyStatus::Refused, ReplyReason::NoConfiguration, turn);
+        return std::nullopt;
+    }
+    const QueueRule* queue = this->configuration.findQueue(host, path);
+    if (!queue) {
+        this->desk.refuse(token, ReplyStatus::NoSuchQueue, ReplyReason::UnknownRoute, turn);
+        return std::nullopt;
+    }
+    const std::string id = path.substr(queue->pathPrefix.size());
+    if (!isJobId(id)) {
+        this->desk.refuse(token, ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
+        return std::nullopt;
+    }
+    return JobAddress { queue, JobId(id) };
+}
+
+void Scheduler::submitJob(const SchedulerCommand& command, Turn& turn)
+{
+    const auto& submit = std::get<SubmitJobSteps>(command);
+    const auto address = this->resolve(submit.token, submit.host, submit.path, turn);
+    if (!address)
+        return;
+    if (!isWellFormed(submit.job))
+        return this->desk.refuse(submit.token, ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
+    JobDefinition job = submit.job;
+    job.id = address->job;
+    job.queue = *address->queue;
+    job.acceptedAt = turn.wallTime;
+    job.cell = this->chooseCell(job, turn.now);
+    this->desk.submit(submit.token, job, this->book, turn);
+}
+
+void Scheduler::requestCancellation(const SchedulerCommand& command, Turn& turn)
+{
+    const auto& request = std::get<RequestCancellation>(command);
+    if (const auto address = this->resolve(request.token, request.host, request.path, turn))
+        this->desk.cancel(request.token, address->job, this->book, turn);
+}
+
+void Scheduler::lookUpJob(const SchedulerCommand& command, Turn& turn)
+{
+    const auto& request = std::get<LookUpJob>(command);
+    if (const auto address = this->resolve(request.token, request.host, request.path, turn))
+        this->desk.lookUp(request.token, address->job, this->book, turn);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/commands/upkeep.cc
@@ -0,0 +1,61 @@
+// Commands of the operator, of the process itself, and of time.
+
+#include "scheduling/scheduler.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+void Scheduler::configurationFollowed(const SchedulerCommand& command, Turn& turn)
+{
+    const SchedulingConfiguration& configuration = std::get<ConfigurationFollowed>(command).configuration;
+    if (configuration.version <= this->configuration.version)
+        return;
+    turn.add(LogDecision { DecisionEvent::ConfigurationTaken, "configuration", {}, "in-force", configuration.version, 0 });
+    this->configuration = configuration;
+    this->dispatcher.configurationChanged(configuration);
+}
+
+void Scheduler::beginHandover(const SchedulerCommand&, Turn& turn)
+{
+    for (auto& [cell, leadership] : this->leaderships) {
+        leadership.giveUp();
+        leadership.renewSoon();
+    }
+    this->keepLeases(turn);
+}
+
+void Scheduler::tick(const SchedulerCommand& command, Turn& turn)
+{
+    this->wallTime = std::get<SchedulerTick>(command).wallTime;
+    turn.wallTime = this->wallTime;
+    this->keepLeases(turn);
+    this->dispatcher.tick(turn);
+    this->removeEnded(turn);
+}
+
+void Scheduler::removeEnded(Turn& turn)
+{
+    if (turn.now < this->nextSweep)
+        return;
+    this->nextSweep = turn.now + this->options.sweepInterval;
+    std::map<std::uint32_t, WriteStoredRows> writes;
+    for (const auto& [id, record] : this->book.all()) {
+        const bool isOld = isFinal(record.progress.phase) && record.progress.endedAt + toMilliseconds(this->options.retention) < turn.wallTime;
+        if (!isOld || !this->dispatcher.leads(record.definition.cell))
+            continue;
+        const StoredRowKey definition { StoredRowKind::Definition, id.value() };
+        WriteStoredRows& write = writes[partitionOf(definition)];
+        write.partition = partitionOf(definition);
+        if (write.removals.size() >= 3 * this->options.removalsInWrite)
+            continue;
+        for (const StoredRowKind kind : { StoredRowKind::Definition, StoredRowKind::Progress, StoredRowKind::Cancellation })
+            write.removals.push_back({ kind, id.value() });
+    }
+    for (auto& [partition, write] : writes) {
+        write.write = turn.nextWrite++;
+        turn.add(std::move(write));
+    }
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/dispatcher.cc
@@ -0,0 +1,302 @@
+#include "scheduling/dispatcher.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+std::string formatRun(const TaskRunId& run)
+{
+    const TaskId& task = run.task;
+    return task.job.value() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index) + "#" + std::to_string(run.run);
+}
+
+Dispatcher::Dispatcher(Options options)
+    : options(options)
+    , fleet(options.fleet)
+    , recorder(options.recorder)
+{
+}
+
+void Dispatcher::cellTaken(const CellTaken& taken, JobBook& book, Turn& turn)
+{
+    Cell cell { .epoch = taken.epoch, .takenAt = taken.takenAt, .since = turn.now };
+    cell.unconfirmed.insert(taken.unconfirmed.begin(), taken.unconfirmed.end());
+    this->fleet.beginEpoch(taken.cell, turn.now);
+    Cell& placed = this->cells[taken.cell] = std::move(cell);
+    this->metHigherEpoch.reset();
+    for (const auto& [id, record] : book.all()) {
+        if (record.definition.cell == taken.cell)
+            this->openJob(record, placed, turn);
+    }
+    turn.add(FollowWorkers { true });
+}
+
+void Dispatcher::cellLost(const DataCentreName& cell)
+{
+    this->cells.erase(cell);
+    std::erase_if(this->runs, [&](const auto& entry) { return entry.second->definition().cell == cell; });
+}
+
+void Dispatcher::renewalRecorded(const DataCentreName& cell, RowVersion version)
+{
+    const auto found = this->cells.find(cell);
+    if (found != this->cells.end() && found->second.areWorkersFenced && found->second.settleAt == 0)
+        found->second.settleAt = version;
+}
+
+void Dispatcher::storeFollowed(RowVersion version, Turn& turn)
+{
+    this->followed = std::max(this->followed, version);
+    this->settleCells(turn);
+}
+
+void Dispatcher::jobChanged(const JobRecord& record, Turn& turn)
+{
+    const auto cell = this->cells.find(record.definition.cell);
+    if (cell == this->cells.end())
+        return;
+    JobRun* job = this->findRun(record.definition.id);
+    if (!job)
+        return this->openJob(record, cell->second, turn);
+    if (record.progress.epoch < cell->second.epoch && record.progressVersion > job->version()) {
+        job->mergeProgress(record.progress, record.progressVersion, turn.now);
+        this->markDirty(*job);
+        this->advance(*job, turn);
+    }
+    if (record.cancellationVersion > 0 && !isFinal(job->progress().phase))
+        this->finish(*job, JobPhase::Cancelled, turn);
+}
+
+void Dispatcher::jobRemoved(const JobId& job)
+{
+    this->runs.erase(job);
+    this->finished.erase(job);
+}
+
+void Dispatcher::openJob(const JobRecord& record, const Cell& cell, Turn& turn)
+{
+    if (!record.isDefined() || isFinal(record.progress.phase))
+        return;
+    const bool mayHaveRuns = record.definitionVersion < cell.takenAt && !cell.isSettled;
+    auto run = std::make_unique<JobRun>(record, cell.epoch, mayHaveRuns, turn.now);
+    JobRun& job = *run;
+    this->runs[record.definition.id] = std::move(run);
+    if (record.cancellationVersion > 0)
+        return this->finish(job, JobPhase::Cancelled, turn);
+    this->advance(job, turn);
+}
+
+void Dispatcher::advance(JobRun& job, Turn& turn)
+{
+    if (isFinal(job.progress().phase))
+        return;
+    if (job.isComplete())
+        return this->finish(job, JobPhase::Completed, turn);
+    if (const auto due = job.openDueUnits(turn.wallTime, turn.now))
+        this->nextDue = std::min(this->nextDue.value_or(*due), *due);
+    const Cell& cell = this->cells.at(job.definition().cell);
+    if (cell.isSettled && !cell.unconfirmed.empty())
+        job.settle(cell.unconfirmed, turn.now);
+    this->needsPass = true;
+}
+
+void Dispatcher::finish(JobRun& job, JobPhase phase, Turn& turn)
+{
+    static constexpr NameTable events { std::to_array<NameEntry<JobPhase>>({
+        { JobPhase::Queued, "" },
+        { JobPhase::Running, "" },
+        { JobPhase::Completed, "completed" },
+        { JobPhase::Failed, "failed" },
+        { JobPhase::Cancelled, "cancelled" },
+    }) };
+    const DecisionEvent event = phase == JobPhase::Completed ? DecisionEvent::JobCompleted : phase == JobPhase::Failed ? DecisionEvent::JobFailed
+                                                                                                                       : DecisionEvent::JobCancelled;
+    job.setPhase(phase, turn.wallTime);
+    this->markDirty(job);
+    this->finished.insert(job.definition().id);
+    turn.add(LogDecision { event, job.definition().id.value(), {}, std::string(events.nameOf(phase)), job.version(), turn.wallTime - job.definition().acceptedAt });
+    this->stopTasks(job, "job-over", turn);
+}
+
+void Dispatcher::stopTasks(JobRun& job, const char* cause, Turn& turn)
+{
+    job.allTasks([&](const TaskId& task, TaskSlot& slot) {
+        if (!isOnWorker(slot.stage))
+            return;
+        if (FleetWorker* worker = this->fleet.find(slot.worker))
+            this->stopRun(*worker, { task, slot.run }, cause, turn);
+    });
+}
+
+void Dispatcher::markDirty(JobRun& job)
+{
+    if (job.isDirty())
+        this->recorder.add(job.definition().id, isFinal(job.progress().phase));
+}
+
+JobRun* Dispatcher::findRun(const JobId& job)
+{
+    const auto found = this->runs.find(job);
+    return found == this->runs.end() ? nullptr : found->second.get();
+}
+
+const QueueRule& Dispatcher::ruleOf(const JobRun& job) const
+{
+    const auto found = this->queues.find(job.definition().queue.name);
+    return found == this->queues.end() ? job.definition().queue : found->second;
+}
+
+void Dispatcher::workersListed(const WorkersListed& change)
+{
+    this->fleet.list(change);
+    if (change.isWhole) {
+        for (auto& [name, cell] : this->cells)
+            cell.hasList = true;
+    }
+    this->needsPass = true;
+}
+
+void Dispatcher::configurationChanged(const SchedulingConfiguration& configuration)
+{
+    for (const QueueRule& queue : configuration.queues)
+        this->queues[queue.name] = queue;
+}
+
+void Dispatcher::allowStarts(const DataCentreName& cell, bool isAllowed)
+{
+    const auto found = this->cells.find(cell);
+    if (found != this->cells.end())
+        found->second.mayStart = isAllowed;
+}
+
+std::vector<DataCentreName> Dispatcher::writeEnded(const RowsWriteEnded& end, Turn& turn)
+{
+    std::vector<DataCentreName> lost;
+    for (const JobId& job : this->recorder.writeEnded(end, this->runs, turn.now)) {
+        if (const JobRun* run = this->findRun(job))
+            lost.push_back(run->definition().cell);
+    }
+    if (end.status != TransactionStatus::Committed)
+        turn.add(LogDecision { DecisionEvent::WriteRetried, std::to_string(end.write), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
+    for (auto& [id, worker] : this->fleet.all())
+        this->acknowledge(worker);
+    this->holdWorkers(turn);
+    return lost;
+}
+
+void Dispatcher::tick(Turn& turn)
+{
+    if (this->cells.empty())
+        return;
+    this->settleCells(turn);
+    if (this->nextDue && turn.wallTime >= *this->nextDue) {
+        this->nextDue.reset();
+        for (auto& [id, job] : this->runs)
+            this->advance(*job, turn);
+    }
+    this->placeTasks(turn);
+    this->holdWorkers(turn);
+    for (WriteStoredRows& write : this->recorder.collect(this->runs, turn.nextWrite, turn.now))
+        turn.add(std::move(write));
+    this->forgetFinished();
+}
+
+void Dispatcher::forgetFinished()
+{
+    std::erase_if(this->finished, [this](const JobId& id) {
+        JobRun* job = this->findRun(id);
+        if (!job)
+            return true;
+        bool isOccupied = job->isDirty();
+        job->allTasks([&](const TaskId&, const TaskSlot& slot) { isOccupied = isOccupied || isOnWorker(slot.stage); });
+        if (!isOccupied)
+            this->runs.erase(id);
+        return !isOccupied;
+    });
+}
+
+std::int64_t Dispatcher::capacityOf(const DataCentreName& cell) const
+{
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        if (worker.entry.dataCentre == cell && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
+            capacity += worker.entry.capacity.millicores;
+    }
+    return capacity;
+}
+
+std::vector<std::string> Dispatcher::labelsOf(const DataCentreName& cell) const
+{
+    std::set<std::string> labels;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        if (worker.entry.dataCentre == cell && worker.isListed)
+            labels.insert(worker.entry.labels.begin(), worker.entry.labels.end());
+    }
+    return { labels.begin(), labels.end() };
+}
+
+std::vector<TaskId> Dispatcher::unconfirmedOf(const DataCentreName& cell) const
+{
+    std::vector<TaskId> tasks;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        if (worker.entry.dataCentre != cell || (worker.isListed && !worker.isSuspect))
+            continue;
+        for (const auto& [run, charge] : worker.runs)
+            tasks.push_back(run.task);
+    }
+    const auto found = this->cells.find(cell);
+    if (found != this->cells.end())
+        tasks.insert(tasks.end(), found->second.unconfirmed.begin(), found->second.unconfirmed.end());
+    return tasks;
+}
+
+std::size_t Dispatcher::runningTasks() const
+{
+    std::size_t running = 0;
+    for (const auto& [id, worker] : this->fleet.all())
+        running += worker.runs.size();
+    return running;
+}
+
+void Dispatcher::settleCells(Turn& turn)
+{
+    for (auto& [name, cell] : this->cells) {
+        if (cell.isSettled && cell.unconfirmed.empty())
+            continue;
+        const bool isOver = turn.now >= cell.since + this->options.formerGrace + this->fleet.lease() + this->options.fleet.clockSlack;
+        if (!cell.areWorkersFenced && cell.hasList && this->areWorkersFenced(name))
+            cell.areWorkersFenced = true;
+        const bool isFollowed = cell.areWorkersFenced && cell.settleAt > 0 && this->followed >= cell.settleAt;
+        if (isOver || (isFollowed && !cell.isSettled))
+            this->settle(name, cell, isOver, turn);
+    }
+}
+
+bool Dispatcher::areWorkersFenced(const DataCentreName& name) const
+{
+    const auto& workers = this->fleet.all();
+    return std::all_of(workers.begin(), workers.end(), [&](const auto& entry) {
+        const FleetWorker& worker = entry.second;
+        return worker.entry.dataCentre != name || !worker.isListed || worker.isFenced;
+    });
+}
+
+void Dispatcher::settle(const DataCentreName& name, Cell& cell, bool isOver, Turn& turn)
+{
+    cell.isSettled = true;
+    if (isOver)
+        cell.unconfirmed.clear();
+    for (auto& [id, job] : this->runs) {
+        if (job->definition().cell == name)
+            job->settle(cell.unconfirmed, turn.now);
+    }
+    this->needsPass = true;
+}
+
+WorkerAddress Dispatcher::addressOf(const FleetWorker& worker) const
+{
+    const auto cell = this->cells.find(worker.entry.dataCentre);
+    return { worker.entry.id, worker.entry.endpoint, cell == this->cells.end() ? 0 : cell->second.epoch };
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/dispatcher.h
@@ -0,0 +1,164 @@
+#pragma once
+
+// What the leader of a cell does with its jobs and workers: it starts tasks, holds and stops them, notes
+// how they end, and has the progress recorded before an end is acknowledged.
+//
+// Example:
+//
+//     Dispatcher dispatcher({});
+//     dispatcher.cellTaken({ .cell = cell, .epoch = 3, .takenAt = version }, book, turn);
+//     dispatcher.holdEnded(end, turn);
+//     dispatcher.tick(turn);
+
+#include "scheduling/fleet.h"
+#include "scheduling/job_run.h"
+#include "scheduling/placement.h"
+#include "scheduling/recorder.h"
+#include "scheduling/turn.h"
+#include <array>
+
+namespace dragonflytray {
+
+// CellTaken says that this host has begun to lead a cell.
+struct CellTaken {
+    DataCentreName cell;
+    Epoch epoch { 0 };
+    RowVersion takenAt { 0 }; // jobs accepted later can't have runs of a former leader
+    std::vector<TaskId> unconfirmed; // of the former leader's last report
+};
+
+// Dispatcher runs the jobs of every cell that this host leads. Not thread-safe.
+class Dispatcher {
+public:
+    struct Options {
+        Fleet::Options fleet {};
+        Recorder::Options recorder {};
+        Duration formerGrace { std::chrono::seconds(5) }; // a former leader may decide on so long; as CellLeadership
+        Duration holdWait { std::chrono::milliseconds(1000) }; // a quarter of the lease or less
+        Duration holdRetry { std::chrono::milliseconds(150) }; // after a hold without answer
+        Duration owedHold { std::chrono::milliseconds(120) }; // to look again while ends wait to be recorded
+        Duration stopTimeout { std::chrono::milliseconds(400) }; // a worker ends a run within it
+        Duration stopRetry { std::chrono::milliseconds(500) };
+        Duration unhealthyRest { std::chrono::milliseconds(1500) };
+        Duration roomRest { std::chrono::milliseconds(100) }; // after a start that found no room
+        Duration failureRest { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
+        std::uint32_t failuresToRest { 3 };
+        Duration dataPatience { std::chrono::milliseconds(500) }; // for room near the data
+        Duration evictionInterval { std::chrono::milliseconds(500) }; // between two evictions for one task
+        std::size_t misfitsInPass { 48 }; // tasks without room after which a pass over the queue ends
+        Duration passInterval { std::chrono::milliseconds(50) }; // between passes when nothing has changed
+    };
+
+    explicit Dispatcher(Options options);
+
+    // Commands. Each adds what has to be done to the turn.
+    void cellTaken(const CellTaken& taken, JobBook& book, Turn& turn);
+    void cellLost(const DataCentreName& cell);
+    void renewalRecorded(const DataCentreName& cell, RowVersion version);
+    void storeFollowed(RowVersion version, Turn& turn);
+    void jobChanged(const JobRecord& record, Turn& turn);
+    void jobRemoved(const JobId& job);
+    void workersListed(const WorkersListed& change);
+    void holdEnded(const HoldEnded& end, Turn& turn);
+    void taskCallEnded(const TaskCallEnded& end, Turn& turn);
+    std::vector<DataCentreName> writeEnded(const RowsWriteEnded& end, Turn& turn); // cells led by another host
+    void configurationChanged(const SchedulingConfiguration& configuration);
+    void allowStarts(const DataCentreName& cell, bool isAllowed);
+    void tick(Turn& turn);
+
+    // Queries.
+    bool owns(std::uint64_t write) const { return this->recorder.owns(write); }
+    bool leads(const DataCentreName& cell) const { return this->cells.contains(cell); }
+    bool leadsAny() const { return !this->cells.empty(); }
+    std::optional<Epoch> fencedAt() const { return this->metHigherEpoch; }
+    std::int64_t capacityOf(const DataCentreName& cell) const;
+    std::vector<std::string> labelsOf(const DataCentreName& cell) const;
+    std::vector<TaskId> unconfirmedOf(const DataCentreName& cell) const;
+    std::size_t owedJobs() const { return this->recorder.owedJobs(); }
+    std::size_t activeJobs() const { return this->runs.size(); }
+    std::size_t runningTasks() const;
+    const Fleet& workers() const { return this->fleet; }
+
+private:
+    // Cell is one cell that this host leads.
+    struct Cell {
+        Epoch epoch { 0 };
+        RowVersion takenAt { 0 };
+        Instant since;
+        bool hasList { false };
+        bool areWorkersFenced { false };
+        RowVersion settleAt { 0 }; // the store has to be followed so far; 0: not known yet
+        bool isSettled { false }; // every run of former leaders is accounted for
+        bool mayStart { true };
+        std::set<TaskId> unconfirmed {}; // believed alive until the former leases have lapsed
+    };
+
+    // Ends of runs.
+    void noteEnd(FleetWorker& worker, const EndedRun& end, Turn& turn);
+    void endDone(JobRun& job, const TaskId& task, Turn& turn);
+    void endFailed(JobRun& job, FleetWorker& worker, const EndedRun& end, Turn& turn);
+    void freeSlot(JobRun& job, const TaskRunId& run, const std::string& checkpoint, Turn& turn);
+    void resetGang(JobRun& job, const TaskId& task, Turn& turn);
+    void acknowledge(FleetWorker& worker);
+    bool isRecorded(const OwedEnd& owed) const;
+
+    // Reports of workers.
+    void adoptLife(FleetWorker& worker, const HoldEnded& end, Turn& turn);
+    void compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn);
+    void confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
+    void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
+    void missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn);
+    void loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
+    void loseRuns(FleetWorker& worker, const char* cause, Turn& turn);
+    void suspect(FleetWorker& worker, const HoldEnded& end, Turn& turn);
+
+    // Calls to workers.
+    void startEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
+    void stopEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
+    void holdWorkers(Turn& turn);
+    void hold(FleetWorker& worker, const Cell& cell, Turn& turn);
+    void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
+    WorkerAddress addressOf(const FleetWorker& worker) const;
+
+    // Jobs.
+    void openJob(const JobRecord& record, const Cell& cell, Turn& turn);
+    void advance(JobRun& job, Turn& turn);
+    void finish(JobRun& job, JobPhase phase, Turn& turn);
+    void stopTasks(JobRun& job, const char* cause, Turn& turn);
+    void markDirty(JobRun& job);
+    void forgetFinished();
+    JobRun* findRun(const JobId& job);
+    const QueueRule& ruleOf(const JobRun& job) const;
+
+    // Runs of former leaders.
+    void settleCells(Turn& turn);
+    void settle(const DataCentreName& name, Cell& cell, bool isOver, Turn& turn);
+    bool areWorkersFenced(const DataCentreName& name) const;
+
+    // Placement.
+    struct Pass;
+    void placeTasks(Turn& turn);
+    std::vector<JobRun*> orderedJobs(Instant now);
+    void placeUnit(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
+    void placeGang(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
+    bool placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn);
+    void start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn);
+    void evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn);
+    std::optional<double> evictionCost(const TaskRunId& run, int priority, Instant now);
+    std::uint32_t sameStepRuns(const TaskId& task, const WorkerId& worker);
+
+    Options options;
+    Fleet fleet;
+    Recorder recorder;
+    JobRuns runs;
+    std::map<DataCentreName, Cell> cells;
+    std::map<QueueName, QueueRule> queues;
+    RowVersion followed { 0 };
+    std::optional<WallTime> nextDue; // of an occurrence
+    std::optional<Epoch> metHigherEpoch;
+    bool needsPass { false };
+    Instant lastPass;
+    std::set<JobId> finished; // final jobs that may still have something on workers or owed
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -0,0 +1,121 @@
+// How the dispatcher calls workers: holds, starts, stops, and what becomes of them.
+
+#include "scheduling/dispatcher.h"
+
+namespace dragonflytray {
+
+void Dispatcher::holdWorkers(Turn& turn)
+{
+    std::vector<WorkerId> gone;
+    for (auto& [id, worker] : this->fleet.all()) {
+        const auto cell = this->cells.find(worker.entry.dataCentre);
+        if (cell == this->cells.end()) {
+            if (!worker.isListed)
+                gone.push_back(id);
+            continue;
+        }
+        const bool isLapsed = (worker.isSuspect || !worker.isListed) && turn.now >= worker.leaseEnd && worker.clock;
+        if (isLapsed && !worker.runs.empty())
+            this->loseRuns(worker, "lease-lapsed", turn);
+        if (!worker.isListed && worker.runs.empty() && (isLapsed || !worker.clock)) {
+            turn.add(LogDecision { DecisionEvent::WorkerGone, id.value(), {}, "not-listed", cell->second.epoch, toMilliseconds(turn.now - worker.lastAnswer) });
+            gone.push_back(id);
+            continue;
+        }
+        if (!worker.isHolding && turn.now >= worker.nextHold)
+            this->hold(worker, cell->second, turn);
+    }
+    for (const WorkerId& id : gone)
+        this->fleet.drop(id);
+}
+
+void Dispatcher::hold(FleetWorker& worker, const Cell& cell, Turn& turn)
+{
+    HoldWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.acknowledged, .wait = Duration(0) };
+    const bool isLapsed = worker.isSuspect && turn.now >= worker.leaseEnd;
+    if (!isLapsed && worker.isFenced)
+        call.deadline = worker.deadlineAt(turn.now, this->fleet.lease());
+    if (call.deadline)
+        this->fleet.granted(worker, turn.now);
+    if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
+        call.wait = this->options.holdWait;
+    call.to.epoch = cell.epoch;
+    worker.isHolding = true;
+    worker.holdSentAt = turn.now;
+    turn.add(std::move(call));
+}
+
+void Dispatcher::stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
+{
+    const auto charge = worker.runs.find(run);
+    if (charge == worker.runs.end() || charge->second.isStopping)
+        return;
+    charge->second.isStopping = true;
+    charge->second.stopAskedAt = turn.now;
+    if (JobRun* job = this->findRun(run.task.job)) {
+        const TaskSlot* slot = job->slot(run.task);
+        if (slot && slot->run == run.run && slot->worker == worker.entry.id && isOnWorker(slot->stage))
+            job->setStage(run.task, TaskStage::Stopping, turn.now);
+    }
+    turn.add(StopTask { this->addressOf(worker), run });
+    turn.add(LogDecision { DecisionEvent::TaskStopped, formatRun(run), worker.entry.id.value(), cause, 0, 0 });
+}
+
+void Dispatcher::taskCallEnded(const TaskCallEnded& end, Turn& turn)
+{
+    FleetWorker* worker = this->fleet.find(end.worker);
+    const auto cell = worker ? this->cells.find(worker->entry.dataCentre) : this->cells.end();
+    if (cell == this->cells.end() || cell->second.epoch != end.epoch)
+        return;
+    if (end.status == WorkerCallStatus::Fenced) {
+        this->metHigherEpoch = end.epoch;
+        return;
+    }
+    if (end.kind == TaskCallKind::Start)
+        this->startEnded(*worker, end, turn);
+    else if (end.kind == TaskCallKind::Stop)
+        this->stopEnded(*worker, end, turn);
+}
+
+void Dispatcher::startEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn)
+{
+    JobRun* job = this->findRun(end.run.task.job);
+    TaskSlot* slot = job ? job->slot(end.run.task) : nullptr;
+    const bool isCurrent = slot && slot->run == end.run.run && slot->worker == worker.entry.id;
+    if (!isCurrent || (slot->stage != TaskStage::Starting && slot->stage != TaskStage::Unclear))
+        return;
+    if (end.status == WorkerCallStatus::Ok) {
+        worker.runs[end.run].confirmedAt = turn.now;
+        return job->setStage(end.run.task, TaskStage::Running, turn.now);
+    }
+    if (end.status == WorkerCallStatus::Unclear)
+        return job->setStage(end.run.task, TaskStage::Unclear, turn.now);
+    turn.add(LogDecision { DecisionEvent::TaskLost, formatRun(end.run), worker.entry.id.value(), std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(turn.now - slot->since) });
+    if (end.status == WorkerCallStatus::NoRoom || end.status == WorkerCallStatus::TooLate)
+        worker.restUntil = std::max(worker.restUntil, turn.now + this->options.roomRest);
+    if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Rejected)
+        worker.restUntil = std::max(worker.restUntil, turn.now + this->options.unhealthyRest);
+    this->fleet.release(worker, end.run);
+    job->setStage(end.run.task, TaskStage::Waiting, turn.now);
+    if (job->definition().steps[end.run.task.step].isGang)
+        this->resetGang(*job, end.run.task, turn);
+    this->needsPass = true;
+}
+
+void Dispatcher::stopEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn)
+{
+    const auto charge = worker.runs.find(end.run);
+    if (charge == worker.runs.end())
+        return;
+    // A stop that may not have reached the worker is asked for again when the next report still names the run.
+    if (end.status == WorkerCallStatus::Unclear || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Unhealthy) {
+        charge->second.isStopping = false;
+        JobRun* job = this->findRun(end.run.task.job);
+        TaskSlot* slot = job ? job->slot(end.run.task) : nullptr;
+        if (slot && slot->run == end.run.run && slot->stage == TaskStage::Stopping)
+            job->setStage(end.run.task, TaskStage::Unclear, turn.now);
+        worker.nextHold = std::min(worker.nextHold, turn.now + this->options.stopRetry);
+    }
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -0,0 +1,226 @@
+// The order in which the dispatcher serves waiting tasks, and the starts and evictions that follow.
+
+#include "scheduling/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dragonflytray {
+
+namespace {
+
+    // UrgencyClass orders jobs before their deadlines do.
+    enum class UrgencyClass {
+        Lasting,
+        InTime,
+        Late, // counts for less
+        Worthless, // counts for nothing any more
+    };
+
+    UrgencyClass urgencyOf(const JobRun& job, Instant now)
+    {
+        if (job.definition().isLasting())
+            return UrgencyClass::Lasting;
+        if (now <= job.objectiveEnd)
+            return UrgencyClass::InTime;
+        return now <= job.lateEnd ? UrgencyClass::Late : UrgencyClass::Worthless;
+    }
+
+} // namespace
+
+// Pass remembers what found no room, so that no larger task is tried.
+struct Dispatcher::Pass {
+    struct Misfit {
+        const DataCentreName* cell;
+        ServiceName service;
+        TaskResources need;
+        bool isFilling { false };
+    };
+    std::vector<Misfit> misfits;
+    std::size_t count { 0 };
+
+    bool isHopeless(const DataCentreName& cell, const ServiceName& service, const StepDefinition& step) const
+    {
+        return std::any_of(this->misfits.begin(), this->misfits.end(), [&](const Misfit& misfit) {
+            return misfit.isFilling == step.isFilling && *misfit.cell == cell && misfit.service == service && misfit.need.fitsIn(step.need);
+        });
+    }
+};
+
+std::vector<JobRun*> Dispatcher::orderedJobs(Instant now)
+{
+    struct Entry {
+        UrgencyClass urgency;
+        int priority;
+        Instant deadline;
+        JobRun* job;
+    };
+    std::vector<Entry> entries;
+    for (auto& [id, job] : this->runs) {
+        const auto cell = this->cells.find(job->definition().cell);
+        if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end() || !cell->second.mayStart)
+            continue;
+        entries.push_back({ urgencyOf(*job, now), this->ruleOf(*job).priority, job->objectiveEnd, job.get() });
+    }
+    std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
+        return std::tie(a.urgency, a.priority, a.deadline) < std::tie(b.urgency, b.priority, b.deadline);
+    });
+    std::vector<JobRun*> jobs;
+    jobs.reserve(entries.size());
+    for (const Entry& entry : entries)
+        jobs.push_back(entry.job);
+    return jobs;
+}
+
+void Dispatcher::placeTasks(Turn& turn)
+{
+    if (!this->needsPass && turn.now < this->lastPass + this->options.passInterval)
+        return;
+    this->needsPass = false;
+    this->lastPass = turn.now;
+    Pass pass;
+    for (JobRun* job : this->orderedJobs(turn.now)) {
+        if (pass.count >= this->options.misfitsInPass)
+            break;
+        for (auto& [number, unit] : job->openUnits()) {
+            if (unit.waiting > 0)
+                this->placeUnit(*job, unit, pass, turn);
+        }
+    }
+}
+
+void Dispatcher::placeUnit(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn)
+{
+    const StepDefinition& step = job.definition().steps[unit.step];
+    if (step.isGang)
+        return this->placeGang(job, unit, pass, turn);
+    for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
+        const TaskSlot& slot = unit.tasks[index];
+        if (slot.stage != TaskStage::Waiting || turn.now < slot.notBefore)
+            continue;
+        if (!this->placeTask(job, { job.definition().id, unit.occurrence, unit.step, index }, pass, turn))
+            return;
+    }
+}
+
+std::uint32_t Dispatcher::sameStepRuns(const TaskId& task, const WorkerId& id)
+{
+    const FleetWorker* worker = this->fleet.find(id);
+    const TaskRunId first { { task.job, task.occurrence, task.step, 0 }, 0 };
+    const TaskRunId last { { task.job, task.occurrence, task.step, std::numeric_limits<std::uint32_t>::max() }, std::numeric_limits<std::uint64_t>::max() };
+    return static_cast<std::uint32_t>(std::distance(worker->runs.lower_bound(first), worker->runs.upper_bound(last)));
+}
+
+bool Dispatcher::placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn)
+{
+    const StepDefinition& step = job.definition().steps[task.step];
+    const QueueRule& rule = this->ruleOf(job);
+    TaskSlot& slot = *job.slot(task);
+    const bool isPlain = step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
+    if (isPlain && pass.isHopeless(job.definition().cell, rule.service, step))
+        return false;
+    const PlacementRequest request {
+        .step = step,
+        .cell = job.definition().cell,
+        .service = rule.service,
+        .now = turn.now,
+        .avoid = slot.failedOn,
+        .avoidsFailing = job.failures(task) > 0,
+        .mayLeaveData = step.nearLabel.empty() || turn.now >= slot.since + this->options.dataPatience,
+        .rack = {},
+        .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); },
+    };
+    FleetWorker* worker = chooseWorker(this->fleet, request);
+    if (worker) {
+        this->start(job, task, *worker, job.nextRun(slot), turn);
+        return true;
+    }
+    this->evictFor(job, task, request, turn);
+    ++pass.count;
+    if (isPlain && slot.failedOn.isEmpty())
+        pass.misfits.push_back({ &job.definition().cell, rule.service, step.need, step.isFilling });
+    return false;
+}
+
+void Dispatcher::placeGang(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn)
+{
+    const StepDefinition& step = job.definition().steps[unit.step];
+    if (unit.waiting < unit.tasks.size() - unit.done)
+        return;
+    // Members are charged one by one, so that each sees the room that the others leave.
+    std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
+    std::string rack;
+    std::uint64_t run = 0;
+    for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
+        const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
+        run = std::max(run, job.nextRun(unit.tasks[index]));
+        PlacementRequest request { .step = step, .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
+        FleetWorker* worker = chooseWorker(this->fleet, request);
+        if (!worker)
+            break;
+        if (step.isSameRack)
+            rack = worker->entry.rack;
+        this->fleet.charge(*worker, { task, 0 }, chargeOf(step));
+        members.emplace_back(index, worker);
+    }
+    for (const auto& [index, worker] : members)
+        this->fleet.release(*worker, { { job.definition().id, unit.occurrence, unit.step, index }, 0 });
+    if (members.size() < unit.tasks.size()) {
+        ++pass.count;
+        return;
+    }
+    const std::string checkpoint = unit.tasks.front().checkpoint;
+    for (const auto& [index, worker] : members) {
+        unit.tasks[index].checkpoint = checkpoint; // all members have to carry the same
+        this->start(job, { job.definition().id, unit.occurrence, unit.step, index }, *worker, run, turn);
+    }
+}
+
+void Dispatcher::start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn)
+{
+    TaskSlot& slot = *job.slot(task);
+    slot.worker = worker.entry.id;
+    slot.run = run;
+    job.setStage(task, TaskStage::Starting, turn.now);
+    if (job.progress().phase == JobPhase::Queued) {
+        job.setPhase(JobPhase::Running, turn.wallTime);
+        this->markDirty(job);
+    }
+    const TaskRunId id { task, run };
+    this->fleet.charge(worker, id, chargeOf(job.definition().steps[task.step]));
+    this->fleet.granted(worker, turn.now);
+    turn.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = slot.checkpoint, .deadline = worker.deadlineAt(turn.now, this->fleet.lease()).value_or(0) });
+    turn.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", worker.notedEnd, turn.wallTime - job.definition().acceptedAt });
+}
+
+std::optional<double> Dispatcher::evictionCost(const TaskRunId& run, int priority, Instant now)
+{
+    JobRun* job = this->findRun(run.task.job);
+    const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
+    if (!slot || slot->stage != TaskStage::Running || slot->run != run.run)
+        return std::nullopt;
+    const StepDefinition& step = job->definition().steps[run.task.step];
+    if (step.isLasting || step.isGang || step.isFilling || this->ruleOf(*job).priority <= priority)
+        return std::nullopt;
+    // What a run without checkpoints loses is its work; one with them only starts anew elsewhere.
+    const double lost = step.isCheckpointing ? 0.1 : toSeconds(now - slot->since);
+    return lost * static_cast<double>(step.need.millicores);
+}
+
+void Dispatcher::evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn)
+{
+    TaskSlot& slot = *job.slot(task);
+    const int priority = this->ruleOf(job).priority;
+    const bool isWorthIt = request.step.isLasting || urgencyOf(job, turn.now) == UrgencyClass::InTime;
+    if (request.step.isFilling || !isWorthIt)
+        return;
+    slot.notBefore = turn.now + this->options.evictionInterval;
+    const auto eviction = chooseEviction(this->fleet, request, [&](const TaskRunId& run) { return this->evictionCost(run, priority, turn.now); });
+    if (!eviction)
+        return;
+    slot.notBefore = turn.now;
+    for (const TaskRunId& victim : eviction->victims)
+        this->stopRun(*eviction->worker, victim, "evicted", turn);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -0,0 +1,269 @@
+// How the dispatcher takes the reports of workers: lives, runs, and ends.
+
+#include "scheduling/dispatcher.h"
+
+namespace dragonflytray {
+
+void Dispatcher::holdEnded(const HoldEnded& end, Turn& turn)
+{
+    FleetWorker* worker = this->fleet.find(end.worker);
+    if (!worker)
+        return;
+    worker->isHolding = false;
+    const auto cell = this->cells.find(worker->entry.dataCentre);
+    if (cell == this->cells.end())
+        return;
+    if (end.epoch != cell->second.epoch) {
+        worker->nextHold = turn.now;
+        return;
+    }
+    if (end.status == WorkerCallStatus::Fenced) {
+        this->metHigherEpoch = end.epoch;
+        return;
+    }
+    if (end.status != WorkerCallStatus::Ok)
+        return this->suspect(*worker, end, turn);
+    this->adoptLife(*worker, end, turn);
+    for (const EndedRun& run : end.ended) {
+        if (run.number > worker->notedEnd)
+            this->noteEnd(*worker, run, turn);
+    }
+    this->compareRuns(*worker, end, turn);
+    this->acknowledge(*worker);
+    worker->nextHold = worker->owed.empty() ? turn.now : turn.now + this->options.owedHold;
+    this->placeTasks(turn);
+    this->holdWorkers(turn);
+}
+
+void Dispatcher::adoptLife(FleetWorker& worker, const HoldEnded& end, Turn& turn)
+{
+    if (end.born != 0 && worker.entry.born != 0 && end.born != worker.entry.born) {
+        this->loseRuns(worker, "worker-restarted", turn);
+        worker.notedEnd = 0;
+        worker.acknowledged = 0;
+        worker.owed.clear();
+    }
+    if (end.born != 0)
+        worker.entry.born = end.born;
+    if (worker.isSuspect)
+        turn.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.epoch, toMilliseconds(turn.now - worker.lastAnswer) });
+    worker.isSuspect = false;
+    worker.isFenced = true;
+    worker.clock = end.clock;
+    worker.clockSeen = turn.now;
+    worker.lastAnswer = turn.now;
+    this->needsPass = true;
+}
+
+void Dispatcher::suspect(FleetWorker& worker, const HoldEnded& end, Turn& turn)
+{
+    if (end.status == WorkerCallStatus::OtherLife) {
+        // The life that was meant has left this address, and nothing outlives it.
+        this->loseRuns(worker, "worker-replaced", turn);
+        worker.isListed = false;
+        return;
+    }
+    if (!worker.isSuspect)
+        turn.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(turn.now - worker.lastAnswer) });
+    worker.isSuspect = true;
+    worker.nextHold = turn.now + this->options.holdRetry;
+}
+
+void Dispatcher::noteEnd(FleetWorker& worker, const EndedRun& end, Turn& turn)
+{
+    worker.notedEnd = end.number;
+    this->needsPass = true;
+    const TaskId& task = end.id.task;
+    this->fleet.release(worker, end.id);
+    JobRun* job = this->findRun(task.job);
+    if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
+        worker.owed.push_back({ end.number, task.job, 0 });
+        return;
+    }
+    turn.add(LogDecision { DecisionEvent::TaskEnded, formatRun(end.id), worker.entry.id.value(), std::string(runOutcomeNames.nameOf(end.outcome)), job->version(), turn.wallTime - job->definition().acceptedAt });
+    if (end.outcome == RunOutcome::Done)
+        this->endDone(*job, task, turn);
+    else if (end.outcome == RunOutcome::Failed)
+        this->endFailed(*job, worker, end, turn);
+    else
+        this->freeSlot(*job, end.id, end.checkpoint, turn);
+    if (end.outcome == RunOutcome::Done)
+        worker.failuresInRow = 0;
+    if (job->definition().steps[task.step].isGang && end.outcome != RunOutcome::Done)
+        this->resetGang(*job, task, turn);
+    this->markDirty(*job);
+    worker.owed.push_back({ end.number, task.job, job->generation() });
+    if (!isFinal(job->progress().phase))
+        this->advance(*job, turn);
+}
+
+void Dispatcher::endDone(JobRun& job, const TaskId& task, Turn& turn)
+{
+    // Another run of the task may be alive if this end belongs to a run that was believed lost.
+    if (TaskSlot* slot = job.slot(task); slot && isOnWorker(slot->stage)) {
+        FleetWorker* other = this->fleet.find(slot->worker);
+        if (other && other->runs.contains({ task, slot->run }))
+            this->stopRun(*other, { task, slot->run }, "task-done", turn);
+    }
+    if (job.definition().steps[task.step].isGang)
+        job.markGangDone(task, turn.now);
+    else
+        job.markDone(task, turn.now);
+}
+
+void Dispatcher::endFailed(JobRun& job, FleetWorker& worker, const EndedRun& end, Turn& turn)
+{
+    const TaskId& task = end.id.task;
+    ++worker.failuresInRow;
+    if (worker.failuresInRow >= this->options.failuresToRest) {
+        worker.restUntil = turn.now + this->options.failureRest;
+        turn.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, "failures", worker.failuresInRow, 0 });
+    }
+    const bool isNew = job.countFailure(task, end.id.run);
+    if (TaskSlot* slot = job.slot(task))
+        slot->failedOn = worker.entry.id;
+    this->freeSlot(job, end.id, end.checkpoint, turn);
+    const bool isLasting = job.definition().steps[task.step].isLasting;
+    if (isNew && !isLasting && job.failures(task) >= this->ruleOf(job).maxAttempts && !isFinal(job.progress().phase))
+        this->finish(job, JobPhase::Failed, turn);
+}
+
+void Dispatcher::freeSlot(JobRun& job, const TaskRunId& run, const std::string& checkpoint, Turn& turn)
+{
+    job.keepCheckpoint(run.task, checkpoint);
+    TaskSlot* slot = job.slot(run.task);
+    if (!slot || slot->stage == TaskStage::Done)
+        return;
+    const bool isCurrent = slot->run == run.run || slot->stage == TaskStage::Waiting || slot->stage == TaskStage::Unaccounted;
+    if (run.run > slot->run)
+        slot->run = run.run;
+    if (isCurrent && slot->stage != TaskStage::Unaccounted)
+        job.setStage(run.task, TaskStage::Waiting, turn.now);
+}
+
+void Dispatcher::resetGang(JobRun& job, const TaskId& task, Turn& turn)
+{
+    UnitRun* unit = job.unit(task.occurrence, task.step);
+    for (std::uint32_t index = 0; unit && index < unit->tasks.size(); ++index) {
+        TaskSlot& member = unit->tasks[index];
+        if (!isOnWorker(member.stage) || member.stage == TaskStage::Stopping)
+            continue;
+        if (FleetWorker* worker = this->fleet.find(member.worker))
+            this->stopRun(*worker, { { task.job, task.occurrence, task.step, index }, member.run }, "gang-broken", turn);
+    }
+}
+
+void Dispatcher::acknowledge(FleetWorker& worker)
+{
+    while (!worker.owed.empty() && this->isRecorded(worker.owed.front())) {
+        worker.acknowledged = worker.owed.front().number;
+        worker.owed.pop_front();
+        if (worker.owed.empty())
+            worker.nextHold = {};
+    }
+}
+
+bool Dispatcher::isRecorded(const OwedEnd& owed) const
+{
+    const auto found = this->runs.find(owed.job);
+    return found == this->runs.end() || found->second->recorded() >= owed.generation;
+}
+
+void Dispatcher::compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn)
+{
+    std::set<TaskRunId> reported;
+    for (const RunningTask& task : end.running) {
+        reported.insert(task.id);
+        if (worker.runs.contains(task.id))
+            this->confirmRun(worker, task, turn);
+        else
+            this->adoptRun(worker, task, turn);
+    }
+    std::vector<TaskRunId> missing;
+    for (const auto& [run, charge] : worker.runs) {
+        if (!reported.contains(run))
+            missing.push_back(run);
+    }
+    for (const TaskRunId& run : missing)
+        this->missRun(worker, run, end, turn);
+}
+
+void Dispatcher::confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn)
+{
+    RunCharge& charge = worker.runs.at(task.id);
+    charge.confirmedAt = turn.now;
+    charge.load = task.load;
+    JobRun* job = this->findRun(task.id.task.job);
+    TaskSlot* slot = job ? job->slot(task.id.task) : nullptr;
+    if (!slot || slot->run != task.id.run)
+        return;
+    if (slot->stage == TaskStage::Starting || slot->stage == TaskStage::Unclear)
+        job->setStage(task.id.task, TaskStage::Running, turn.now);
+    slot->percent = task.percent;
+    if (!task.checkpoint.empty())
+        slot->checkpoint = task.checkpoint;
+}
+
+void Dispatcher::adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn)
+{
+    const TaskId& id = task.id.task;
+    JobRun* job = this->findRun(id.job);
+    TaskSlot* slot = job && id.step < job->definition().steps.size() ? job->slot(id) : nullptr;
+    RunCharge charge = slot ? chargeOf(job->definition().steps[id.step]) : RunCharge {};
+    charge.confirmedAt = turn.now;
+    this->fleet.charge(worker, task.id, charge);
+    const bool isWanted = slot && !isFinal(job->progress().phase) && (slot->stage == TaskStage::Unaccounted || (slot->stage == TaskStage::Waiting && slot->run <= task.id.run));
+    if (!isWanted)
+        return this->stopRun(worker, task.id, "unwanted", turn);
+    slot->worker = worker.entry.id;
+    slot->run = task.id.run;
+    if (!task.checkpoint.empty())
+        slot->checkpoint = task.checkpoint;
+    job->setStage(id, TaskStage::Running, turn.now);
+    const auto cell = this->cells.find(job->definition().cell);
+    if (cell != this->cells.end())
+        cell->second.unconfirmed.erase(id);
+}
+
+void Dispatcher::missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn)
+{
+    RunCharge& charge = worker.runs.at(run);
+    if (charge.isStopping) {
+        // The stop was carried out before the report, and its end is acknowledged or was never listed.
+        if (end.sentAt > charge.stopAskedAt + this->options.stopTimeout && end.sentAt > charge.confirmedAt)
+            this->loseRun(worker, run, "stopped", turn);
+        return;
+    }
+    JobRun* job = this->findRun(run.task.job);
+    const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
+    if (!slot || slot->run != run.run)
+        return this->stopRun(worker, run, "unwanted", turn);
+    if (slot->stage == TaskStage::Unclear && end.sentAt > slot->since)
+        return this->stopRun(worker, run, "unclear-start", turn);
+    if (slot->stage == TaskStage::Running && end.sentAt > charge.confirmedAt && end.sentAt > slot->since)
+        this->loseRun(worker, run, "not-reported", turn);
+}
+
+void Dispatcher::loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
+{
+    this->fleet.release(worker, run);
+    JobRun* job = this->findRun(run.task.job);
+    TaskSlot* slot = job ? job->slot(run.task) : nullptr;
+    if (!slot || slot->run != run.run || slot->worker != worker.entry.id || !isOnWorker(slot->stage))
+        return;
+    turn.add(LogDecision { DecisionEvent::TaskLost, formatRun(run), worker.entry.id.value(), cause, job->version(), toMilliseconds(turn.now - slot->since) });
+    const std::string checkpoint = slot->checkpoint;
+    this->freeSlot(*job, run, checkpoint, turn);
+    if (job->definition().steps[run.task.step].isGang)
+        this->resetGang(*job, run.task, turn);
+    this->markDirty(*job);
+    this->needsPass = true;
+}
+
+void Dispatcher::loseRuns(FleetWorker& worker, const char* cause, Turn& turn)
+{
+    while (!worker.runs.empty())
+        this->loseRun(worker, TaskRunId(worker.runs.begin()->first), cause, turn);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/fleet.cc
@@ -0,0 +1,103 @@
+#include "scheduling/fleet.h"
+
+#include <set>
+
+namespace dragonflytray {
+
+TaskResources FleetWorker::room() const
+{
+    TaskResources room = this->entry.capacity;
+    room -= this->used;
+    return room;
+}
+
+bool FleetWorker::takesTasks(Instant now) const
+{
+    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->restUntil;
+}
+
+std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
+{
+    if (!this->clock)
+        return std::nullopt;
+    return *this->clock + toMilliseconds(now - this->clockSeen) + toMilliseconds(lease);
+}
+
+Fleet::Fleet(Options options)
+    : options(options)
+{
+}
+
+void Fleet::list(const WorkersListed& change)
+{
+    std::set<WorkerId> named;
+    for (const ListedWorker& entry : change.changed) {
+        FleetWorker& worker = this->workers[entry.id];
+        worker.entry = entry;
+        worker.isListed = true;
+        named.insert(entry.id);
+    }
+    for (const WorkerId& id : change.removed) {
+        if (FleetWorker* worker = this->find(id))
+            worker->isListed = false;
+    }
+    if (!change.isWhole)
+        return;
+    for (auto& [id, worker] : this->workers) {
+        if (!named.contains(id))
+            worker.isListed = false;
+    }
+}
+
+FleetWorker* Fleet::find(const WorkerId& worker)
+{
+    const auto found = this->workers.find(worker);
+    return found == this->workers.end() ? nullptr : &found->second;
+}
+
+void Fleet::beginEpoch(const DataCentreName& cell, Instant now)
+{
+    for (auto& [id, worker] : this->workers) {
+        if (worker.entry.dataCentre != cell)
+            continue;
+        FleetWorker fresh;
+        fresh.entry = worker.entry;
+        fresh.isListed = worker.isListed;
+        fresh.isHolding = worker.isHolding;
+        fresh.nextHold = now;
+        worker = std::move(fresh);
+    }
+}
+
+void Fleet::charge(FleetWorker& worker, const TaskRunId& run, RunCharge charge)
+{
+    if (!worker.runs.emplace(run, charge).second)
+        return;
+    worker.used += charge.need;
+    worker.fillMillicores += charge.fillMillicores;
+    worker.serving += charge.isServing ? 1 : 0;
+}
+
+void Fleet::release(FleetWorker& worker, const TaskRunId& run)
+{
+    const auto found = worker.runs.find(run);
+    if (found == worker.runs.end())
+        return;
+    worker.used -= found->second.need;
+    worker.fillMillicores -= found->second.fillMillicores;
+    worker.serving -= found->second.isServing ? 1 : 0;
+    worker.runs.erase(found);
+}
+
+void Fleet::granted(FleetWorker& worker, Instant now)
+{
+    const auto longest = std::chrono::duration_cast<Duration>(this->options.lease * (1 + 2 * this->options.clockDrift));
+    worker.leaseEnd = std::max(worker.leaseEnd, now + longest + this->options.clockSlack);
+}
+
+void Fleet::drop(const WorkerId& worker)
+{
+    this->workers.erase(worker);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/fleet.h
@@ -0,0 +1,113 @@
+#pragma once
+
+// The workers of the cells that this host leads: what they have room for, which runs occupy them, and until
+// when a run on a worker that does not answer has to be believed alive.
+//
+// Example:
+//
+//     Fleet fleet({ .lease = std::chrono::milliseconds(4500) });
+//     fleet.list(workersListed, now);
+//     FleetWorker* worker = fleet.find(WorkerId("i-7f3a91c2"));
+
+#include "scheduling/scheduling_commands.h"
+#include <deque>
+#include <unordered_map>
+
+namespace dragonflytray {
+
+// RunCharge is what one run occupies on its worker.
+struct RunCharge {
+    TaskResources need; // as counted against the worker's capacity
+    bool isFilling { false };
+    bool isServing { false }; // lasting, with a target of its own
+    std::int64_t fillMillicores { 0 }; // wanted by a filling run
+    bool isStopping { false };
+    Instant stopAskedAt;
+    Instant confirmedAt; // when a start was answered or a report named it
+    Duration latencyTarget { 0 };
+    std::int64_t load { 0 }; // as last reported
+    int pace { 100 }; // percent that was last asked for
+};
+
+// OwedEnd is an end that is noted, and acknowledged once the job's progress is recorded.
+struct OwedEnd {
+    std::uint64_t number { 0 };
+    JobId job;
+    std::uint64_t generation { 0 };
+};
+
+// FleetWorker is one worker. Times are this host's.
+struct FleetWorker {
+    ListedWorker entry;
+    bool isListed { false };
+    bool isFenced { false }; // has answered under the current epoch
+    bool isHolding { false }; // a hold is in flight
+    Instant holdSentAt;
+    Instant nextHold;
+    std::optional<std::int64_t> clock; // ms on the worker's steady clock, at clockSeen
+    Instant clockSeen;
+    Instant leaseEnd; // every lease that was granted has surely lapsed then
+    Instant lastAnswer;
+    bool isSuspect { false }; // the last hold had no answer
+    Instant restUntil; // takes no new tasks until then
+    std::uint32_t failuresInRow { 0 };
+    std::uint64_t notedEnd { 0 }; // ends up to this number are noted
+    std::uint64_t acknowledged { 0 }; // ends up to this number are recorded
+    std::deque<OwedEnd> owed; // noted and not yet recorded
+    TaskResources used;
+    std::int64_t fillMillicores { 0 };
+    std::uint32_t serving { 0 };
+    std::map<TaskRunId, RunCharge> runs;
+
+    // room() is what is left of the capacity.
+    TaskResources room() const;
+
+    // takesTasks() says whether new tasks may be placed on the worker.
+    bool takesTasks(Instant now) const;
+
+    // deadlineAt() is the end of a lease from `now` on the worker's clock; nothing while it is unknown.
+    std::optional<std::int64_t> deadlineAt(Instant now, Duration lease) const;
+};
+
+// Fleet holds the workers. Not thread-safe.
+class Fleet {
+public:
+    struct Options {
+        Duration lease { std::chrono::milliseconds(4500) }; // granted with each hold and start
+        Duration clockSlack { std::chrono::milliseconds(300) }; // on top of the drift below
+        double clockDrift { 0.02 }; // a worker's clock may be this much slow, says the platform
+    };
+
+    explicit Fleet(Options options);
+
+    // list() takes changed entries of the list.
+    void list(const WorkersListed& change);
+
+    // find() is the worker, or null. Constant time.
+    FleetWorker* find(const WorkerId& worker);
+
+    // beginEpoch() forgets what was known of the workers of a cell under an earlier leader.
+    void beginEpoch(const DataCentreName& cell, Instant now);
+
+    // charge() counts a run against its worker, release() gives its room back.
+    void charge(FleetWorker& worker, const TaskRunId& run, RunCharge charge);
+    void release(FleetWorker& worker, const TaskRunId& run);
+
+    // granted() notes that a lease from `now` may take effect on the worker.
+    void granted(FleetWorker& worker, Instant now);
+
+    // drop() removes a worker without runs that is no longer listed.
+    void drop(const WorkerId& worker);
+
+    // all() is every worker known, in a stable order.
+    std::map<WorkerId, FleetWorker>& all() { return this->workers; }
+    const std::map<WorkerId, FleetWorker>& all() const { return this->workers; }
+
+    Duration lease() const { return this->options.lease; }
+
+private:
+    Options options;
+    std::map<WorkerId, FleetWorker> workers;
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/job_run.h
@@ -0,0 +1,170 @@
+#pragma once
+
+// One job as its cell's leader runs it: the tasks of every step that is open, and what is not yet recorded.
+//
+// Example:
+//
+//     JobRun run(record, epoch);
+//     run.openDueUnits(wallTime);
+//     for (UnitRun* unit : run.unitsWithWaiting()) { ... }
+
+#include "scheduling/job_book.h"
+#include "scheduling/worker_types.h"
+#include <set>
+
+namespace dragonflytray {
+
+// TaskStage is where one task stands for the leader.
+enum class TaskStage {
+    Waiting, // no run can exist
+    Unaccounted, // a run of a former leader may exist
+    Starting, // sent; no answer yet
+    Unclear, // the start had no answer
+    Running,
+    Stopping, // told to stop; its end is not listed yet
+    Done,
+};
+
+inline constexpr NameTable taskStageNames { std::to_array<NameEntry<TaskStage>>({
+    { TaskStage::Waiting, "waiting" },
+    { TaskStage::Unaccounted, "unaccounted" },
+    { TaskStage::Starting, "starting" },
+    { TaskStage::Unclear, "unclear" },
+    { TaskStage::Running, "running" },
+    { TaskStage::Stopping, "stopping" },
+    { TaskStage::Done, "done" },
+}) };
+static_assert(taskStageNames.isWhole(TaskStage::Done));
+
+// isOnWorker() says whether a task in `stage` occupies a worker.
+constexpr bool isOnWorker(TaskStage stage)
+{
+    return stage == TaskStage::Starting || stage == TaskStage::Unclear || stage == TaskStage::Running || stage == TaskStage::Stopping;
+}
+
+// TaskSlot is one task.
+struct TaskSlot {
+    TaskStage stage { TaskStage::Waiting };
+    WorkerId worker; // of the current run
+    std::uint64_t run { 0 }; // number of the current or last run
+    std::string checkpoint; // newest known
+    Instant since; // when the stage was entered
+    Instant notBefore; // of the next start
+    WorkerId failedOn; // where the last failed run was
+    int percent { 0 }; // as last reported
+};
+
+// UnitRun is one step in one occurrence.
+struct UnitRun {
+    std::uint32_t occurrence { 0 };
+    std::uint32_t step { 0 };
+    std::vector<TaskSlot> tasks;
+    std::uint32_t done { 0 };
+    std::uint32_t waiting { 0 };
+};
+
+// JobRun is the running state of one job. Not thread-safe. The record must outlive it.
+class JobRun {
+public:
+    // The tasks of a job that was recorded under an earlier leader begin as Unaccounted.
+    JobRun(const JobRecord& record, Epoch epoch, bool mayHaveRuns, Instant now);
+
+    // openDueUnits() opens every step whose earlier steps are done and whose time has come. It returns the
+    // time at which the next occurrence is due, or nothing.
+    std::optional<WallTime> openDueUnits(WallTime wallTime, Instant now);
+
+    // settle() notes that no run of a former leader is left; tasks that wait for one may start.
+    void settle(const std::set<TaskId>& unconfirmed, Instant now);
+
+    // unit() is the open step in that occurrence, or null.
+    UnitRun* unit(std::uint32_t occurrence, std::uint32_t step);
+
+    // slot() is the task, or null when its step is not open.
+    TaskSlot* slot(const TaskId& task);
+
+    // setStage() moves one task and keeps the counts.
+    void setStage(const TaskId& task, TaskStage stage, Instant now);
+
+    // markDone() records the end of one task; false when it was done already.
+    bool markDone(const TaskId& task, Instant now);
+
+    // markGangDone() records the end of all tasks of a gang.
+    void markGangDone(const TaskId& task, Instant now);
+
+    // countFailure() counts a failed run; false when the run was counted already.
+    bool countFailure(const TaskId& task, std::uint64_t run);
+
+    // keepCheckpoint() remembers the newest checkpoint of a task, for its next run.
+    void keepCheckpoint(const TaskId& task, const std::string& checkpoint);
+
+    // failures() is how often runs of the task have failed.
+    std::uint32_t failures(const TaskId& task) const;
+
+    // isDone() says whether the task's end is noted.
+    bool isDone(const TaskId& task) const;
+
+    // nextRun() is the number for the next start of a task.
+    std::uint64_t nextRun(const TaskSlot& slot) const;
+
+    // setPhase() moves the job; a final phase is recorded as soon as possible.
+    void setPhase(JobPhase phase, WallTime wallTime);
+
+    // isComplete() says whether every task of every occurrence is done.
+    bool isComplete() const;
+
+    // allTasks() calls `visit` with each open task's name and slot.
+    template <typename Visit>
+    void allTasks(Visit visit)
+    {
+        for (auto& [number, unit] : this->units) {
+            for (std::uint32_t index = 0; index < unit.tasks.size(); ++index)
+                visit(TaskId { this->definition().id, unit.occurrence, unit.step, index }, unit.tasks[index]);
+        }
+    }
+
+    const JobDefinition& definition() const { return this->record->definition; }
+    const JobProgress& progress() const { return this->state; }
+    std::map<std::uint32_t, UnitRun>& openUnits() { return this->units; }
+    std::uint32_t waiting() const { return this->waitingTasks; }
+
+    // generation() grows with each change of the progress, and recorded() is what the store has of it.
+    std::uint64_t generation() const { return this->state.generation; }
+    std::uint64_t recorded() const { return this->recordedGeneration; }
+    bool isDirty() const { return this->state.generation > this->recordedGeneration; }
+
+    // noteRecorded() notes what the store holds.
+    void noteRecorded(std::uint64_t generation, RowVersion version);
+
+    // mergeProgress() takes over what another leader recorded meanwhile.
+    void mergeProgress(const JobProgress& other, RowVersion version, Instant now);
+
+    // version() is the version of the progress row as last known.
+    RowVersion version() const { return this->progressVersion; }
+
+    // objectiveEnd is when the job should be complete to count in full, and lateEnd when it counts no more.
+    Instant objectiveEnd;
+    Instant lateEnd;
+
+private:
+    std::uint32_t unitNumber(std::uint32_t occurrence, std::uint32_t step) const;
+    UnitProgress& progressOf(std::uint32_t occurrence, std::uint32_t step);
+    const UnitProgress* findProgress(std::uint32_t occurrence, std::uint32_t step) const;
+    bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
+    bool isOpenable(std::uint32_t occurrence, std::uint32_t step) const;
+    void openUnit(std::uint32_t occurrence, std::uint32_t step, Instant now);
+    void touch() { ++this->state.generation; }
+
+    const JobRecord* record;
+    Epoch epoch;
+    bool mayHaveRuns;
+    JobProgress state;
+    RowVersion progressVersion { 0 };
+    std::uint64_t recordedGeneration { 0 };
+    std::map<std::uint32_t, UnitRun> units; // open ones, by number
+    std::uint32_t waitingTasks { 0 };
+};
+
+// chainOf() is the longest chain of estimated work through the steps of a job.
+Duration chainOf(const JobDefinition& job);
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/placement.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// Where a task goes, and which runs make way for a more urgent one. Pure functions over the fleet.
+//
+// Example:
+//
+//     PlacementRequest request { .step = step, .cell = cell, .service = service, .now = now };
+//     if (FleetWorker* worker = chooseWorker(fleet, request)) { ... }
+
+#include "scheduling/fleet.h"
+#include <functional>
+
+namespace dragonflytray {
+
+// PlacementRequest is one task that looks for a worker.
+struct PlacementRequest {
+    const StepDefinition& step;
+    const DataCentreName& cell;
+    const ServiceName& service;
+    Instant now;
+    WorkerId avoid; // where the task failed before; empty: none
+    bool avoidsFailing { false }; // keep away from workers whose last run failed
+    bool mayLeaveData { true }; // may run away from the rack that holds its data
+    std::string rack; // empty: any; otherwise the only rack allowed
+    std::function<std::uint32_t(const WorkerId&)> sameStepRuns; // tasks of the step on a worker; may be empty
+};
+
+// chargeOf() is what a task of `step` occupies.
+RunCharge chargeOf(const StepDefinition& step);
+
+// chooseWorker() is the best worker with room, or null. Linear in the workers.
+FleetWorker* chooseWorker(Fleet& fleet, const PlacementRequest& request);
+
+// Eviction is one worker on which some runs have to stop, so that a task finds room.
+struct Eviction {
+    FleetWorker* worker { nullptr };
+    std::vector<TaskRunId> victims;
+};
+
+// EvictionCost is what stopping a run loses; nothing: the run must not be stopped for this task.
+using EvictionCost = std::function<std::optional<double>(const TaskRunId&)>;
+
+// chooseEviction() is the cheapest eviction that makes room, or nothing. Linear in workers and runs.
+std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionCost& cost);
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/queries/views.cc
@@ -0,0 +1,41 @@
+// Answers to the queries of `Scheduler`.
+
+#include "scheduling/scheduler.h"
+
+namespace dragonflytray {
+
+SchedulerView Scheduler::queueView(const SchedulerQuery& query, Instant) const
+{
+    const auto& question = std::get<QueueQuery>(query);
+    QueueView view { .isConfigured = this->configuration.version > 0, .pending = {} };
+    if (const QueueRule* queue = this->configuration.findQueue(question.host, question.path))
+        view.pending = this->book.countPending(queue->host, queue->pathPrefix);
+    return view;
+}
+
+SchedulerView Scheduler::readinessView(const SchedulerQuery&, Instant now) const
+{
+    const bool hasStore = this->hasFollowed && now < this->lastStoreAnswer + this->options.storePatience;
+    return ReadinessView { .isReady = hasStore && this->configuration.version > 0 };
+}
+
+SchedulerView Scheduler::summaryView(const SchedulerQuery&, Instant now) const
+{
+    SchedulerSummary summary {
+        .configurationVersion = this->configuration.version,
+        .followedVersion = this->followed,
+        .storeAgeMilliseconds = toMilliseconds(now - this->lastStoreAnswer),
+        .knownJobs = this->book.size(),
+        .activeJobs = this->dispatcher.activeJobs(),
+        .runningTasks = this->dispatcher.runningTasks(),
+        .owedJobs = this->dispatcher.owedJobs(),
+        .replies = this->desk.replies(),
+    };
+    for (const auto& [cell, leadership] : this->leaderships) {
+        summary.ledCells += leadership.epoch() != 0 ? 1 : 0;
+        summary.highestEpoch = std::max(summary.highestEpoch, leadership.row().epoch);
+    }
+    return summary;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/recorder.cc
@@ -0,0 +1,126 @@
+#include "scheduling/recorder.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    StoredRowKey progressKey(const JobId& job)
+    {
+        return { StoredRowKind::Progress, job.value() };
+    }
+
+} // namespace
+
+Recorder::Recorder(Options options)
+    : options(options)
+{
+}
+
+void Recorder::add(const JobId& job, bool isFinal)
+{
+    Partition& partition = this->partitions[partitionOf(progressKey(job))];
+    partition.dirty.insert(job);
+    partition.isUrgent = partition.isUrgent || isFinal;
+}
+
+bool Recorder::isDue(const Partition& partition, Instant now) const
+{
+    if (partition.dirty.empty() || partition.write != 0 || now < partition.notBefore)
+        return false;
+    const Duration interval = partition.isUrgent ? this->options.finalInterval : this->options.commitInterval;
+    return now >= partition.lastWrite + interval;
+}
+
+std::vector<WriteStoredRows> Recorder::collect(const JobRuns& runs, std::uint64_t& nextNumber, Instant now)
+{
+    std::vector<WriteStoredRows> writes;
+    for (std::uint32_t number = 0; number < jobPartitions; ++number) {
+        Partition& partition = this->partitions[number];
+        if (!this->isDue(partition, now))
+            continue;
+        auto write = this->compose(number, runs, nextNumber);
+        if (!write)
+            continue;
+        partition.write = nextNumber++;
+        partition.lastWrite = now;
+        partition.isUrgent = false;
+        writes.push_back(std::move(*write));
+    }
+    return writes;
+}
+
+std::optional<WriteStoredRows> Recorder::compose(std::uint32_t number, const JobRuns& runs, std::uint64_t write)
+{
+    Partition& partition = this->partitions[number];
+    WriteStoredRows result { .write = write, .partition = number, .conditions = {}, .puts = {}, .removals = {} };
+    Pending pending { number, {} };
+    while (!partition.dirty.empty() && pending.generations.size() < this->options.jobsInWrite) {
+        const JobId job = *partition.dirty.begin();
+        partition.dirty.erase(partition.dirty.begin());
+        const auto found = runs.find(job);
+        if (found == runs.end() || !found->second->isDirty())
+            continue;
+        const JobRun& run = *found->second;
+        result.conditions.push_back({ progressKey(job), run.version() });
+        result.puts.push_back({ progressKey(job), run.progress() });
+        pending.generations.emplace_back(job, run.generation());
+    }
+    if (result.puts.empty())
+        return std::nullopt;
+    this->inFlight.emplace(write, std::move(pending));
+    return result;
+}
+
+std::vector<JobId> Recorder::writeEnded(const RowsWriteEnded& end, JobRuns& runs, Instant now)
+{
+    std::vector<JobId> lost;
+    const auto found = this->inFlight.find(end.write);
+    const Pending pending = std::move(found->second);
+    this->inFlight.erase(found);
+    Partition& partition = this->partitions[pending.partition];
+    partition.write = 0;
+    const bool isCommitted = end.status == TransactionStatus::Committed;
+    for (const StoredRowChange& conflict : end.conflicts)
+        this->resolveConflict(conflict, runs, now, lost);
+    for (const auto& [job, generation] : pending.generations) {
+        const auto run = runs.find(job);
+        if (run == runs.end())
+            continue;
+        if (isCommitted)
+            run->second->noteRecorded(generation, end.revision);
+        if (run->second->isDirty())
+            this->add(job, isFinal(run->second->progress().phase));
+    }
+    if (end.status == TransactionStatus::Unavailable || end.status == TransactionStatus::Ambiguous)
+        partition.notBefore = now + this->options.retryInterval;
+    return lost;
+}
+
+void Recorder::resolveConflict(const StoredRowChange& conflict, JobRuns& runs, Instant now, std::vector<JobId>& lost)
+{
+    const auto found = runs.find(JobId(conflict.key.name));
+    if (found == runs.end())
+        return;
+    JobRun& run = *found->second;
+    const auto* progress = conflict.value ? std::get_if<JobProgress>(&*conflict.value) : nullptr;
+    if (!progress)
+        return run.noteRecorded(0, conflict.version);
+    if (progress->epoch > run.progress().epoch)
+        lost.push_back(JobId(conflict.key.name));
+    else if (progress->epoch == run.progress().epoch)
+        run.noteRecorded(progress->generation, conflict.version); // an earlier write whose answer was lost
+    else
+        run.mergeProgress(*progress, conflict.version, now);
+}
+
+std::size_t Recorder::owedJobs() const
+{
+    std::size_t owed = 0;
+    for (const Partition& partition : this->partitions)
+        owed += partition.dirty.size();
+    for (const auto& [write, pending] : this->inFlight)
+        owed += pending.generations.size();
+    return owed;
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/scheduler.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// What one entry host decides: as the taker of jobs, as a follower of what is stored, and as the leader of
+// the cells whose lease it holds.
+//
+// Scheduler is pure: it knows no clock, thread, socket or encoding.
+//
+// Example:
+//
+//     Scheduler scheduler({ .self = HostName("entry-1"), .home = cell, .cells = { cell } });
+//     SchedulerEffects effects = scheduler.handle(SubmitJobSteps { token, host, path, job }, now);
+//     SchedulerView view = scheduler.ask(QueueQuery { host, path }, now);
+
+#include "scheduling/cell_leadership.h"
+#include "scheduling/client_desk.h"
+#include "scheduling/dispatcher.h"
+#include "scheduling/scheduling_queries.h"
+#include <array>
+
+namespace dragonflytray {
+
+// CellPlace is one cell and the region it lies in.
+struct CellPlace {
+    DataCentreName name;
+    RegionName region;
+};
+
+// Scheduler owns what one entry host knows. Not thread-safe: one duty owns it.
+class Scheduler {
+public:
+    struct Options {
+        HostName self;
+        DataCentreName home; // the data centre that this host stands in
+        std::vector<CellPlace> cells; // one for each data centre
+        double processorShare { 1 }; // of a core; larger hosts lead first
+        Dispatcher::Options dispatcher {};
+        ClientDesk::Options desk {};
+        Duration lease { std::chrono::milliseconds(1500) }; // of a cell's leader
+        Duration foreignDelay { std::chrono::milliseconds(1200) }; // a host of another data centre waits longer by this
+        Duration takeSpread { std::chrono::milliseconds(240) }; // hosts of one data centre try at different times within it
+        Duration storePatience { std::chrono::milliseconds(2500) }; // without an answer of the store the host is not ready
+        Duration retention { std::chrono::minutes(5) }; // of ended jobs
+        Duration sweepInterval { std::chrono::seconds(10) }; // between two removals of ended jobs
+        std::size_t removalsInWrite { 30 }; // jobs
+        double foreignCost { 0.15 }; // load that a cell of another region must be lower by to be chosen
+    };
+
+    explicit Scheduler(Options options);
+
+    // handle() changes the state by one command and returns what has to be done.
+    SchedulerEffects handle(const SchedulerCommand& command, Instant now);
+
+    // ask() answers one query from the state.
+    SchedulerView ask(const SchedulerQuery& query, Instant now) const;
+
+    // isHandedOver() says whether every lease is given up after BeginHandover.
+    bool isHandedOver() const;
+
+private:
+    using Handler = void (Scheduler::*)(const SchedulerCommand&, Turn&);
+    using Answerer = SchedulerView (Scheduler::*)(const SchedulerQuery&, Instant) const;
+    static const std::array<Handler, schedulerCommandNames.size()> handlers;
+    static const std::array<Answerer, schedulerQueryNames.size()> answerers;
+
+    void submitJob(const SchedulerCommand& command, Turn& turn);
+    void requestCancellation(const SchedulerCommand& command, Turn& turn);
+    void lookUpJob(const SchedulerCommand& command, Turn& turn);
+    void storedRowsRead(const SchedulerCommand& command, Turn& turn);
+    void rowsWriteEnded(const SchedulerCommand& command, Turn& turn);
+    void jobRowsRead(const SchedulerCommand& command, Turn& turn);
+    void workersListed(const SchedulerCommand& command, Turn& turn);
+    void holdEnded(const SchedulerCommand& command, Turn& turn);
+    void taskCallEnded(const SchedulerCommand& command, Turn& turn);
+    void configurationFollowed(const SchedulerCommand& command, Turn& turn);
+    void storeContact(const SchedulerCommand& command, Turn& turn);
+    void beginHandover(const SchedulerCommand& command, Turn& turn);
+    void tick(const SchedulerCommand& command, Turn& turn);
+
+    SchedulerView queueView(const SchedulerQuery& query, Instant now) const;
+    SchedulerView readinessView(const SchedulerQuery& query, Instant now) const;
+    SchedulerView summaryView(const SchedulerQuery& query, Instant now) const;
+
+    // JobAddress is a queue and the id of a job in it, as a caller's host and path name them.
+    struct JobAddress {
+        const QueueRule* queue { nullptr };
+        JobId job;
+    };
+    std::optional<JobAddress> resolve(ReplyToken token, const std::string& host, const std::string& path, Turn& turn);
+
+    void applyRow(const StoredRowChange& change, Turn& turn);
+    void observeLease(const StoredRowChange& change, Turn& turn);
+    void noteLeadership(const DataCentreName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, Turn& turn);
+    void loseCell(const DataCentreName& cell, Turn& turn);
+    void keepLeases(Turn& turn);
+    void checkFence(Turn& turn);
+    DataCentreName chooseCell(const JobDefinition& job, Instant now) const;
+    double loadOf(const CellPlace& cell, const JobDefinition& job, Instant now) const;
+    void removeEnded(Turn& turn);
+
+    Options options;
+    JobBook book;
+    ClientDesk desk;
+    Dispatcher dispatcher;
+    std::map<DataCentreName, CellLeadership> leaderships;
+    SchedulingConfiguration configuration;
+    RowVersion followed { 0 };
+    bool hasFollowed { false };
+    Instant lastStoreAnswer;
+    bool isStoreAnswering { true };
+    WallTime wallTime { 0 };
+    std::uint64_t nextWrite { 1 };
+    Instant nextSweep;
+};
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/turn.h
@@ -0,0 +1,23 @@
+#pragma once
+
+// What one command may use while it is handled: the time, and the list of effects it adds to.
+
+#include "scheduling/scheduling_effects.h"
+
+namespace dragonflytray {
+
+// Turn lasts for one command.
+struct Turn {
+    Instant now;
+    WallTime wallTime { 0 };
+    std::uint64_t& nextWrite; // numbers the writes of this process
+    SchedulerEffects& effects;
+
+    // add() appends one effect.
+    void add(SchedulerEffect effect) { this->effects.push_back(std::move(effect)); }
+};
+
+// formatRun() names a run in logs: job.occurrence.step.index#run.
+std::string formatRun(const TaskRunId& run);
+
+} // namespace dragonflytray
--- a/packages/telemetry/log.cc
+++ b/packages/telemetry/log.cc
@@ -50,8 +50,33 @@
         }
     }
 
+    void writeFieldsAsText(LogPart part, std::string_view event, const std::vector<LogField>& fields)
+    {
+        std::string line = std::string(event);
+        for (const LogField& field : fields) {
+            if (!field.value.empty())
+                line += " " + std::string(field.name) + "=" + field.value;
+        }
+        LOG(INFO) << formatText(part, line);
+    }
+
 } // namespace
 
+void logFields(LogPart part, std::string_view event, const std::vector<LogField>& fields)
+{
+    if (LogLevel::Info > activeLevel)
+        return;
+    if (activeFormat == LogFormat::Text)
+        return writeFieldsAsText(part, event, fields);
+    nlohmann::json line { { "level", logLevelNames.nameOf(LogLevel::Info) }, { "part", logPartNames.nameOf(part) }, { "event", event } };
+    for (const LogField& field : fields) {
+        if (!field.value.empty())
+            line[std::string(field.name)] = field.value;
+    }
+    // The logger's own format opens the object with the time.
+    LOG(INFO) << line.dump().substr(1);
+}
+
 void startLogging(LogOptions options)
 {
     activeLevel = options.level;
--- a/packages/telemetry/log.h
+++ b/packages/telemetry/log.h
@@ -9,6 +9,8 @@
 
 #include "base/base.h"
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace dragonflytray {
 
@@ -24,6 +26,8 @@
     Platform,
     Peers,
     Telemetry,
+    Scheduling,
+    Store,
 };
 
 inline constexpr NameTable logPartNames { std::to_array<NameEntry<LogPart>>({
@@ -37,8 +41,10 @@
     { LogPart::Platform, "platform" },
     { LogPart::Peers, "peers" },
     { LogPart::Telemetry, "telemetry" },
+    { LogPart::Scheduling, "scheduling" },
+    { LogPart::Store, "store" },
 }) };
-static_assert(logPartNames.isWhole(LogPart::Telemetry));
+static_assert(logPartNames.isWhole(LogPart::Store));
 
 // LogLevel orders messages from the most to the least urgent.
 enum class LogLevel {
@@ -77,6 +83,16 @@
 // startLogging() sets the process up to log to standard output. Call it once, before the first thread.
 void startLogging(LogOptions options);
 
+// LogField is one named value of a structured line.
+struct LogField {
+    std::string_view name;
+    std::string value;
+};
+
+// logFields() writes one line about an event with its fields, at level info; empty values are left out.
+// Thread-safe.
+void logFields(LogPart part, std::string_view event, const std::vector<LogField>& fields);
+
 // The log functions write one line when the level is on. Thread-safe.
 void logError(LogPart part, const std::string& sentence);
 void logWarning(LogPart part, const std::string& sentence);
--- a/packages/transport/http_message.h
+++ b/packages/transport/http_message.h
@@ -52,8 +52,8 @@
 struct HttpResponse {
     unsigned status { 200 };
     std::string contentType { "application/json" };
-    HttpHeaders headers;
-    std::string body;
+    HttpHeaders headers {};
+    std::string body {};
 };
 
 // percentEncode() makes `text` safe as one segment of a path or one value of a query.
