--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -30,9 +30,9 @@
         return std::chrono::milliseconds(static_cast<long long>(map.number(key, rule)));
     }
 
-    std::vector<CellPlace> readDataCentres(YamlMap& map)
+    std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
-        std::vector<CellPlace> places;
+        std::vector<DataCentrePlace> places;
         for (YamlMap& entry : map.maps("dataCentres", true)) {
             places.push_back({ DataCentreName(entry.text("name")), RegionName(entry.text("region")) });
             entry.finish();
@@ -47,6 +47,7 @@
         settings.metrics = readEndpoint(map, "metrics", false);
         settings.store = readEndpoint(map, "store", true);
         settings.dataCentres = readDataCentres(map);
+        settings.leadershipScope = map.choice("leadershipScope", leadershipScopeNames, settings.leadershipScope);
         settings.processorShare = map.number("processorShare", { .maximum = 1024, .fallback = settings.processorShare });
         settings.connections = static_cast<std::size_t>(map.number("connections", { .minimum = 1, .maximum = 1e6, .fallback = static_cast<double>(settings.connections), .isWhole = true }));
         settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", settings.leaseLimit);
@@ -94,7 +95,8 @@
     Scheduler::Options options {
         .self = settings.host,
         .home = settings.dataCentre,
-        .cells = settings.dataCentres,
+        .dataCentres = settings.dataCentres,
+        .scope = settings.leadershipScope,
         .processorShare = settings.processorShare,
     };
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -22,7 +22,8 @@
     Endpoint readiness;
     Endpoint metrics; // port 0: not served
     Endpoint store;
-    std::vector<CellPlace> dataCentres;
+    std::vector<DataCentrePlace> dataCentres;
+    LeadershipScope leadershipScope { LeadershipScope::Whole };
     double processorShare { 1 }; // of a core
     std::size_t connections { 2000 }; // from callers at a time
     Duration leaseLimit { std::chrono::seconds(6) }; // a worker shortens longer leases to it
--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -106,7 +106,7 @@
         job.spec = json.at("spec");
         for (const Json& step : json.at("steps"))
             job.steps.push_back(decodeStep(step));
-        job.cell = DataCentreName(json.at("cell"));
+        job.cell = CellName(json.at("cell"));
         job.acceptedAt = json.at("accepted");
         if (json.contains("times")) {
             const Json& times = json.at("times");
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -36,7 +36,7 @@
 public:
     struct Options {
         HostName self;
-        DataCentreName cell;
+        CellName cell;
         Duration lease { std::chrono::milliseconds(1500) }; // a takeover has to fit in the lease of workers
         Duration renewInterval { std::chrono::milliseconds(500) }; // three renewals in a lease
         Duration retryInterval { std::chrono::milliseconds(200) }; // after a write without effect
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -34,7 +34,7 @@
 void Scheduler::observeLease(const StoredRowChange& change, Turn& turn)
 {
     const auto* row = change.value ? std::get_if<CellLease>(&*change.value) : nullptr;
-    const auto found = this->leaderships.find(DataCentreName(change.key.name));
+    const auto found = this->leaderships.find(CellName(change.key.name));
     if (row && found != this->leaderships.end())
         this->noteLeadership(found->first, found->second.observe(*row, change.version, turn.now), {}, turn);
 }
@@ -46,7 +46,7 @@
         if (const auto change = this->desk.writeEnded(end, this->book, turn))
             this->applyRow(*change, turn);
     } else if (this->dispatcher.owns(end.write)) {
-        for (const DataCentreName& cell : this->dispatcher.writeEnded(end, turn))
+        for (const CellName& cell : this->dispatcher.writeEnded(end, turn))
             this->noteLeadership(cell, this->leaderships.at(cell).fence(), {}, turn);
     } else {
         for (auto& [cell, leadership] : this->leaderships) {
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -10,10 +10,11 @@
     return task.job.value() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index) + "#" + std::to_string(run.run);
 }
 
-Dispatcher::Dispatcher(Options options)
+Dispatcher::Dispatcher(Options options, const std::map<DataCentreName, CellName>& cellOf)
     : options(options)
-    , fleet(options.fleet)
+    , fleet(options.fleet, cellOf)
     , recorder(options.recorder)
+    , fillControl(options.fill)
 {
 }
 
@@ -31,13 +32,13 @@
     turn.add(FollowWorkers { true });
 }
 
-void Dispatcher::cellLost(const DataCentreName& cell)
+void Dispatcher::cellLost(const CellName& cell)
 {
     this->cells.erase(cell);
     std::erase_if(this->runs, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
 
-void Dispatcher::renewalRecorded(const DataCentreName& cell, RowVersion version)
+void Dispatcher::renewalRecorded(const CellName& cell, RowVersion version)
 {
     const auto found = this->cells.find(cell);
     if (found != this->cells.end() && found->second.areWorkersFenced && found->second.settleAt == 0)
@@ -162,16 +163,16 @@
         this->queues[queue.name] = queue;
 }
 
-void Dispatcher::allowStarts(const DataCentreName& cell, bool isAllowed)
+void Dispatcher::allowStarts(const CellName& cell, bool isAllowed)
 {
     const auto found = this->cells.find(cell);
     if (found != this->cells.end())
         found->second.mayStart = isAllowed;
 }
 
-std::vector<DataCentreName> Dispatcher::writeEnded(const RowsWriteEnded& end, Turn& turn)
+std::vector<CellName> Dispatcher::writeEnded(const RowsWriteEnded& end, Turn& turn)
 {
-    std::vector<DataCentreName> lost;
+    std::vector<CellName> lost;
     for (const JobId& job : this->recorder.writeEnded(end, this->runs, turn.now)) {
         if (const JobRun* run = this->findRun(job))
             lost.push_back(run->definition().cell);
@@ -207,7 +208,8 @@
         JobRun* job = this->findRun(id);
         if (!job)
             return true;
-        bool isOccupied = job->isDirty();
+        // The book has to know the end too, or a row that is read later would open the job again.
+        bool isOccupied = job->isDirty() || !job->isEndFollowed();
         job->allTasks([&](const TaskId&, const TaskSlot& slot) { isOccupied = isOccupied || isOnWorker(slot.stage); });
         if (!isOccupied)
             this->runs.erase(id);
@@ -215,31 +217,31 @@
     });
 }
 
-std::int64_t Dispatcher::capacityOf(const DataCentreName& cell) const
+std::int64_t Dispatcher::capacityOf(const CellName& cell) const
 {
     std::int64_t capacity = 0;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.entry.dataCentre == cell && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
+        if (worker.cell == cell && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
             capacity += worker.entry.capacity.millicores;
     }
     return capacity;
 }
 
-std::vector<std::string> Dispatcher::labelsOf(const DataCentreName& cell) const
+std::vector<std::string> Dispatcher::labelsOf(const CellName& cell) const
 {
     std::set<std::string> labels;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.entry.dataCentre == cell && worker.isListed)
+        if (worker.cell == cell && worker.isListed)
             labels.insert(worker.entry.labels.begin(), worker.entry.labels.end());
     }
     return { labels.begin(), labels.end() };
 }
 
-std::vector<TaskId> Dispatcher::unconfirmedOf(const DataCentreName& cell) const
+std::vector<TaskId> Dispatcher::unconfirmedOf(const CellName& cell) const
 {
     std::vector<TaskId> tasks;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.entry.dataCentre != cell || (worker.isListed && !worker.isSuspect))
+        if (worker.cell != cell || (worker.isListed && !worker.isSuspect))
             continue;
         for (const auto& [run, charge] : worker.runs)
             tasks.push_back(run.task);
@@ -272,16 +274,16 @@
     }
 }
 
-bool Dispatcher::areWorkersFenced(const DataCentreName& name) const
+bool Dispatcher::areWorkersFenced(const CellName& name) const
 {
     const auto& workers = this->fleet.all();
     return std::all_of(workers.begin(), workers.end(), [&](const auto& entry) {
         const FleetWorker& worker = entry.second;
-        return worker.entry.dataCentre != name || !worker.isListed || worker.isFenced;
+        return worker.cell != name || !worker.isListed || worker.isFenced;
     });
 }
 
-void Dispatcher::settle(const DataCentreName& name, Cell& cell, bool isOver, Turn& turn)
+void Dispatcher::settle(const CellName& name, Cell& cell, bool isOver, Turn& turn)
 {
     cell.isSettled = true;
     if (isOver)
@@ -295,7 +297,7 @@
 
 WorkerAddress Dispatcher::addressOf(const FleetWorker& worker) const
 {
-    const auto cell = this->cells.find(worker.entry.dataCentre);
+    const auto cell = this->cells.find(worker.cell);
     return { worker.entry.id, worker.entry.endpoint, cell == this->cells.end() ? 0 : cell->second.epoch };
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -10,6 +10,7 @@
 //     dispatcher.holdEnded(end, turn);
 //     dispatcher.tick(turn);
 
+#include "scheduling/fill_control.h"
 #include "scheduling/fleet.h"
 #include "scheduling/job_run.h"
 #include "scheduling/placement.h"
@@ -21,7 +22,7 @@
 
 // CellTaken says that this host has begun to lead a cell.
 struct CellTaken {
-    DataCentreName cell;
+    CellName cell;
     Epoch epoch { 0 };
     RowVersion takenAt { 0 }; // jobs accepted later can't have runs of a former leader
     std::vector<TaskId> unconfirmed; // of the former leader's last report
@@ -33,6 +34,7 @@
     struct Options {
         Fleet::Options fleet {};
         Recorder::Options recorder {};
+        FillControl::Options fill {};
         Duration formerGrace { std::chrono::seconds(5) }; // a former leader may decide on so long; as CellLeadership
         Duration holdWait { std::chrono::milliseconds(1000) }; // a quarter of the lease or less
         Duration holdRetry { std::chrono::milliseconds(150) }; // after a hold without answer
@@ -46,34 +48,37 @@
         Duration dataPatience { std::chrono::milliseconds(500) }; // for room near the data
         Duration evictionInterval { std::chrono::milliseconds(500) }; // between two evictions for one task
         std::size_t misfitsInPass { 48 }; // tasks without room after which a pass over the queue ends
+        Duration guardWait { std::chrono::milliseconds(350) }; // of holds where fills work beside serving tasks near their target
+        std::size_t evictionsInPass { 2 }; // searches
         Duration passInterval { std::chrono::milliseconds(50) }; // between passes when nothing has changed
     };
 
-    explicit Dispatcher(Options options);
+    // `cellOf` gives the cell of each data centre.
+    Dispatcher(Options options, const std::map<DataCentreName, CellName>& cellOf);
 
     // Commands. Each adds what has to be done to the turn.
     void cellTaken(const CellTaken& taken, JobBook& book, Turn& turn);
-    void cellLost(const DataCentreName& cell);
-    void renewalRecorded(const DataCentreName& cell, RowVersion version);
+    void cellLost(const CellName& cell);
+    void renewalRecorded(const CellName& cell, RowVersion version);
     void storeFollowed(RowVersion version, Turn& turn);
     void jobChanged(const JobRecord& record, Turn& turn);
     void jobRemoved(const JobId& job);
     void workersListed(const WorkersListed& change);
     void holdEnded(const HoldEnded& end, Turn& turn);
     void taskCallEnded(const TaskCallEnded& end, Turn& turn);
-    std::vector<DataCentreName> writeEnded(const RowsWriteEnded& end, Turn& turn); // cells led by another host
+    std::vector<CellName> writeEnded(const RowsWriteEnded& end, Turn& turn); // cells led by another host
     void configurationChanged(const SchedulingConfiguration& configuration);
-    void allowStarts(const DataCentreName& cell, bool isAllowed);
+    void allowStarts(const CellName& cell, bool isAllowed);
     void tick(Turn& turn);
 
     // Queries.
     bool owns(std::uint64_t write) const { return this->recorder.owns(write); }
-    bool leads(const DataCentreName& cell) const { return this->cells.contains(cell); }
+    bool leads(const CellName& cell) const { return this->cells.contains(cell); }
     bool leadsAny() const { return !this->cells.empty(); }
     std::optional<Epoch> fencedAt() const { return this->metHigherEpoch; }
-    std::int64_t capacityOf(const DataCentreName& cell) const;
-    std::vector<std::string> labelsOf(const DataCentreName& cell) const;
-    std::vector<TaskId> unconfirmedOf(const DataCentreName& cell) const;
+    std::int64_t capacityOf(const CellName& cell) const;
+    std::vector<std::string> labelsOf(const CellName& cell) const;
+    std::vector<TaskId> unconfirmedOf(const CellName& cell) const;
     std::size_t owedJobs() const { return this->recorder.owedJobs(); }
     std::size_t activeJobs() const { return this->runs.size(); }
     std::size_t runningTasks() const;
@@ -108,6 +113,7 @@
     void confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn);
+    void paceFills(FleetWorker& worker, Turn& turn);
     void loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
     void loseRuns(FleetWorker& worker, const char* cause, Turn& turn);
     void suspect(FleetWorker& worker, const HoldEnded& end, Turn& turn);
@@ -132,8 +138,8 @@
 
     // Runs of former leaders.
     void settleCells(Turn& turn);
-    void settle(const DataCentreName& name, Cell& cell, bool isOver, Turn& turn);
-    bool areWorkersFenced(const DataCentreName& name) const;
+    void settle(const CellName& name, Cell& cell, bool isOver, Turn& turn);
+    bool areWorkersFenced(const CellName& name) const;
 
     // Placement.
     struct Pass;
@@ -150,8 +156,9 @@
     Options options;
     Fleet fleet;
     Recorder recorder;
+    FillControl fillControl;
     JobRuns runs;
-    std::map<DataCentreName, Cell> cells;
+    std::map<CellName, Cell> cells;
     std::map<QueueName, QueueRule> queues;
     RowVersion followed { 0 };
     std::optional<WallTime> nextDue; // of an occurrence
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -8,7 +8,7 @@
 {
     std::vector<WorkerId> gone;
     for (auto& [id, worker] : this->fleet.all()) {
-        const auto cell = this->cells.find(worker.entry.dataCentre);
+        const auto cell = this->cells.find(worker.cell);
         if (cell == this->cells.end()) {
             if (!worker.isListed)
                 gone.push_back(id);
@@ -38,7 +38,7 @@
     if (call.deadline)
         this->fleet.granted(worker, turn.now);
     if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
-        call.wait = this->options.holdWait;
+        call.wait = worker.serving > 0 && worker.fillMillicores > 0 ? this->options.guardWait : this->options.holdWait;
     call.to.epoch = cell.epoch;
     worker.isHolding = true;
     worker.holdSentAt = turn.now;
@@ -64,7 +64,7 @@
 void Dispatcher::taskCallEnded(const TaskCallEnded& end, Turn& turn)
 {
     FleetWorker* worker = this->fleet.find(end.worker);
-    const auto cell = worker ? this->cells.find(worker->entry.dataCentre) : this->cells.end();
+    const auto cell = worker ? this->cells.find(worker->cell) : this->cells.end();
     if (cell == this->cells.end() || cell->second.epoch != end.epoch)
         return;
     if (end.status == WorkerCallStatus::Fenced) {
@@ -86,6 +86,7 @@
         return;
     if (end.status == WorkerCallStatus::Ok) {
         worker.runs[end.run].confirmedAt = turn.now;
+        worker.runs[end.run].confirmedFirst = turn.now;
         return job->setStage(end.run.task, TaskStage::Running, turn.now);
     }
     if (end.status == WorkerCallStatus::Unclear)
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -31,18 +31,20 @@
 // Pass remembers what found no room, so that no larger task is tried.
 struct Dispatcher::Pass {
     struct Misfit {
-        const DataCentreName* cell;
+        const CellName* cell;
         ServiceName service;
         TaskResources need;
         bool isFilling { false };
+        ImageName image {};
     };
     std::vector<Misfit> misfits;
     std::size_t count { 0 };
+    std::size_t evictions { 0 };
 
-    bool isHopeless(const DataCentreName& cell, const ServiceName& service, const StepDefinition& step) const
+    bool isHopeless(const CellName& cell, const ServiceName& service, const StepDefinition& step) const
     {
         return std::any_of(this->misfits.begin(), this->misfits.end(), [&](const Misfit& misfit) {
-            return misfit.isFilling == step.isFilling && *misfit.cell == cell && misfit.service == service && misfit.need.fitsIn(step.need);
+            return misfit.isFilling == step.isFilling && (!step.isFilling || misfit.image == step.image) && *misfit.cell == cell && misfit.service == service && misfit.need.fitsIn(step.need);
         });
     }
 };
@@ -121,6 +123,7 @@
         return false;
     const PlacementRequest request {
         .step = step,
+        .fills = this->fillControl,
         .cell = job.definition().cell,
         .service = rule.service,
         .now = turn.now,
@@ -135,10 +138,13 @@
         this->start(job, task, *worker, job.nextRun(slot), turn);
         return true;
     }
-    this->evictFor(job, task, request, turn);
+    if (pass.evictions < this->options.evictionsInPass) {
+        ++pass.evictions;
+        this->evictFor(job, task, request, turn);
+    }
     ++pass.count;
     if (isPlain && slot.failedOn.isEmpty())
-        pass.misfits.push_back({ &job.definition().cell, rule.service, step.need, step.isFilling });
+        pass.misfits.push_back({ &job.definition().cell, rule.service, step.need, step.isFilling, step.image });
     return false;
 }
 
@@ -154,7 +160,7 @@
     for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
         const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
         run = std::max(run, job.nextRun(unit.tasks[index]));
-        PlacementRequest request { .step = step, .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
+        PlacementRequest request { .step = step, .fills = this->fillControl, .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -10,7 +10,7 @@
     if (!worker)
         return;
     worker->isHolding = false;
-    const auto cell = this->cells.find(worker->entry.dataCentre);
+    const auto cell = this->cells.find(worker->cell);
     if (cell == this->cells.end())
         return;
     if (end.epoch != cell->second.epoch) {
@@ -29,6 +29,7 @@
             this->noteEnd(*worker, run, turn);
     }
     this->compareRuns(*worker, end, turn);
+    this->paceFills(*worker, turn);
     this->acknowledge(*worker);
     worker->nextHold = worker->owed.empty() ? turn.now : turn.now + this->options.owedHold;
     this->placeTasks(turn);
@@ -191,6 +192,8 @@
 void Dispatcher::confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn)
 {
     RunCharge& charge = worker.runs.at(task.id);
+    if (charge.confirmedFirst == Instant())
+        charge.confirmedFirst = turn.now;
     charge.confirmedAt = turn.now;
     charge.load = task.load;
     JobRun* job = this->findRun(task.id.task.job);
@@ -244,6 +247,15 @@
         this->loseRun(worker, run, "not-reported", turn);
 }
 
+void Dispatcher::paceFills(FleetWorker& worker, Turn& turn)
+{
+    this->fillControl.observe(worker, turn.now);
+    for (const PaceChange& change : this->fillControl.pacesFor(worker)) {
+        turn.add(PaceTask { this->addressOf(worker), change.run, change.percent });
+        turn.add(LogDecision { DecisionEvent::TaskPaced, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
+    }
+}
+
 void Dispatcher::loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
 {
     this->fleet.release(worker, run);
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -23,8 +23,9 @@
     return *this->clock + toMilliseconds(now - this->clockSeen) + toMilliseconds(lease);
 }
 
-Fleet::Fleet(Options options)
+Fleet::Fleet(Options options, std::map<DataCentreName, CellName> cellOf)
     : options(options)
+    , cellOf(std::move(cellOf))
 {
 }
 
@@ -35,6 +36,8 @@
         FleetWorker& worker = this->workers[entry.id];
         worker.entry = entry;
         worker.isListed = true;
+        const auto cell = this->cellOf.find(entry.dataCentre);
+        worker.cell = cell == this->cellOf.end() ? CellName() : cell->second;
         named.insert(entry.id);
     }
     for (const WorkerId& id : change.removed) {
@@ -55,13 +58,14 @@
     return found == this->workers.end() ? nullptr : &found->second;
 }
 
-void Fleet::beginEpoch(const DataCentreName& cell, Instant now)
+void Fleet::beginEpoch(const CellName& cell, Instant now)
 {
     for (auto& [id, worker] : this->workers) {
-        if (worker.entry.dataCentre != cell)
+        if (worker.cell != cell)
             continue;
         FleetWorker fresh;
         fresh.entry = worker.entry;
+        fresh.cell = worker.cell;
         fresh.isListed = worker.isListed;
         fresh.isHolding = worker.isHolding;
         fresh.nextHold = now;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -23,8 +23,10 @@
     std::int64_t fillMillicores { 0 }; // wanted by a filling run
     bool isStopping { false };
     Instant stopAskedAt;
+    Instant confirmedFirst; // when it was first known to run
     Instant confirmedAt; // when a start was answered or a report named it
     Duration latencyTarget { 0 };
+    ImageName image {};
     std::int64_t load { 0 }; // as last reported
     int pace { 100 }; // percent that was last asked for
 };
@@ -39,6 +41,7 @@
 // FleetWorker is one worker. Times are this host's.
 struct FleetWorker {
     ListedWorker entry;
+    CellName cell;
     bool isListed { false };
     bool isFenced { false }; // has answered under the current epoch
     bool isHolding { false }; // a hold is in flight
@@ -57,6 +60,7 @@
     TaskResources used;
     std::int64_t fillMillicores { 0 };
     std::uint32_t serving { 0 };
+    double servingUsage { 0.5 }; // share of their reserved cores that serving tasks are seen to use
     std::map<TaskRunId, RunCharge> runs;
 
     // room() is what is left of the capacity.
@@ -78,7 +82,8 @@
         double clockDrift { 0.02 }; // a worker's clock may be this much slow, says the platform
     };
 
-    explicit Fleet(Options options);
+    // `cellOf` gives the cell of each data centre.
+    Fleet(Options options, std::map<DataCentreName, CellName> cellOf);
 
     // list() takes changed entries of the list.
     void list(const WorkersListed& change);
@@ -87,7 +92,7 @@
     FleetWorker* find(const WorkerId& worker);
 
     // beginEpoch() forgets what was known of the workers of a cell under an earlier leader.
-    void beginEpoch(const DataCentreName& cell, Instant now);
+    void beginEpoch(const CellName& cell, Instant now);
 
     // charge() counts a run against its worker, release() gives its room back.
     void charge(FleetWorker& worker, const TaskRunId& run, RunCharge charge);
@@ -107,6 +112,7 @@
 
 private:
     Options options;
+    std::map<DataCentreName, CellName> cellOf;
     std::map<WorkerId, FleetWorker> workers;
 };
 
--- a/packages/scheduling/job_book.cc
+++ b/packages/scheduling/job_book.cc
@@ -97,7 +97,7 @@
     return found == this->pending.end() ? 0 : static_cast<std::uint64_t>(found->second + 0.5);
 }
 
-double JobBook::outstandingWork(const DataCentreName& cell) const
+double JobBook::outstandingWork(const CellName& cell) const
 {
     const auto found = this->outstanding.find(cell);
     return found == this->outstanding.end() ? 0 : found->second;
--- a/packages/scheduling/job_book.h
+++ b/packages/scheduling/job_book.h
@@ -43,7 +43,7 @@
     std::uint64_t countPending(const std::string& host, const std::string& pathPrefix) const;
 
     // outstandingWork() is the work left in the cell in core milliseconds, by the submitters' estimates.
-    double outstandingWork(const DataCentreName& cell) const;
+    double outstandingWork(const CellName& cell) const;
 
     // size() is the number of jobs in the book.
     std::size_t size() const { return this->records.size(); }
@@ -64,7 +64,7 @@
 
     std::unordered_map<JobId, JobRecord> records;
     std::map<std::pair<std::string, std::string>, double> pending; // by host and path prefix
-    std::map<DataCentreName, double> outstanding;
+    std::map<CellName, double> outstanding;
 };
 
 // workOf() is the work of a job in core milliseconds, by the submitter's estimates.
--- a/packages/scheduling/job_run.h
+++ b/packages/scheduling/job_run.h
@@ -132,6 +132,9 @@
     std::uint64_t recorded() const { return this->recordedGeneration; }
     bool isDirty() const { return this->state.generation > this->recordedGeneration; }
 
+    // isEndFollowed() says whether the end of the job has come back from the store.
+    bool isEndFollowed() const { return isFinal(this->record->progress.phase); }
+
     // noteRecorded() notes what the store holds.
     void noteRecorded(std::uint64_t generation, RowVersion version);
 
--- a/packages/scheduling/job_types.h
+++ b/packages/scheduling/job_types.h
@@ -15,6 +15,7 @@
 namespace dragonflytray {
 
 using QueueName = StrongId<struct QueueNameTag>;
+using CellName = StrongId<struct CellNameTag>; // workers under one leader
 using WorkerId = StrongId<struct WorkerIdTag>; // one incarnation series of a worker
 using ImageName = StrongId<struct ImageNameTag>;
 
@@ -102,7 +103,7 @@
     std::uint32_t repetitions { 0 }; // 0: once, at once
     WallTime firstDue { 0 };
     Duration interval { 0 };
-    DataCentreName cell; // whose leader runs the job
+    CellName cell; // whose leader runs the job
     WallTime acceptedAt { 0 };
 
     // occurrences() is how often the steps run.
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -9,6 +9,9 @@
     // Weight of a preference against millicores left over: more than any worker has.
     constexpr double strongPreference = 1e9;
 
+    // A fill goes where it harms least; among equals, where most cores are idle.
+    constexpr double riskWeight = 20000; // millicores for a whole logarithm of the tail
+
     bool hasLabel(const FleetWorker& worker, const std::string& label)
     {
         const std::vector<std::string>& labels = worker.entry.labels;
@@ -18,7 +21,7 @@
     // isEligible() says whether the task may run on the worker at all.
     bool isEligible(const FleetWorker& worker, const PlacementRequest& request)
     {
-        if (worker.entry.dataCentre != request.cell || worker.entry.service != request.service || !worker.takesTasks(request.now))
+        if (worker.cell != request.cell || worker.entry.service != request.service || !worker.takesTasks(request.now))
             return false;
         const StepDefinition& step = request.step;
         if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel))
@@ -32,17 +35,11 @@
         return step.maxPerWorker == 0 || !request.sameStepRuns || request.sameStepRuns(worker.entry.id) < step.maxPerWorker;
     }
 
-    // idleMillicores() is what neither reservations nor filling tasks are expected to use.
-    std::int64_t idleMillicores(const FleetWorker& worker)
-    {
-        return worker.entry.capacity.millicores - worker.used.millicores - worker.fillMillicores;
-    }
-
     bool hasRoom(const FleetWorker& worker, const PlacementRequest& request)
     {
         if (!chargeOf(request.step).need.fitsIn(worker.room()))
             return false;
-        return !request.step.isFilling || idleMillicores(worker) >= request.step.need.millicores;
+        return !request.step.isFilling || request.fills.admits(worker, request.step.image, request.step.need.millicores);
     }
 
     // leftOver() orders workers with room: the smaller, the better.
@@ -51,10 +48,8 @@
         const StepDefinition& step = request.step;
         double score = static_cast<double>(worker.room().millicores);
         if (step.isFilling)
-            score = -static_cast<double>(idleMillicores(worker)) + (worker.serving > 0 ? strongPreference : 0);
+            score = request.fills.risk(worker, step.image, step.need.millicores) * riskWeight - request.fills.idleMillicores(worker);
         else if (step.latencyTarget > Duration(0))
-            score += worker.fillMillicores > 0 ? strongPreference : 0;
-        else
             score += static_cast<double>(worker.fillMillicores);
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
             score += 2 * strongPreference;
@@ -70,6 +65,7 @@
     charge.isFilling = step.isFilling;
     charge.isServing = step.latencyTarget > Duration(0);
     charge.latencyTarget = step.latencyTarget;
+    charge.image = step.image;
     if (step.isFilling) {
         charge.need.millicores = 0;
         charge.fillMillicores = step.need.millicores;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -4,9 +4,10 @@
 //
 // Example:
 //
-//     PlacementRequest request { .step = step, .cell = cell, .service = service, .now = now };
+//     PlacementRequest request { .step = step, .fills = fills, .cell = cell, .service = service, .now = now };
 //     if (FleetWorker* worker = chooseWorker(fleet, request)) { ... }
 
+#include "scheduling/fill_control.h"
 #include "scheduling/fleet.h"
 #include <functional>
 
@@ -15,7 +16,8 @@
 // PlacementRequest is one task that looks for a worker.
 struct PlacementRequest {
     const StepDefinition& step;
-    const DataCentreName& cell;
+    const FillControl& fills;
+    const CellName& cell;
     const ServiceName& service;
     Instant now;
     WorkerId avoid; // where the task failed before; empty: none
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -38,15 +38,34 @@
     &Scheduler::summaryView,
 };
 
+std::map<DataCentreName, CellName> cellsOf(const std::vector<DataCentrePlace>& places, LeadershipScope scope)
+{
+    std::map<DataCentreName, CellName> cells;
+    for (const DataCentrePlace& place : places) {
+        const EnumArray<LeadershipScope, std::string, leadershipScopeNames.size()> names = [&] {
+            EnumArray<LeadershipScope, std::string, leadershipScopeNames.size()> byScope;
+            byScope[LeadershipScope::Whole] = "whole";
+            byScope[LeadershipScope::Region] = place.region.value();
+            byScope[LeadershipScope::DataCentre] = place.name.value();
+            return byScope;
+        }();
+        cells[place.name] = CellName(names[scope]);
+    }
+    return cells;
+}
+
 Scheduler::Scheduler(Options options)
     : options(std::move(options))
     , desk(this->options.desk)
-    , dispatcher(this->options.dispatcher)
+    , dispatcher(this->options.dispatcher, cellsOf(this->options.dataCentres, this->options.scope))
 {
+    const std::map<DataCentreName, CellName> cells = cellsOf(this->options.dataCentres, this->options.scope);
+    if (const auto home = cells.find(this->options.home); home != cells.end())
+        this->homeCell = home->second;
     const auto spread = std::chrono::duration_cast<Duration>(this->options.takeSpread * startSpread(this->options));
-    for (const CellPlace& cell : this->options.cells) {
-        const Duration delay = spread + (cell.name == this->options.home ? Duration(0) : this->options.foreignDelay);
-        this->leaderships.try_emplace(cell.name, CellLeadership::Options { .self = this->options.self, .cell = cell.name, .lease = this->options.lease, .takeDelay = delay, .storeGrace = this->options.dispatcher.formerGrace });
+    for (const auto& [place, cell] : cells) {
+        const Duration delay = spread + (cell == this->homeCell ? Duration(0) : this->options.foreignDelay);
+        this->leaderships.try_emplace(cell, CellLeadership::Options { .self = this->options.self, .cell = cell, .lease = this->options.lease, .takeDelay = delay, .storeGrace = this->options.dispatcher.formerGrace });
     }
 }
 
@@ -68,7 +87,7 @@
     return std::all_of(this->leaderships.begin(), this->leaderships.end(), [](const auto& entry) { return entry.second.isGivenUp(); });
 }
 
-void Scheduler::noteLeadership(const DataCentreName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, Turn& turn)
+void Scheduler::noteLeadership(const CellName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, Turn& turn)
 {
     const CellLeadership& leadership = this->leaderships.at(cell);
     if (change == LeadershipChange::Taken) {
@@ -79,7 +98,7 @@
     }
 }
 
-void Scheduler::loseCell(const DataCentreName& cell, Turn& turn)
+void Scheduler::loseCell(const CellName& cell, Turn& turn)
 {
     if (!this->dispatcher.leads(cell))
         return;
@@ -117,14 +136,14 @@
     }
 }
 
-double Scheduler::loadOf(const CellPlace& cell, const JobDefinition& job, Instant now) const
+double Scheduler::loadOf(const CellName& cell, const JobDefinition& job, Instant now) const
 {
     constexpr double unusable = 1e12;
     constexpr double preferred = 10;
-    const CellLeadership& leadership = this->leaderships.at(cell.name);
+    const CellLeadership& leadership = this->leaderships.at(cell);
     const CellLease& lease = leadership.row();
-    const bool isLed = now < leadership.seenAt() + 2 * this->options.lease || this->dispatcher.leads(cell.name);
-    double load = this->book.outstandingWork(cell.name) / std::max<double>(static_cast<double>(lease.capacityMillicores), 1);
+    const bool isLed = now < leadership.seenAt() + 2 * this->options.lease || this->dispatcher.leads(cell);
+    double load = this->book.outstandingWork(cell) / std::max<double>(static_cast<double>(lease.capacityMillicores), 1);
     if (!isLed || lease.capacityMillicores == 0)
         load += unusable;
     for (const StepDefinition& step : job.steps) {
@@ -132,24 +151,23 @@
         load += carries(step.requiredLabel) ? 0 : unusable;
         load += carries(step.nearLabel) ? 0 : preferred;
     }
-    return load;
+    return load + (cell == this->homeCell ? 0 : this->options.foreignCost);
 }
 
-DataCentreName Scheduler::chooseCell(const JobDefinition& job, Instant now) const
+CellName Scheduler::chooseCell(const JobDefinition& job, Instant now) const
 {
-    const CellPlace* best = nullptr;
-    double bestLoad = 0;
-    RegionName homeRegion;
-    for (const CellPlace& cell : this->options.cells)
-        homeRegion = cell.name == this->options.home ? cell.region : homeRegion;
-    for (const CellPlace& cell : this->options.cells) {
-        const double load = this->loadOf(cell, job, now) + (cell.region == homeRegion ? 0 : this->options.foreignCost);
-        if (!best || load < bestLoad) {
-            best = &cell;
-            bestLoad = load;
-        }
+    CellName best = this->homeCell;
+    if (this->leaderships.size() == 1)
+        return best;
+    double bestLoad = this->loadOf(best, job, now);
+    for (const auto& [cell, leadership] : this->leaderships) {
+        const double load = this->loadOf(cell, job, now);
+        if (load >= bestLoad)
+            continue;
+        best = cell;
+        bestLoad = load;
     }
-    return best ? best->name : this->options.home;
+    return best;
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -7,7 +7,7 @@
 //
 // Example:
 //
-//     Scheduler scheduler({ .self = HostName("entry-1"), .home = cell, .cells = { cell } });
+//     Scheduler scheduler({ .self = HostName("entry-1"), .home = place.name, .dataCentres = { place } });
 //     SchedulerEffects effects = scheduler.handle(SubmitJobSteps { token, host, path, job }, now);
 //     SchedulerView view = scheduler.ask(QueueQuery { host, path }, now);
 
@@ -19,30 +19,48 @@
 
 namespace dragonflytray {
 
-// CellPlace is one cell and the region it lies in.
-struct CellPlace {
+// DataCentrePlace is one data centre and its region.
+struct DataCentrePlace {
     DataCentreName name;
     RegionName region;
 };
 
+// LeadershipScope says what one leader decides for.
+enum class LeadershipScope {
+    Whole, // every worker
+    Region,
+    DataCentre,
+};
+
+inline constexpr NameTable leadershipScopeNames { std::to_array<NameEntry<LeadershipScope>>({
+    { LeadershipScope::Whole, "whole" },
+    { LeadershipScope::Region, "region" },
+    { LeadershipScope::DataCentre, "data-centre" },
+}) };
+static_assert(leadershipScopeNames.isWhole(LeadershipScope::DataCentre));
+
+// cellsOf() is the cell of each data centre.
+std::map<DataCentreName, CellName> cellsOf(const std::vector<DataCentrePlace>& places, LeadershipScope scope);
+
 // Scheduler owns what one entry host knows. Not thread-safe: one duty owns it.
 class Scheduler {
 public:
     struct Options {
         HostName self;
-        DataCentreName home; // the data centre that this host stands in
-        std::vector<CellPlace> cells; // one for each data centre
+        DataCentreName home; // the data centre of this host
+        std::vector<DataCentrePlace> dataCentres;
+        LeadershipScope scope { LeadershipScope::Whole };
         double processorShare { 1 }; // of a core; larger hosts lead first
         Dispatcher::Options dispatcher {};
         ClientDesk::Options desk {};
         Duration lease { std::chrono::milliseconds(1500) }; // of a cell's leader
-        Duration foreignDelay { std::chrono::milliseconds(1200) }; // a host of another data centre waits longer by this
+        Duration foreignDelay { std::chrono::milliseconds(1200) }; // a host outside the cell waits longer by this
         Duration takeSpread { std::chrono::milliseconds(240) }; // hosts of one data centre try at different times within it
         Duration storePatience { std::chrono::milliseconds(2500) }; // without an answer of the store the host is not ready
         Duration retention { std::chrono::minutes(5) }; // of ended jobs
         Duration sweepInterval { std::chrono::seconds(10) }; // between two removals of ended jobs
         std::size_t removalsInWrite { 30 }; // jobs
-        double foreignCost { 0.15 }; // load that a cell of another region must be lower by to be chosen
+        double foreignCost { 0.15 }; // load that another cell must be lower by to be chosen
     };
 
     explicit Scheduler(Options options);
@@ -89,19 +107,20 @@
 
     void applyRow(const StoredRowChange& change, Turn& turn);
     void observeLease(const StoredRowChange& change, Turn& turn);
-    void noteLeadership(const DataCentreName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, Turn& turn);
-    void loseCell(const DataCentreName& cell, Turn& turn);
+    void noteLeadership(const CellName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, Turn& turn);
+    void loseCell(const CellName& cell, Turn& turn);
     void keepLeases(Turn& turn);
     void checkFence(Turn& turn);
-    DataCentreName chooseCell(const JobDefinition& job, Instant now) const;
-    double loadOf(const CellPlace& cell, const JobDefinition& job, Instant now) const;
+    CellName chooseCell(const JobDefinition& job, Instant now) const;
+    double loadOf(const CellName& cell, const JobDefinition& job, Instant now) const;
     void removeEnded(Turn& turn);
 
     Options options;
     JobBook book;
     ClientDesk desk;
     Dispatcher dispatcher;
-    std::map<DataCentreName, CellLeadership> leaderships;
+    std::map<CellName, CellLeadership> leaderships;
+    CellName homeCell;
     SchedulingConfiguration configuration;
     RowVersion followed { 0 };
     bool hasFollowed { false };
