--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -49,7 +49,11 @@
         Duration evictionInterval { std::chrono::milliseconds(500) }; // between two evictions for one task
         std::size_t misfitsInPass { 48 }; // tasks without room after which a pass over the queue ends
         Duration guardWait { std::chrono::milliseconds(350) }; // of holds where fills work beside serving tasks near their target
+        Duration lastingPatience { std::chrono::milliseconds(1500) }; // room has to last so long before a lasting task takes it from short work
+        Duration shortWorkMemory { std::chrono::seconds(5) }; // short work is expected so long after the last
+        double restartLoss { 0.3 }; // seconds of work that stopping a run with checkpoints costs
         std::size_t evictionsInPass { 2 }; // searches
+        Duration passPause { std::chrono::milliseconds(10) }; // between passes however much changes
         Duration passInterval { std::chrono::milliseconds(50) }; // between passes when nothing has changed
     };
 
@@ -150,7 +154,8 @@
     bool placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn);
     void start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn);
     void evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn);
-    std::optional<double> evictionCost(const TaskRunId& run, int priority, Instant now);
+    std::optional<double> evictionCost(const TaskRunId& run, const PlacementRequest& request, int priority);
+    bool yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const;
     std::uint32_t sameStepRuns(const TaskId& task, const WorkerId& worker);
 
     Options options;
@@ -165,6 +170,7 @@
     std::optional<Epoch> metHigherEpoch;
     bool needsPass { false };
     Instant lastPass;
+    Instant lastShortStart; // of a task that neither lasts nor fills
     std::set<JobId> finished; // final jobs that may still have something on workers or owed
 };
 
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -9,10 +9,10 @@
 
 namespace {
 
-    // UrgencyClass orders jobs before their deadlines do.
+    // UrgencyClass orders jobs of one priority.
     enum class UrgencyClass {
-        Lasting,
         InTime,
+        Lasting,
         Late, // counts for less
         Worthless, // counts for nothing any more
     };
@@ -26,6 +26,15 @@
         return now <= job.lateEnd ? UrgencyClass::Late : UrgencyClass::Worthless;
     }
 
+    // rankOf() puts what is late behind everything else, whatever its priority.
+    int rankOf(UrgencyClass urgency, int priority)
+    {
+        constexpr int lateRank = 1000;
+        const int isLate = urgency == UrgencyClass::Late ? 1 : urgency == UrgencyClass::Worthless ? 2
+                                                                                                  : 0;
+        return isLate * lateRank + 2 * priority + (urgency == UrgencyClass::Lasting ? 1 : 0);
+    }
+
 } // namespace
 
 // Pass remembers what found no room, so that no larger task is tried.
@@ -52,8 +61,7 @@
 std::vector<JobRun*> Dispatcher::orderedJobs(Instant now)
 {
     struct Entry {
-        UrgencyClass urgency;
-        int priority;
+        int rank;
         Instant deadline;
         JobRun* job;
     };
@@ -62,10 +70,10 @@
         const auto cell = this->cells.find(job->definition().cell);
         if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end() || !cell->second.mayStart)
             continue;
-        entries.push_back({ urgencyOf(*job, now), this->ruleOf(*job).priority, job->objectiveEnd, job.get() });
+        entries.push_back({ rankOf(urgencyOf(*job, now), this->ruleOf(*job).priority), job->objectiveEnd, job.get() });
     }
     std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-        return std::tie(a.urgency, a.priority, a.deadline) < std::tie(b.urgency, b.priority, b.deadline);
+        return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
     });
     std::vector<JobRun*> jobs;
     jobs.reserve(entries.size());
@@ -76,7 +84,7 @@
 
 void Dispatcher::placeTasks(Turn& turn)
 {
-    if (!this->needsPass && turn.now < this->lastPass + this->options.passInterval)
+    if (turn.now < this->lastPass + (this->needsPass ? this->options.passPause : this->options.passInterval))
         return;
     this->needsPass = false;
     this->lastPass = turn.now;
@@ -124,6 +132,7 @@
     const PlacementRequest request {
         .step = step,
         .fills = this->fillControl,
+        .image = this->fillControl.findNumber(step.image),
         .cell = job.definition().cell,
         .service = rule.service,
         .now = turn.now,
@@ -134,10 +143,13 @@
         .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); },
     };
     FleetWorker* worker = chooseWorker(this->fleet, request);
+    if (worker && this->yieldsToShortWork(step, slot, turn.now))
+        return true;
     if (worker) {
         this->start(job, task, *worker, job.nextRun(slot), turn);
         return true;
     }
+    slot.roomSince = {};
     if (pass.evictions < this->options.evictionsInPass) {
         ++pass.evictions;
         this->evictFor(job, task, request, turn);
@@ -148,6 +160,15 @@
     return false;
 }
 
+bool Dispatcher::yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const
+{
+    if (!step.isLasting || now >= this->lastShortStart + this->options.shortWorkMemory)
+        return false;
+    if (slot.roomSince == Instant())
+        slot.roomSince = now;
+    return now < slot.roomSince + this->options.lastingPatience;
+}
+
 void Dispatcher::placeGang(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn)
 {
     const StepDefinition& step = job.definition().steps[unit.step];
@@ -160,7 +181,7 @@
     for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
         const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
         run = std::max(run, job.nextRun(unit.tasks[index]));
-        PlacementRequest request { .step = step, .fills = this->fillControl, .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
+        PlacementRequest request { .step = step, .fills = this->fillControl, .image = this->fillControl.findNumber(step.image), .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
@@ -187,30 +208,40 @@
     TaskSlot& slot = *job.slot(task);
     slot.worker = worker.entry.id;
     slot.run = run;
+    slot.roomSince = {};
+    const StepDefinition& step = job.definition().steps[task.step];
+    if (!step.isLasting && !step.isFilling)
+        this->lastShortStart = turn.now;
     job.setStage(task, TaskStage::Starting, turn.now);
     if (job.progress().phase == JobPhase::Queued) {
         job.setPhase(JobPhase::Running, turn.wallTime);
         this->markDirty(job);
     }
     const TaskRunId id { task, run };
-    this->fleet.charge(worker, id, chargeOf(job.definition().steps[task.step]));
+    this->fleet.charge(worker, id, chargeOf(step));
     this->fleet.granted(worker, turn.now);
     turn.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = slot.checkpoint, .deadline = worker.deadlineAt(turn.now, this->fleet.lease()).value_or(0) });
     turn.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", worker.notedEnd, turn.wallTime - job.definition().acceptedAt });
 }
 
-std::optional<double> Dispatcher::evictionCost(const TaskRunId& run, int priority, Instant now)
+std::optional<double> Dispatcher::evictionCost(const TaskRunId& run, const PlacementRequest& request, int priority)
 {
     JobRun* job = this->findRun(run.task.job);
     const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
     if (!slot || slot->stage != TaskStage::Running || slot->run != run.run)
         return std::nullopt;
     const StepDefinition& step = job->definition().steps[run.task.step];
-    if (step.isLasting || step.isGang || step.isFilling || this->ruleOf(*job).priority <= priority)
+    const auto cores = static_cast<double>(step.need.millicores);
+    if (step.isGang || step.isFilling || step.disruptionBudget > 0)
+        return std::nullopt;
+    // A lasting task loses the time that it is away; short work of its own priority is worth more a core.
+    if (step.isLasting)
+        return !request.step.isLasting && this->ruleOf(*job).priority >= priority ? std::optional(cores) : std::nullopt;
+    if (this->ruleOf(*job).priority <= priority)
         return std::nullopt;
     // What a run without checkpoints loses is its work; one with them only starts anew elsewhere.
-    const double lost = step.isCheckpointing ? 0.1 : toSeconds(now - slot->since);
-    return lost * static_cast<double>(step.need.millicores);
+    const double lost = step.isCheckpointing ? this->options.restartLoss : toSeconds(request.now - slot->since);
+    return lost * cores;
 }
 
 void Dispatcher::evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn)
@@ -221,7 +252,7 @@
     if (request.step.isFilling || !isWorthIt)
         return;
     slot.notBefore = turn.now + this->options.evictionInterval;
-    const auto eviction = chooseEviction(this->fleet, request, [&](const TaskRunId& run) { return this->evictionCost(run, priority, turn.now); });
+    const auto eviction = chooseEviction(this->fleet, request, [&](const TaskRunId& run) { return this->evictionCost(run, request, priority); });
     if (!eviction)
         return;
     slot.notBefore = turn.now;
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -13,15 +13,15 @@
     // Requests behind one reported tail; only their order of magnitude matters to the model.
     constexpr std::uint64_t requestsInReport = 100;
 
-    double logRatio(const RunCharge& charge)
+    bool isMeasured(const RunCharge& charge)
     {
-        const double tail = std::max(static_cast<double>(charge.load), 1.0);
-        return std::log(tail / static_cast<double>(std::max<long long>(toMilliseconds(charge.latencyTarget), 1)));
+        return charge.isServing && charge.load > 0 && !charge.isStopping;
     }
 
-    bool isMeasured(const RunCharge& charge)
+    // headroomOf() is target / tail: above 1 the target holds.
+    double headroomOf(const RunCharge& charge)
     {
-        return charge.isServing && charge.load > 0 && !charge.isStopping;
+        return static_cast<double>(toMilliseconds(charge.latencyTarget)) / static_cast<double>(charge.load);
     }
 
 } // namespace
@@ -31,144 +31,203 @@
 {
 }
 
-double FillControl::exposureOf(const RunCharge& charge) const
+double FillControl::exposureOf(const FleetWorker& worker, std::int64_t millicores) const
+{
+    return static_cast<double>(millicores) / (static_cast<double>(worker.entry.capacity.millicores) * this->options.exposureShare);
+}
+
+double FillControl::exposureOf(const FleetWorker& worker, const RunCharge& charge) const
+{
+    return this->exposureOf(worker, charge.fillMillicores * charge.pace / 100);
+}
+
+std::size_t FillControl::numberOf(const ImageName& image)
+{
+    return this->numbers.try_emplace(image, this->numbers.size()).first->second;
+}
+
+std::size_t FillControl::findNumber(const ImageName& image) const
 {
-    return static_cast<double>(charge.fillMillicores) / 1000.0 / this->options.exposureCores * charge.pace / 100.0;
+    const auto found = this->numbers.find(image);
+    return found == this->numbers.end() ? unknownImage : found->second;
 }
 
-double FillControl::effectOf(const ImageName& serving, const ImageName& filling) const
+double FillControl::effectOf(std::size_t serving, std::size_t filling) const
 {
-    const auto found = this->estimators.find(serving);
-    if (found == this->estimators.end())
+    if (serving >= this->effects.size() || filling >= this->effects[serving].size())
         return PairEstimator::Options {}.priorEffect;
-    return std::max(found->second.effect(BatchClassName(filling.value()), assumedLoad).mean, 0.0);
+    return this->effects[serving][filling];
 }
 
-void FillControl::observe(FleetWorker& worker, Instant now)
+void FillControl::refreshEffects(std::size_t serving, const ImageName& image)
 {
-    std::map<ImageName, double> exposures;
+    const PairEstimator& estimator = this->estimators.at(image);
+    if (this->effects.size() <= serving)
+        this->effects.resize(serving + 1);
+    std::vector<double>& row = this->effects[serving];
+    for (const BatchClassName& name : estimator.classes()) {
+        const std::size_t filling = this->numberOf(ImageName(name.value()));
+        if (row.size() <= filling)
+            row.resize(filling + 1, PairEstimator::Options {}.priorEffect);
+        row[filling] = std::max(estimator.effect(name, assumedLoad).mean, 0.0);
+    }
+}
+
+void FillControl::summarize(FleetWorker& worker)
+{
+    worker.servings.clear();
     for (const auto& [run, charge] : worker.runs) {
-        if (!charge.isFilling)
+        if (!charge.isServing)
             continue;
-        const double age = std::clamp(toSeconds(now - charge.confirmedFirst) / toSeconds(this->options.window), 0.0, 1.0);
-        exposures[charge.image] += age * this->exposureOf(charge);
+        const std::size_t image = this->numberOf(charge.image);
+        auto found = std::find_if(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) { return entry.image == image; });
+        if (found == worker.servings.end())
+            found = worker.servings.insert(found, { .image = image });
+        ++found->runs;
+        if (isMeasured(charge) && (found->headroom == 0 || headroomOf(charge) < found->headroom))
+            found->headroom = headroomOf(charge);
     }
-    LatencySample sample { .when = now, .count = requestsInReport, .load = assumedLoad, .exposures = {} };
-    for (const auto& [image, weight] : exposures)
-        sample.exposures.push_back({ BatchClassName(image.value()), weight });
+}
+
+void FillControl::observe(FleetWorker& worker, Instant now)
+{
+    this->summarize(worker);
+    if (worker.serving == 0)
+        return;
+    FillSample sample { .at = now };
     for (const auto& [run, charge] : worker.runs) {
-        if (!isMeasured(charge))
+        if (charge.isFilling)
+            sample.exposures[charge.image] += this->exposureOf(worker, std::max<std::int64_t>(charge.load, 0));
+        else if (isMeasured(charge))
+            sample.headrooms[run] = headroomOf(charge);
+    }
+    this->learnUsage(worker, now);
+    const Duration age = now - worker.fillSample.at;
+    if (age < this->options.window / 2)
+        return;
+    if (age <= 2 * this->options.window)
+        this->learn(worker, sample);
+    worker.fillSample = std::move(sample);
+}
+
+void FillControl::learn(FleetWorker& worker, FillSample sample)
+{
+    std::map<ImageName, double> changes = sample.exposures;
+    for (const auto& [image, exposure] : worker.fillSample.exposures)
+        changes[image] -= exposure;
+    LatencySample difference { .when = sample.at, .logLatency = 0, .count = requestsInReport, .load = assumedLoad, .exposures = {} };
+    for (const auto& [image, change] : changes)
+        difference.exposures.push_back({ BatchClassName(image.value()), change });
+    std::map<std::size_t, ImageName> learned;
+    for (const auto& [run, headroom] : sample.headrooms) {
+        const auto before = worker.fillSample.headrooms.find(run);
+        if (before == worker.fillSample.headrooms.end())
             continue;
-        sample.logLatency = std::log(static_cast<double>(charge.load));
-        this->estimators.try_emplace(charge.image, PairEstimator::Options {}).first->second.observe(sample);
+        difference.logLatency = before->second - headroom;
+        const ImageName& image = worker.runs.at(run).image;
+        this->estimators.try_emplace(image, PairEstimator::Options {}).first->second.observe(difference);
+        learned[this->numberOf(image)] = image;
     }
-    this->learnUsage(worker);
+    for (const auto& [number, image] : learned)
+        this->refreshEffects(number, image);
 }
 
-void FillControl::learnUsage(FleetWorker& worker) const
+void FillControl::learnUsage(FleetWorker& worker, Instant now) const
 {
-    std::int64_t reserved = 0;
-    std::int64_t inUse = 0;
+    double inUse = 0;
     double wanted = 0;
     for (const auto& [run, charge] : worker.runs) {
-        reserved += charge.isServing ? charge.need.millicores : 0;
-        if (!charge.isFilling)
+        if (!charge.isFilling || now < charge.confirmedFirst + 2 * this->options.window)
             continue;
-        inUse += charge.load;
+        inUse += static_cast<double>(charge.load);
         wanted += static_cast<double>(charge.fillMillicores) * charge.pace / 100.0;
     }
-    constexpr double saturated = 0.9; // fills that get less than this of what they want find no idle cores
-    if (reserved == 0 || wanted <= 0 || static_cast<double>(inUse) >= saturated * wanted)
-        return;
-    const auto others = static_cast<double>(worker.used.millicores - reserved);
-    const double serving = static_cast<double>(worker.entry.capacity.millicores) - others - static_cast<double>(inUse);
-    const double usage = std::clamp(serving / static_cast<double>(reserved), 0.0, 1.0);
-    worker.servingUsage += this->options.usageGain * (usage - worker.servingUsage);
+    // What one fill uses swings by itself; only several that all get far too little show that nothing is idle.
+    const bool isStarved = wanted >= this->options.starvedMillicores && inUse < this->options.starvedShare * wanted;
+    const double goal = isStarved ? 1.0 : this->options.usagePrior;
+    worker.servingUsage += this->options.usageGain * (goal - worker.servingUsage);
 }
 
 std::vector<PaceChange> FillControl::pacesFor(FleetWorker& worker)
 {
     std::vector<PaceChange> changes;
-    if (worker.fillMillicores == 0)
+    if (worker.fillMillicores == 0 || worker.serving == 0)
         return changes;
-    double worst = std::log(this->options.relaxRatio) - 1;
-    ImageName serving;
-    for (const auto& [run, charge] : worker.runs) {
-        if (isMeasured(charge) && logRatio(charge) > worst) {
-            worst = logRatio(charge);
-            serving = charge.image;
-        }
+    double least = 2 * this->options.relaxHeadroom;
+    std::size_t serving = unknownImage;
+    for (const ServingHeadroom& entry : worker.servings) {
+        if (entry.headroom == 0 || entry.headroom >= least)
+            continue;
+        least = entry.headroom;
+        serving = entry.image;
     }
-    if (worst > std::log(this->options.paceRatio))
-        this->paceDown(worker, worst - std::log(this->options.admitRatio), serving, changes);
-    else if (worst < std::log(this->options.relaxRatio))
+    if (least < this->options.paceHeadroom)
+        this->paceDown(worker, this->options.admitHeadroom - least, serving, changes);
+    else if (least > this->options.relaxHeadroom)
         this->relax(worker, changes);
     return changes;
 }
 
-void FillControl::paceDown(FleetWorker& worker, double excess, const ImageName& serving, std::vector<PaceChange>& changes) const
+void FillControl::paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes) const
 {
-    // The fills that weigh most are paced first, until the prediction is under the target.
+    // The fills that weigh most are paced first, until the predicted headroom is back.
     std::vector<std::pair<double, std::pair<const TaskRunId, RunCharge>*>> fills;
     for (auto& entry : worker.runs) {
-        if (entry.second.isFilling && !entry.second.isStopping && entry.second.pace > this->options.lowestPace)
-            fills.emplace_back(this->effectOf(serving, entry.second.image) * this->exposureOf(entry.second), &entry);
+        const RunCharge& charge = entry.second;
+        if (charge.isFilling && !charge.isStopping && charge.pace > this->options.lowestPace)
+            fills.emplace_back(this->effectOf(serving, this->findNumber(charge.image)) * this->exposureOf(worker, charge), &entry);
     }
     std::sort(fills.begin(), fills.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     for (const auto& [effect, entry] : fills) {
-        if (excess <= 0)
+        if (missing <= 0)
             return;
         const int before = entry->second.pace;
         entry->second.pace = this->options.lowestPace;
-        excess -= effect * (before - this->options.lowestPace) / before;
+        missing -= effect * (before - this->options.lowestPace) / before;
         changes.push_back({ entry->first, entry->second.pace });
     }
 }
 
 void FillControl::relax(FleetWorker& worker, std::vector<PaceChange>& changes) const
 {
-    // One fill at a time, so that the next report shows what it did.
     for (auto& [run, charge] : worker.runs) {
         if (!charge.isFilling || charge.isStopping || charge.pace >= 100)
             continue;
-        charge.pace = std::min(100, charge.pace + this->options.paceStep);
+        RunCharge faster = charge;
+        faster.pace = std::min(100, charge.pace + this->options.paceStep);
+        const std::int64_t more = charge.fillMillicores * (faster.pace - charge.pace) / 100;
+        if (!this->keepsHeadroom(worker, this->findNumber(charge.image), more))
+            continue;
+        charge.pace = faster.pace;
         changes.push_back({ run, charge.pace });
-        return;
     }
 }
 
+bool FillControl::keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    const double exposure = this->exposureOf(worker, millicores);
+    return std::all_of(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) {
+        return entry.headroom == 0 || entry.headroom - this->effectOf(entry.image, image) * exposure >= this->options.admitHeadroom;
+    });
+}
+
 double FillControl::idleMillicores(const FleetWorker& worker) const
 {
-    double idle = static_cast<double>(worker.entry.capacity.millicores - worker.used.millicores);
-    for (const auto& [run, charge] : worker.runs) {
-        if (charge.isServing)
-            idle += static_cast<double>(charge.need.millicores) * (1 - worker.servingUsage);
-    }
+    const double idle = static_cast<double>(worker.entry.capacity.millicores - worker.used.millicores) + static_cast<double>(worker.servingMillicores) * (1 - worker.servingUsage);
     return idle * this->options.overcommit - static_cast<double>(worker.fillMillicores);
 }
 
-bool FillControl::admits(const FleetWorker& worker, const ImageName& image, std::int64_t millicores) const
+bool FillControl::admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
-    if (this->idleMillicores(worker) < static_cast<double>(millicores))
-        return false;
-    RunCharge fill;
-    fill.fillMillicores = millicores;
-    const double limit = std::log(this->options.admitRatio);
-    return std::all_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
-        const RunCharge& charge = entry.second;
-        return !isMeasured(charge) || logRatio(charge) + this->effectOf(charge.image, image) * this->exposureOf(fill) <= limit;
-    });
+    return this->idleMillicores(worker) >= static_cast<double>(millicores) && this->keepsHeadroom(worker, image, millicores);
 }
 
-double FillControl::risk(const FleetWorker& worker, const ImageName& image, std::int64_t millicores) const
+double FillControl::risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
-    RunCharge fill;
-    fill.fillMillicores = millicores;
-    double risk = -10; // no serving task: the best place for a fill
-    for (const auto& [run, charge] : worker.runs) {
-        if (charge.isServing)
-            risk = std::max(risk, (charge.load > 0 ? logRatio(charge) : -1) + this->effectOf(charge.image, image) * this->exposureOf(fill));
-    }
+    const double exposure = this->exposureOf(worker, millicores);
+    double risk = 0;
+    for (const ServingHeadroom& entry : worker.servings)
+        risk += entry.runs * this->effectOf(entry.image, image) * exposure;
     return risk;
 }
 
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -3,8 +3,11 @@
 // Filling tasks beside serving ones: how many fit into what serving tasks leave idle, and how fast they may
 // work so that no serving task misses its latency target because of them.
 //
-// A model for each serving image learns from reports what each filling image does to the tail. A fill is
-// placed only where the predicted tail stays under the target, and paced down where a report is above it.
+// The tail of a serving task behaves like c / (1 - pressure): its inverse falls linearly with the load of the
+// task itself and with the cores that filling tasks use beside it, by a factor for each pair of images. The
+// headroom target / tail is therefore linear in what fills use, and differences between two reports of one
+// run show the factors, since the task's own load hardly changes in between. A model for each serving image
+// learns them. A fill is placed only where the predicted headroom stays, and paced down where it is gone.
 //
 // Example:
 //
@@ -14,6 +17,7 @@
 
 #include "interference/interference.h"
 #include "scheduling/fleet.h"
+#include <limits>
 
 namespace dragonflytray {
 
@@ -27,14 +31,16 @@
 class FillControl {
 public:
     struct Options {
-        double admitRatio { 0.75 }; // of the target that the predicted tail may reach with one more fill
-        double paceRatio { 0.9 }; // of the target at which fills are paced down
-        double relaxRatio { 0.6 }; // of the target below which they are let go faster
-        double exposureCores { 8 }; // cores of a fill that count as one full task to the model
+        double admitHeadroom { 1.5 }; // target / tail that has to remain with one more fill
+        double paceHeadroom { 1.15 }; // below it fills are paced down
+        double relaxHeadroom { 1.7 }; // above it they are let go faster
+        double exposureShare { 0.125 }; // of a worker's cores in use by fills that counts as one full task to the model
         int lowestPace { 5 }; // percent
         int paceStep { 35 }; // percent by which a fill is let go faster after a report
         double usagePrior { 0.5 }; // share of its reserved cores that a serving task uses until more is known
-        double usageGain { 0.3 }; // weight of a new measurement of that share
+        double usageGain { 0.1 }; // weight of a new measurement of that share
+        double starvedMillicores { 15000 }; // wanted by fills on one worker before a lack of idle cores is believed
+        double starvedShare { 0.5 }; // of it that they get in that case
         double overcommit { 1.1 }; // fills may want this much of what is idle
         Duration window { std::chrono::milliseconds(500) }; // over which workers report
     };
@@ -51,20 +57,35 @@
     double idleMillicores(const FleetWorker& worker) const;
 
     // admits() says whether one more fill of that image keeps every target, as far as is known.
-    bool admits(const FleetWorker& worker, const ImageName& image, std::int64_t millicores) const;
+    bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
-    // risk() is the predicted rise of the logarithm of the worst tail; for choosing among workers.
-    double risk(const FleetWorker& worker, const ImageName& image, std::int64_t millicores) const;
+    // risk() is the headroom that one more fill is predicted to take from the tasks beside it; for choosing
+    // among workers.
+    double risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+
+    // findNumber() is the number that admits() and risk() know an image by.
+    std::size_t findNumber(const ImageName& image) const;
+
+    // unknownImage is the number of an image that no report has named.
+    static constexpr std::size_t unknownImage = std::numeric_limits<std::size_t>::max();
 
 private:
-    double exposureOf(const RunCharge& charge) const;
-    double effectOf(const ImageName& serving, const ImageName& filling) const;
-    void learnUsage(FleetWorker& worker) const;
-    void paceDown(FleetWorker& worker, double excess, const ImageName& serving, std::vector<PaceChange>& changes) const;
+    double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
+    double exposureOf(const FleetWorker& worker, const RunCharge& charge) const;
+    void learn(FleetWorker& worker, FillSample sample);
+    std::size_t numberOf(const ImageName& image);
+    double effectOf(std::size_t serving, std::size_t filling) const;
+    void refreshEffects(std::size_t serving, const ImageName& image);
+    void summarize(FleetWorker& worker);
+    bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+    void learnUsage(FleetWorker& worker, Instant now) const;
+    void paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes) const;
     void relax(FleetWorker& worker, std::vector<PaceChange>& changes) const;
 
     Options options;
     std::map<ImageName, PairEstimator> estimators; // by serving image
+    std::map<ImageName, std::size_t> numbers;
+    std::vector<std::vector<double>> effects; // by number of the serving and of the filling image; absent: not known
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -80,6 +80,7 @@
     worker.used += charge.need;
     worker.fillMillicores += charge.fillMillicores;
     worker.serving += charge.isServing ? 1 : 0;
+    worker.servingMillicores += charge.isServing ? charge.need.millicores : 0;
 }
 
 void Fleet::release(FleetWorker& worker, const TaskRunId& run)
@@ -90,6 +91,7 @@
     worker.used -= found->second.need;
     worker.fillMillicores -= found->second.fillMillicores;
     worker.serving -= found->second.isServing ? 1 : 0;
+    worker.servingMillicores -= found->second.isServing ? found->second.need.millicores : 0;
     worker.runs.erase(found);
 }
 
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -38,6 +38,20 @@
     std::uint64_t generation { 0 };
 };
 
+// FillSample is what one report said about serving and filling runs, for comparison with the next.
+struct FillSample {
+    Instant at;
+    std::map<ImageName, double> exposures {}; // by filling image
+    std::map<TaskRunId, double> headrooms {}; // of serving runs: target / tail
+};
+
+// ServingHeadroom is the least headroom among the serving runs of one image on a worker.
+struct ServingHeadroom {
+    std::size_t image { 0 }; // as FillControl numbers them
+    double headroom { 0 }; // 0: not measured yet
+    std::uint32_t runs { 0 };
+};
+
 // FleetWorker is one worker. Times are this host's.
 struct FleetWorker {
     ListedWorker entry;
@@ -61,6 +75,9 @@
     std::int64_t fillMillicores { 0 };
     std::uint32_t serving { 0 };
     double servingUsage { 0.5 }; // share of their reserved cores that serving tasks are seen to use
+    std::int64_t servingMillicores { 0 }; // reserved by serving runs
+    FillSample fillSample;
+    std::vector<ServingHeadroom> servings; // as of the last report
     std::map<TaskRunId, RunCharge> runs;
 
     // room() is what is left of the capacity.
--- a/packages/scheduling/job_run.h
+++ b/packages/scheduling/job_run.h
@@ -50,6 +50,7 @@
     std::string checkpoint; // newest known
     Instant since; // when the stage was entered
     Instant notBefore; // of the next start
+    Instant roomSince; // of a lasting task: since when there has been room for it without a break
     WorkerId failedOn; // where the last failed run was
     int percent { 0 }; // as last reported
 };
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -10,7 +10,10 @@
     constexpr double strongPreference = 1e9;
 
     // A fill goes where it harms least; among equals, where most cores are idle.
-    constexpr double riskWeight = 20000; // millicores for a whole logarithm of the tail
+    constexpr double riskWeight = 50000; // millicores for a whole target of headroom
+
+    // Serving tasks of one image gather, so that fills that harm them find workers without them.
+    constexpr double sameImagePreference = 200000; // millicores; more than any worker has
 
     bool hasLabel(const FleetWorker& worker, const std::string& label)
     {
@@ -39,7 +42,15 @@
     {
         if (!chargeOf(request.step).need.fitsIn(worker.room()))
             return false;
-        return !request.step.isFilling || request.fills.admits(worker, request.step.image, request.step.need.millicores);
+        return !request.step.isFilling || request.fills.admits(worker, request.image, request.step.need.millicores);
+    }
+
+    double servingScore(const FleetWorker& worker, std::size_t image)
+    {
+        double score = static_cast<double>(worker.fillMillicores);
+        for (const ServingHeadroom& entry : worker.servings)
+            score += entry.runs * (entry.image == image ? -sameImagePreference : sameImagePreference);
+        return score;
     }
 
     // leftOver() orders workers with room: the smaller, the better.
@@ -48,9 +59,9 @@
         const StepDefinition& step = request.step;
         double score = static_cast<double>(worker.room().millicores);
         if (step.isFilling)
-            score = request.fills.risk(worker, step.image, step.need.millicores) * riskWeight - request.fills.idleMillicores(worker);
+            score = request.fills.risk(worker, request.image, step.need.millicores) * riskWeight - request.fills.idleMillicores(worker);
         else if (step.latencyTarget > Duration(0))
-            score += static_cast<double>(worker.fillMillicores);
+            score += servingScore(worker, request.image);
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
             score += 2 * strongPreference;
         return score;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -17,6 +17,7 @@
 struct PlacementRequest {
     const StepDefinition& step;
     const FillControl& fills;
+    std::size_t image { FillControl::unknownImage }; // number of the step's image there
     const CellName& cell;
     const ServiceName& service;
     Instant now;
