--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -132,7 +132,7 @@
     const PlacementRequest request {
         .step = step,
         .fills = this->fillControl,
-        .image = this->fillControl.findNumber(step.image),
+        .image = this->fillControl.numberOf(step.image),
         .cell = job.definition().cell,
         .service = rule.service,
         .now = turn.now,
@@ -181,7 +181,7 @@
     for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
         const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
         run = std::max(run, job.nextRun(unit.tasks[index]));
-        PlacementRequest request { .step = step, .fills = this->fillControl, .image = this->fillControl.findNumber(step.image), .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
+        PlacementRequest request { .step = step, .fills = this->fillControl, .image = this->fillControl.numberOf(step.image), .cell = job.definition().cell, .service = this->ruleOf(job).service, .now = turn.now, .avoid = {}, .rack = rack, .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); } };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
@@ -219,6 +219,7 @@
     }
     const TaskRunId id { task, run };
     this->fleet.charge(worker, id, chargeOf(step));
+    this->fillControl.summarize(worker);
     this->fleet.granted(worker, turn.now);
     turn.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = slot.checkpoint, .deadline = worker.deadlineAt(turn.now, this->fleet.lease()).value_or(0) });
     turn.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", worker.notedEnd, turn.wallTime - job.definition().acceptedAt });
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -46,12 +46,6 @@
     return this->numbers.try_emplace(image, this->numbers.size()).first->second;
 }
 
-std::size_t FillControl::findNumber(const ImageName& image) const
-{
-    const auto found = this->numbers.find(image);
-    return found == this->numbers.end() ? unknownImage : found->second;
-}
-
 double FillControl::effectOf(std::size_t serving, std::size_t filling) const
 {
     if (serving >= this->effects.size() || filling >= this->effects[serving].size())
@@ -86,6 +80,32 @@
         ++found->runs;
         if (isMeasured(charge) && (found->headroom == 0 || headroomOf(charge) < found->headroom))
             found->headroom = headroomOf(charge);
+        if (charge.worstAlone > 0 && (found->worstAlone == 0 || charge.worstAlone < found->worstAlone))
+            found->worstAlone = charge.worstAlone;
+    }
+    for (ServingHeadroom& entry : worker.servings)
+        entry.taken = this->takenFrom(worker, entry.image);
+}
+
+double FillControl::takenFrom(const FleetWorker& worker, std::size_t serving) const
+{
+    double taken = 0;
+    for (const auto& [run, charge] : worker.runs) {
+        const auto number = charge.isFilling ? this->numbers.find(charge.image) : this->numbers.end();
+        if (number != this->numbers.end())
+            taken += this->effectOf(serving, number->second) * this->exposureOf(worker, charge);
+    }
+    return taken;
+}
+
+void FillControl::trackWorst(FleetWorker& worker, Instant now)
+{
+    const double forgotten = this->options.recovery * std::clamp(toSeconds(now - worker.fillSample.at), 0.0, 1.0);
+    for (auto& [run, charge] : worker.runs) {
+        if (!isMeasured(charge))
+            continue;
+        const double alone = headroomOf(charge) + this->takenFrom(worker, this->numberOf(charge.image));
+        charge.worstAlone = charge.worstAlone == 0 ? alone : std::min(alone, charge.worstAlone + forgotten);
     }
 }
 
@@ -102,12 +122,14 @@
             sample.headrooms[run] = headroomOf(charge);
     }
     this->learnUsage(worker, now);
+    this->trackWorst(worker, now);
     const Duration age = now - worker.fillSample.at;
     if (age < this->options.window / 2)
         return;
     if (age <= 2 * this->options.window)
         this->learn(worker, sample);
     worker.fillSample = std::move(sample);
+    this->summarize(worker);
 }
 
 void FillControl::learn(FleetWorker& worker, FillSample sample)
@@ -153,7 +175,7 @@
     std::vector<PaceChange> changes;
     if (worker.fillMillicores == 0 || worker.serving == 0)
         return changes;
-    double least = 2 * this->options.relaxHeadroom;
+    double least = std::numeric_limits<double>::infinity();
     std::size_t serving = unknownImage;
     for (const ServingHeadroom& entry : worker.servings) {
         if (entry.headroom == 0 || entry.headroom >= least)
@@ -163,23 +185,23 @@
     }
     if (least < this->options.paceHeadroom)
         this->paceDown(worker, this->options.admitHeadroom - least, serving, changes);
-    else if (least > this->options.relaxHeadroom)
+    else
         this->relax(worker, changes);
     return changes;
 }
 
-void FillControl::paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes) const
+void FillControl::paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes)
 {
     // The fills that weigh most are paced first, until the predicted headroom is back.
     std::vector<std::pair<double, std::pair<const TaskRunId, RunCharge>*>> fills;
     for (auto& entry : worker.runs) {
         const RunCharge& charge = entry.second;
         if (charge.isFilling && !charge.isStopping && charge.pace > this->options.lowestPace)
-            fills.emplace_back(this->effectOf(serving, this->findNumber(charge.image)) * this->exposureOf(worker, charge), &entry);
+            fills.emplace_back(this->effectOf(serving, this->numberOf(charge.image)) * this->exposureOf(worker, charge), &entry);
     }
     std::sort(fills.begin(), fills.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     for (const auto& [effect, entry] : fills) {
-        if (missing <= 0)
+        if (missing <= 0 || effect < this->options.material / 2)
             return;
         const int before = entry->second.pace;
         entry->second.pace = this->options.lowestPace;
@@ -188,7 +210,7 @@
     }
 }
 
-void FillControl::relax(FleetWorker& worker, std::vector<PaceChange>& changes) const
+void FillControl::relax(FleetWorker& worker, std::vector<PaceChange>& changes)
 {
     for (auto& [run, charge] : worker.runs) {
         if (!charge.isFilling || charge.isStopping || charge.pace >= 100)
@@ -196,7 +218,7 @@
         RunCharge faster = charge;
         faster.pace = std::min(100, charge.pace + this->options.paceStep);
         const std::int64_t more = charge.fillMillicores * (faster.pace - charge.pace) / 100;
-        if (!this->keepsHeadroom(worker, this->findNumber(charge.image), more))
+        if (!this->keepsHeadroom(worker, this->numberOf(charge.image), more))
             continue;
         charge.pace = faster.pace;
         changes.push_back({ run, charge.pace });
@@ -207,7 +229,8 @@
 {
     const double exposure = this->exposureOf(worker, millicores);
     return std::all_of(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) {
-        return entry.headroom == 0 || entry.headroom - this->effectOf(entry.image, image) * exposure >= this->options.admitHeadroom;
+        const double effect = this->effectOf(entry.image, image) * exposure;
+        return effect < this->options.material || entry.worstAlone - entry.taken - effect >= this->options.admitHeadroom;
     });
 }
 
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -31,9 +31,10 @@
 class FillControl {
 public:
     struct Options {
-        double admitHeadroom { 1.5 }; // target / tail that has to remain with one more fill
+        double admitHeadroom { 1.25 }; // target / tail that has to remain with one more fill, at the load seen worst
+        double recovery { 0.12 }; // by which the worst headroom seen is forgotten in a second; loads swing within tens
+        double material { 0.12 }; // headroom that a fill has to take before it counts as harmful
         double paceHeadroom { 1.15 }; // below it fills are paced down
-        double relaxHeadroom { 1.7 }; // above it they are let go faster
         double exposureShare { 0.125 }; // of a worker's cores in use by fills that counts as one full task to the model
         int lowestPace { 5 }; // percent
         int paceStep { 35 }; // percent by which a fill is let go faster after a report
@@ -63,8 +64,11 @@
     // among workers.
     double risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
-    // findNumber() is the number that admits() and risk() know an image by.
-    std::size_t findNumber(const ImageName& image) const;
+    // numberOf() is the number that admits() and risk() know an image by; a new one for a new image.
+    std::size_t numberOf(const ImageName& image);
+
+    // summarize() counts the serving runs of the worker by image. Call it when one has been added.
+    void summarize(FleetWorker& worker);
 
     // unknownImage is the number of an image that no report has named.
     static constexpr std::size_t unknownImage = std::numeric_limits<std::size_t>::max();
@@ -73,14 +77,14 @@
     double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
     double exposureOf(const FleetWorker& worker, const RunCharge& charge) const;
     void learn(FleetWorker& worker, FillSample sample);
-    std::size_t numberOf(const ImageName& image);
     double effectOf(std::size_t serving, std::size_t filling) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
-    void summarize(FleetWorker& worker);
+    double takenFrom(const FleetWorker& worker, std::size_t serving) const;
+    void trackWorst(FleetWorker& worker, Instant now);
     bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     void learnUsage(FleetWorker& worker, Instant now) const;
-    void paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes) const;
-    void relax(FleetWorker& worker, std::vector<PaceChange>& changes) const;
+    void paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes);
+    void relax(FleetWorker& worker, std::vector<PaceChange>& changes);
 
     Options options;
     std::map<ImageName, PairEstimator> estimators; // by serving image
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -28,6 +28,7 @@
     Duration latencyTarget { 0 };
     ImageName image {};
     std::int64_t load { 0 }; // as last reported
+    double worstAlone { 0 }; // of a serving run: the least headroom of late without what fills took; 0: not measured
     int pace { 100 }; // percent that was last asked for
 };
 
@@ -49,6 +50,8 @@
 struct ServingHeadroom {
     std::size_t image { 0 }; // as FillControl numbers them
     double headroom { 0 }; // 0: not measured yet
+    double worstAlone { 0 }; // the worst of late, without what fills took; 0: not measured yet
+    double taken { 0 }; // that the fills on the worker are predicted to take
     std::uint32_t runs { 0 };
 };
 
