--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -41,7 +41,7 @@
     this->nextSweep = turn.now + this->options.sweepInterval;
     std::map<std::uint32_t, WriteStoredRows> writes;
     for (const auto& [id, record] : this->book.all()) {
-        const bool isOld = isFinal(record.progress.phase) && record.progress.endedAt + toMilliseconds(this->options.retention) < turn.wallTime;
+        const bool isOld = isFinal(record.progress.phase) && record.progress.endedAt > 0 && record.progress.endedAt + toMilliseconds(this->options.retention) < turn.wallTime;
         if (!isOld || !this->dispatcher.leads(record.definition.cell))
             continue;
         const StoredRowKey definition { StoredRowKind::Definition, id.value() };
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -23,6 +23,7 @@
     Cell cell { .epoch = taken.epoch, .takenAt = taken.takenAt, .since = turn.now };
     cell.unconfirmed.insert(taken.unconfirmed.begin(), taken.unconfirmed.end());
     this->fleet.beginEpoch(taken.cell, turn.now);
+    std::erase_if(this->strays, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == taken.cell; });
     Cell& placed = this->cells[taken.cell] = std::move(cell);
     this->metHigherEpoch.reset();
     for (const auto& [id, record] : book.all()) {
@@ -98,6 +99,8 @@
     const Cell& cell = this->cells.at(job.definition().cell);
     if (cell.isSettled && !cell.unconfirmed.empty())
         job.settle(cell.unconfirmed, turn.now);
+    if (!this->strays.empty())
+        this->adoptStrays(job, turn);
     this->needsPass = true;
 }
 
@@ -117,6 +120,11 @@
     this->finished.insert(job.definition().id);
     turn.add(LogDecision { event, job.definition().id.value(), {}, std::string(events.nameOf(phase)), job.version(), turn.wallTime - job.definition().acceptedAt });
     this->stopTasks(job, "job-over", turn);
+    for (const auto& [run, id] : this->strays) {
+        FleetWorker* worker = run.task.job == job.definition().id ? this->fleet.find(id) : nullptr;
+        if (worker)
+            this->stopRun(*worker, run, "job-over", turn);
+    }
 }
 
 void Dispatcher::stopTasks(JobRun& job, const char* cause, Turn& turn)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -116,6 +116,8 @@
     void compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn);
     void confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
+    void adoptStrays(JobRun& job, Turn& turn);
+    void forgetStray(const TaskRunId& run);
     void missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn);
     void paceFills(FleetWorker& worker, Turn& turn);
     void loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
@@ -155,6 +157,7 @@
     void start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn);
     void evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn);
     std::optional<double> evictionCost(const TaskRunId& run, const PlacementRequest& request, int priority);
+    bool hasStray(const TaskId& task) const;
     bool yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const;
     std::uint32_t sameStepRuns(const TaskId& task, const WorkerId& worker);
 
@@ -168,6 +171,7 @@
     RowVersion followed { 0 };
     std::optional<WallTime> nextDue; // of an occurrence
     std::optional<Epoch> metHigherEpoch;
+    std::map<TaskRunId, WorkerId> strays; // runs on workers that no open task owns
     bool needsPass { false };
     Instant lastPass;
     Instant lastShortStart; // of a task that neither lasts nor fills
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -106,9 +106,10 @@
         return this->placeGang(job, unit, pass, turn);
     for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
         const TaskSlot& slot = unit.tasks[index];
-        if (slot.stage != TaskStage::Waiting || turn.now < slot.notBefore)
+        const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
+        if (slot.stage != TaskStage::Waiting || turn.now < slot.notBefore || this->hasStray(task))
             continue;
-        if (!this->placeTask(job, { job.definition().id, unit.occurrence, unit.step, index }, pass, turn))
+        if (!this->placeTask(job, task, pass, turn))
             return;
     }
 }
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -76,6 +76,7 @@
     this->needsPass = true;
     const TaskId& task = end.id.task;
     this->fleet.release(worker, end.id);
+    this->forgetStray(end.id);
     JobRun* job = this->findRun(task.job);
     if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
         worker.owed.push_back({ end.number, task.job, 0 });
@@ -215,9 +216,14 @@
     RunCharge charge = slot ? chargeOf(job->definition().steps[id.step]) : RunCharge {};
     charge.confirmedAt = turn.now;
     this->fleet.charge(worker, task.id, charge);
-    const bool isWanted = slot && !isFinal(job->progress().phase) && (slot->stage == TaskStage::Unaccounted || (slot->stage == TaskStage::Waiting && slot->run <= task.id.run));
-    if (!isWanted)
-        return this->stopRun(worker, task.id, "unwanted", turn);
+    const bool isWanted = slot && !isFinal(job->progress().phase) && (slot->stage == TaskStage::Unaccounted || (slot->stage == TaskStage::Waiting && slot->run <= task.id.run && !this->hasStray(id)));
+    if (!isWanted) {
+        this->strays[task.id] = worker.entry.id;
+        const bool mayBeWanted = job && !slot && !isFinal(job->progress().phase) && !job->isDone(id);
+        if (!mayBeWanted) // a step that is not open here yet may have been opened by the former leader
+            this->stopRun(worker, task.id, "unwanted", turn);
+        return;
+    }
     slot->worker = worker.entry.id;
     slot->run = task.id.run;
     if (!task.checkpoint.empty())
@@ -228,6 +234,36 @@
         cell->second.unconfirmed.erase(id);
 }
 
+void Dispatcher::adoptStrays(JobRun& job, Turn& turn)
+{
+    std::vector<TaskRunId> adopted;
+    for (auto stray = this->strays.lower_bound({ { job.definition().id, 0, 0, 0 }, 0 }); stray != this->strays.end() && stray->first.task.job == job.definition().id; ++stray) {
+        const TaskRunId& run = stray->first;
+        TaskSlot* slot = job.slot(run.task);
+        FleetWorker* worker = this->fleet.find(stray->second);
+        const bool isFree = slot && (slot->stage == TaskStage::Waiting || slot->stage == TaskStage::Unaccounted);
+        if (!isFree || !worker || !worker->runs.contains(run) || worker->runs.at(run).isStopping)
+            continue;
+        slot->worker = stray->second;
+        slot->run = run.run;
+        job.setStage(run.task, TaskStage::Running, turn.now);
+        adopted.push_back(run);
+    }
+    for (const TaskRunId& run : adopted)
+        this->strays.erase(run);
+}
+
+bool Dispatcher::hasStray(const TaskId& task) const
+{
+    const auto stray = this->strays.lower_bound({ task, 0 });
+    return stray != this->strays.end() && stray->first.task == task;
+}
+
+void Dispatcher::forgetStray(const TaskRunId& run)
+{
+    this->strays.erase(run);
+}
+
 void Dispatcher::missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn)
 {
     RunCharge& charge = worker.runs.at(run);
@@ -237,6 +273,11 @@
             this->loseRun(worker, run, "stopped", turn);
         return;
     }
+    if (this->strays.contains(run)) {
+        if (end.sentAt > charge.confirmedAt)
+            this->loseRun(worker, run, "not-reported", turn);
+        return;
+    }
     JobRun* job = this->findRun(run.task.job);
     const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
     if (!slot || slot->run != run.run)
@@ -259,6 +300,7 @@
 void Dispatcher::loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
 {
     this->fleet.release(worker, run);
+    this->forgetStray(run);
     JobRun* job = this->findRun(run.task.job);
     TaskSlot* slot = job ? job->slot(run.task) : nullptr;
     if (!slot || slot->run != run.run || slot->worker != worker.entry.id || !isOnWorker(slot->stage))
--- a/packages/scheduling/job_run.cc
+++ b/packages/scheduling/job_run.cc
@@ -266,8 +266,10 @@
                 own = failures;
         }
     }
-    if (isFinal(other.phase))
+    if (isFinal(other.phase)) {
         this->state.phase = other.phase;
+        this->state.endedAt = other.endedAt;
+    }
     this->state.generation = std::max(this->state.generation, other.generation) + 1;
 }
 
