--- /dev/null
+++ b/packages/scheduling/fill_control_test.cc
@@ -0,0 +1,106 @@
+#include "scheduling/fill_control.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+
+namespace {
+
+    // FillControlFixture plays reports of one worker whose serving task suffers from image "heavy" only.
+    class FillControlFixture {
+    protected:
+        FillControlFixture()
+        {
+            this->worker.entry.capacity = { 64000, 256000, 0 };
+            this->add(this->worker, "serving", { .need = { 12000, 1000, 0 }, .isServing = true, .latencyTarget = std::chrono::milliseconds(18), .image = ImageName("serving") });
+        }
+
+        void add(FleetWorker& to, const std::string& job, RunCharge charge)
+        {
+            this->fleet.charge(to, { { JobId(job), 0, 0, 0 }, 1 }, charge);
+            this->control.summarize(to);
+        }
+
+        RunCharge& runOf(const std::string& job) { return this->worker.runs.at({ { JobId(job), 0, 0, 0 }, 1 }); }
+
+        static RunCharge fill(const std::string& image)
+        {
+            return { .need = { 0, 1000, 0 }, .isFilling = true, .fillMillicores = 8000, .image = ImageName(image) };
+        }
+
+        // report() gives the loads that follow from the pressure of the fills, half a second later.
+        void report(double ownLoad)
+        {
+            double pressure = ownLoad;
+            for (auto& [run, charge] : this->worker.runs) {
+                if (!charge.isFilling)
+                    continue;
+                charge.load = charge.fillMillicores * charge.pace / 100;
+                pressure += charge.image.value() == "heavy" ? static_cast<double>(charge.load) / 64000.0 : 0;
+            }
+            this->runOf("serving").load = static_cast<std::int64_t>(4.0 / (1 - std::min(pressure, 0.97)));
+            this->now += std::chrono::milliseconds(500);
+            this->control.observe(this->worker, this->now);
+        }
+
+        // learn() lets both images come and go until the model knows them.
+        void learn()
+        {
+            for (int round = 0; round < 60; ++round) {
+                const std::string image = round % 2 == 0 ? "heavy" : "light";
+                this->report(0.3);
+                this->add(this->worker, "fill", fill(image));
+                this->report(0.3);
+                this->fleet.release(this->worker, { { JobId("fill"), 0, 0, 0 }, 1 });
+                this->control.summarize(this->worker);
+            }
+        }
+
+        Fleet fleet { {}, {} };
+        FillControl control { FillControl::Options {} };
+        FleetWorker worker;
+        Instant now { std::chrono::hours(1) };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(FillControlFixture, "FillControl_learnedPair_prefersHarmlessImage")
+{
+    this->learn();
+    CHECK(this->control.risk(this->worker, this->control.numberOf(ImageName("heavy")), 8000) > 3 * this->control.risk(this->worker, this->control.numberOf(ImageName("light")), 8000));
+}
+
+TEST_CASE_METHOD(FillControlFixture, "FillControl_targetMissed_pacesOnlyHarmfulFills")
+{
+    this->learn();
+    this->add(this->worker, "bad", fill("heavy"));
+    this->add(this->worker, "good", fill("light"));
+    this->report(0.75);
+    const auto changes = this->control.pacesFor(this->worker);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().run.task.job.value() == "bad");
+    CHECK(this->runOf("good").pace == 100);
+}
+
+TEST_CASE_METHOD(FillControlFixture, "FillControl_headroomBack_letsPacedFillsGoFaster")
+{
+    this->learn();
+    this->add(this->worker, "bad", fill("heavy"));
+    this->report(0.75);
+    REQUIRE(!this->control.pacesFor(this->worker).empty());
+    const int paced = this->runOf("bad").pace;
+    for (int i = 0; i < 60; ++i) {
+        this->report(0.1);
+        (void)this->control.pacesFor(this->worker);
+    }
+    CHECK(this->runOf("bad").pace > paced);
+}
+
+TEST_CASE_METHOD(FillControlFixture, "FillControl_nothingIdle_admitsNoFill")
+{
+    this->worker.used.millicores = 64000;
+    this->worker.servingMillicores = 0;
+    CHECK_FALSE(this->control.admits(this->worker, this->control.numberOf(ImageName("light")), 8000));
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -22,9 +22,9 @@
     bool isServing { false }; // lasting, with a target of its own
     std::int64_t fillMillicores { 0 }; // wanted by a filling run
     bool isStopping { false };
-    Instant stopAskedAt;
-    Instant confirmedFirst; // when it was first known to run
-    Instant confirmedAt; // when a start was answered or a report named it
+    Instant stopAskedAt {};
+    Instant confirmedFirst {}; // when it was first known to run
+    Instant confirmedAt {}; // when a start was answered or a report named it
     Duration latencyTarget { 0 };
     ImageName image {};
     std::int64_t load { 0 }; // as last reported
--- /dev/null
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -0,0 +1,176 @@
+#include "scheduling/scheduler_fixture.h"
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr const char* hostName = "desk.example";
+    constexpr const char* prefix = "/q/";
+    constexpr Duration step = std::chrono::milliseconds(20);
+    const DataCentreName place("rs-poa");
+
+    WallTime wallAt(Instant now)
+    {
+        return toMilliseconds(now.time_since_epoch());
+    }
+
+} // namespace
+
+StepDefinition stepOfTasks(std::uint32_t count, std::int64_t cores)
+{
+    return { .count = count, .need = { cores * 1000, 1000, 0 }, .estimate = std::chrono::seconds(1) };
+}
+
+SchedulerFixture::SchedulerFixture()
+{
+    QueueRule queue { .name = QueueName("quick"), .host = hostName, .pathPrefix = prefix, .service = ServiceName("desk"), .priority = 0, .maxAttempts = 2, .slackFactor = 2, .targetLatency = std::chrono::seconds(1) };
+    this->configuration = { .version = 1, .queues = { queue }, .services = { { ServiceName("desk"), true } } };
+}
+
+Scheduler& SchedulerFixture::host(const std::string& name)
+{
+    std::unique_ptr<Scheduler>& scheduler = this->hosts[name];
+    if (scheduler)
+        return *scheduler;
+    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = place, .dataCentres = { { place, RegionName("sul-rs") } } });
+    this->send(name, SchedulerTick { wallAt(this->now) });
+    this->send(name, ConfigurationFollowed { this->configuration });
+    return *scheduler;
+}
+
+void SchedulerFixture::send(const std::string& name, const SchedulerCommand& command)
+{
+    for (const SchedulerEffect& effect : this->host(name).handle(command, this->now))
+        this->carryOut(name, effect);
+}
+
+void SchedulerFixture::carryOut(const std::string& name, const SchedulerEffect& effect)
+{
+    std::visit([&](const auto& value) { this->carry(name, value); }, effect);
+}
+
+void SchedulerFixture::run(const std::vector<std::string>& names, Duration time)
+{
+    for (const Instant end = this->now + time; this->now < end; this->now += step) {
+        for (auto& [id, worker] : this->workers)
+            worker.advance(this->now);
+        for (const std::string& name : names) {
+            if (!this->isCutFromStore[name]) {
+                this->send(name, this->store.changesAfter(this->followed[name]));
+                this->followed[name] = this->store.version();
+            }
+            this->send(name, SchedulerTick { wallAt(this->now) });
+        }
+        std::vector<Held> due;
+        std::erase_if(this->held, [&](const Held& report) {
+            if (report.due > this->now)
+                return false;
+            due.push_back(report);
+            return true;
+        });
+        for (const Held& report : due) {
+            if (std::find(names.begin(), names.end(), report.host) != names.end())
+                this->send(report.host, report.end);
+        }
+    }
+}
+
+ReplyStatus SchedulerFixture::submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
+{
+    SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = prefix + id, .job = {} };
+    submit.job.spec = "spec of " + id;
+    submit.job.steps = std::move(steps);
+    this->replies.clear();
+    this->send(name, submit);
+    return this->replies.empty() ? ReplyStatus::Unclear : this->replies.back().status;
+}
+
+SimulatedWorker& SchedulerFixture::addWorker(const std::string& id, std::int64_t cores)
+{
+    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", 1 }, .dataCentre = place, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .born = 1 };
+    return this->workers.try_emplace(entry.id, entry, this->now).first->second;
+}
+
+JobPhase SchedulerFixture::phaseOf(const std::string& id) const
+{
+    const StoredRowChange* row = this->store.find({ StoredRowKind::Progress, id });
+    return row ? std::get<JobProgress>(*row->value).phase : JobPhase::Queued;
+}
+
+std::vector<TaskRunId> SchedulerFixture::runningOf(const std::string& id) const
+{
+    std::vector<TaskRunId> runs;
+    for (const auto& [name, worker] : this->workers) {
+        for (const auto& [run, work] : worker.running()) {
+            if (run.task.job.value() == id)
+                runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
+StepDefinition SchedulerFixture::stepOf(const TaskRunId& run) const
+{
+    const StoredRowChange* row = this->store.find({ StoredRowKind::Definition, run.task.job.value() });
+    return std::get<JobDefinition>(*row->value).steps.at(run.task.step);
+}
+
+void SchedulerFixture::carry(const std::string& name, const WriteStoredRows& effect)
+{
+    if (this->isCutFromStore[name])
+        return this->send(name, RowsWriteEnded { effect.write, TransactionStatus::Unavailable, 0, {} });
+    this->send(name, this->store.apply(effect));
+}
+
+void SchedulerFixture::carry(const std::string& name, const ReadJobRows& effect)
+{
+    this->send(name, this->isCutFromStore[name] ? JobRowsRead { effect.job, false, {} } : this->store.rowsOf(effect.job));
+}
+
+void SchedulerFixture::carry(const std::string& name, const HoldWorker& effect)
+{
+    HoldEnded end = this->workers.at(effect.to.worker).hold(effect, this->now);
+    this->held.push_back({ name, std::move(end), this->now + step });
+}
+
+void SchedulerFixture::carry(const std::string& name, const StartTask& effect)
+{
+    this->starts.push_back(effect);
+    const StepDefinition definition = this->stepOf(effect.run);
+    SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLasting ? Instant::max() : this->now + this->taskTime, .isFailing = false, .checkpoint = {} };
+    const WorkerCallStatus status = this->workers.at(effect.to.worker).start(effect, work, this->now);
+    this->send(name, TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
+}
+
+void SchedulerFixture::carry(const std::string& name, const StopTask& effect)
+{
+    const WorkerCallStatus status = this->workers.at(effect.to.worker).stop(effect, this->now);
+    this->send(name, TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
+}
+
+void SchedulerFixture::carry(const std::string& name, const PaceTask& effect)
+{
+    this->send(name, TaskCallEnded { TaskCallKind::Pace, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Ok });
+}
+
+void SchedulerFixture::carry(const std::string&, const ReplyToClient& effect)
+{
+    this->replies.push_back(effect);
+}
+
+void SchedulerFixture::carry(const std::string& name, const FollowWorkers& effect)
+{
+    if (!effect.shouldFollow)
+        return;
+    WorkersListed list { {}, {}, true };
+    for (const auto& [id, worker] : this->workers)
+        list.changed.push_back(worker.entry());
+    this->send(name, list);
+}
+
+void SchedulerFixture::carry(const std::string&, const LogDecision& effect)
+{
+    this->log.push_back(effect);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/scheduler_fixture.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// A fixture that drives one Scheduler against a store and workers in memory.
+
+#include "scheduling/simulation/simulated_store.h"
+#include "scheduling/simulation/simulated_worker.h"
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+
+// SchedulerFixture carries out every effect at once, unless a test takes it out of `pending` first.
+class SchedulerFixture {
+public:
+    SchedulerFixture();
+
+    // host() is a scheduler under that name, made at first use.
+    Scheduler& host(const std::string& name);
+
+    // send() gives one command to a host, and carries out what follows.
+    void send(const std::string& name, const SchedulerCommand& command);
+
+    // run() lets time pass in ticks, with feeds, for the hosts named.
+    void run(const std::vector<std::string>& names, Duration time);
+
+    // submit() hands a job with these steps in, and is the reply.
+    ReplyStatus submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
+
+    // addWorker() lists a worker with that many cores.
+    SimulatedWorker& addWorker(const std::string& id, std::int64_t cores);
+
+    // phaseOf() is the phase that the store holds of a job.
+    JobPhase phaseOf(const std::string& id) const;
+
+    // runningOf() is the runs of a job on all workers.
+    std::vector<TaskRunId> runningOf(const std::string& id) const;
+
+protected:
+    void carryOut(const std::string& name, const SchedulerEffect& effect);
+    void carry(const std::string& name, const WriteStoredRows& effect);
+    void carry(const std::string& name, const ReadJobRows& effect);
+    void carry(const std::string& name, const HoldWorker& effect);
+    void carry(const std::string& name, const StartTask& effect);
+    void carry(const std::string& name, const StopTask& effect);
+    void carry(const std::string& name, const PaceTask& effect);
+    void carry(const std::string& name, const ReplyToClient& effect);
+    void carry(const std::string& name, const FollowWorkers& effect);
+    void carry(const std::string& name, const LogDecision& effect);
+    StepDefinition stepOf(const TaskRunId& run) const;
+
+    // Held is a report that has not reached its host yet.
+    struct Held {
+        std::string host;
+        HoldEnded end;
+        Instant due;
+    };
+
+    Instant now { std::chrono::hours(1) };
+    SimulatedStore store;
+    std::map<std::string, std::unique_ptr<Scheduler>> hosts;
+    std::map<std::string, RowVersion> followed;
+    std::map<std::string, bool> isCutFromStore;
+    std::map<WorkerId, SimulatedWorker> workers;
+    std::vector<Held> held;
+    std::vector<ReplyToClient> replies;
+    std::vector<StartTask> starts;
+    std::vector<LogDecision> log;
+    Duration taskTime { std::chrono::seconds(1) };
+    SchedulingConfiguration configuration;
+};
+
+// stepOfTasks() is a step of `count` tasks of that many cores each.
+StepDefinition stepOfTasks(std::uint32_t count, std::int64_t cores);
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/scheduler_test.cc
@@ -0,0 +1,162 @@
+#include "scheduling/scheduler_fixture.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    const std::string job = "00000000000000a1";
+    constexpr Duration takeover = std::chrono::seconds(3);
+
+} // namespace
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_jobOfTwoSteps_completesInOrder")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    StepDefinition second = stepOfTasks(3, 4);
+    second.after = { 0 };
+    REQUIRE(this->submit("a", job, { stepOfTasks(2, 4), second }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(900));
+    CHECK(this->runningOf(job).size() == 2);
+    this->run({ "a" }, std::chrono::milliseconds(900));
+    CHECK(this->runningOf(job).size() == 3);
+    this->run({ "a" }, std::chrono::milliseconds(900));
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+    CHECK(this->starts.size() == 5);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_sameIdAtAnotherHost_isAcceptedOnce")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a", "b" }, takeover);
+    CHECK(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    CHECK(this->submit("b", job, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::seconds(3));
+    CHECK(this->starts.size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_storeUnavailable_refusesWithTimeToComeBack")
+{
+    this->run({ "a" }, takeover);
+    this->isCutFromStore["a"] = true;
+    CHECK(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Refused);
+    CHECK(this->replies.back().retryAfter > Duration(0));
+    CHECK(this->store.find({ StoredRowKind::Definition, job }) == nullptr);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_cancelledJob_stopsAndStaysCancelled")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    StepDefinition lasting = stepOfTasks(2, 4);
+    lasting.isLasting = true;
+    this->submit("a", job, { lasting });
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf(job).size() == 2);
+    this->send("a", RequestCancellation { ReplyToken { 2 }, "desk.example", "/q/" + job });
+    this->run({ "a" }, std::chrono::milliseconds(200));
+    CHECK(this->replies.back().status == ReplyStatus::Cancelled);
+    CHECK(this->runningOf(job).empty());
+    this->run({ "a" }, std::chrono::seconds(2));
+    CHECK(this->runningOf(job).empty());
+    CHECK(this->phaseOf(job) == JobPhase::Cancelled);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_leaderGone_nextAdoptsWhatRuns")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->taskTime = std::chrono::seconds(30);
+    this->submit("a", job, { stepOfTasks(3, 4) });
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->run({ "b" }, std::chrono::seconds(4));
+    CHECK(this->runningOf(job).size() == 3);
+    CHECK(this->starts.size() == 3);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_formerLeaderOpenedStepUnrecorded_nextAdoptsItsRuns")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a", "b" }, takeover);
+    const std::string leader = this->store.find({ StoredRowKind::CellLease, "whole" }) ? std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).holder.value() : "";
+    REQUIRE(!leader.empty());
+    const std::string other = leader == "a" ? "b" : "a";
+    StepDefinition second = stepOfTasks(3, 4);
+    second.after = { 0 };
+    this->submit(leader, job, { stepOfTasks(2, 4), second });
+    this->run({ leader, other }, std::chrono::milliseconds(500));
+    this->isCutFromStore[leader] = true;
+    this->taskTime = std::chrono::seconds(30); // of the second step, which the store knows nothing of
+    this->run({ leader, other }, std::chrono::milliseconds(900));
+    REQUIRE(this->runningOf(job).size() == 3);
+    this->run({ other }, std::chrono::seconds(5));
+    CHECK(this->runningOf(job).size() == 3);
+    CHECK(this->starts.size() == 5);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_lateRowOfFinishedJob_doesNotOpenItAgain")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    const StoredRowChange definition = *this->store.find({ StoredRowKind::Definition, job });
+    // The feed stands still while the job ends; then the definition comes once more.
+    for (int i = 0; i < 150; ++i) {
+        this->now += std::chrono::milliseconds(20);
+        this->send("a", SchedulerTick { toMilliseconds(this->now.time_since_epoch()) });
+        std::vector<Held> due;
+        due.swap(this->held);
+        for (const Held& report : due)
+            this->send("a", report.end);
+    }
+    REQUIRE(this->phaseOf(job) == JobPhase::Completed);
+    this->send("a", StoredRowsRead { { { definition.key, definition.version, definition.value } }, definition.version, false });
+    this->run({ "a" }, std::chrono::seconds(2));
+    CHECK(this->starts.size() == 1);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "JobRun_mergeOfFinalProgress_keepsTheTimeOfTheEnd")
+{
+    JobRecord record;
+    record.definition.id = JobId(job);
+    record.definition.steps = { stepOfTasks(1, 4) };
+    record.definitionVersion = 1;
+    JobRun run(record, 2, true, this->now);
+    run.mergeProgress({ .phase = JobPhase::Completed, .epoch = 1, .generation = 3, .endedAt = 1234 }, 5, this->now);
+    CHECK(run.progress().endedAt == 1234);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_shortWorkWithoutRoom_evictsLastingTask")
+{
+    this->addWorker("w1", 16);
+    this->run({ "a" }, takeover);
+    StepDefinition lasting = stepOfTasks(2, 8);
+    lasting.isLasting = true;
+    this->submit("a", job, { lasting });
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf(job).size() == 2);
+    const std::string quick = "00000000000000a2";
+    this->submit("a", quick, { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::milliseconds(400));
+    CHECK(this->runningOf(quick).size() == 1);
+    this->run({ "a" }, std::chrono::seconds(4));
+    CHECK(this->phaseOf(quick) == JobPhase::Completed);
+    CHECK(this->runningOf(job).size() == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_unansweredStart_neverRunsTwice")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->taskTime = std::chrono::seconds(20);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    const StartTask start = this->starts.back();
+    this->send("a", TaskCallEnded { TaskCallKind::Start, start.to.worker, start.to.epoch, start.run, WorkerCallStatus::Unclear });
+    this->run({ "a" }, std::chrono::seconds(3));
+    CHECK(this->runningOf(job).size() == 1);
+    CHECK(this->starts.size() == 1);
+}
+
+} // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/simulation/simulated_worker.cc
@@ -0,0 +1,110 @@
+#include "scheduling/simulation/simulated_worker.h"
+
+namespace dragonflytray {
+
+SimulatedWorker::SimulatedWorker(ListedWorker entry, Instant start)
+    : listed(std::move(entry))
+    , begin(start)
+{
+}
+
+std::int64_t SimulatedWorker::clockAt(Instant now) const
+{
+    return toMilliseconds(now - this->begin);
+}
+
+bool SimulatedWorker::isFenced(Epoch epoch)
+{
+    if (epoch < this->highestEpoch)
+        return true;
+    this->highestEpoch = epoch;
+    return false;
+}
+
+WorkerCallStatus SimulatedWorker::start(const StartTask& call, SimulatedRun work, Instant now)
+{
+    this->advance(now);
+    if (this->isFenced(call.to.epoch))
+        return WorkerCallStatus::Fenced;
+    if (call.deadline <= this->clockAt(now))
+        return WorkerCallStatus::TooLate;
+    this->leaseEnd = std::max(this->leaseEnd, call.deadline);
+    if (this->runs.contains(call.run))
+        return WorkerCallStatus::Ok;
+    if (const auto last = this->ended.find(call.run.task); last != this->ended.end() && call.run.run <= last->second)
+        return WorkerCallStatus::StaleRun;
+    TaskResources room = this->listed.capacity;
+    for (const auto& [id, run] : this->runs)
+        room -= run.need;
+    if (!work.need.fitsIn(room))
+        return WorkerCallStatus::NoRoom;
+    work.id = call.run;
+    this->runs.emplace(call.run, std::move(work));
+    return WorkerCallStatus::Ok;
+}
+
+WorkerCallStatus SimulatedWorker::stop(const StopTask& call, Instant now)
+{
+    this->advance(now);
+    if (this->isFenced(call.to.epoch))
+        return WorkerCallStatus::Fenced;
+    std::uint64_t& last = this->ended[call.run.task];
+    last = std::max(last, call.run.run);
+    if (this->runs.contains(call.run))
+        this->finish(call.run, RunOutcome::Stopped);
+    return WorkerCallStatus::Ok;
+}
+
+HoldEnded SimulatedWorker::hold(const HoldWorker& call, Instant now)
+{
+    this->advance(now);
+    HoldEnded end { .worker = this->listed.id, .epoch = call.to.epoch, .sentAt = now, .status = WorkerCallStatus::Ok, .clock = this->clockAt(now), .born = this->listed.born };
+    if (this->isFenced(call.to.epoch)) {
+        end.status = WorkerCallStatus::Fenced;
+        return end;
+    }
+    if (call.deadline)
+        this->leaseEnd = std::max(this->leaseEnd, *call.deadline);
+    while (!this->ends.empty() && this->ends.front().number <= call.acknowledged) {
+        if (this->ends.front().outcome == RunOutcome::Done)
+            this->done[this->ends.front().id] = true;
+        this->ends.pop_front();
+    }
+    for (const auto& [id, run] : this->runs)
+        end.running.push_back({ id, run.checkpoint, 100, 0 });
+    end.ended.assign(this->ends.begin(), this->ends.end());
+    return end;
+}
+
+void SimulatedWorker::advance(Instant now)
+{
+    std::vector<std::pair<TaskRunId, RunOutcome>> over;
+    const bool isLapsed = this->clockAt(now) >= this->leaseEnd;
+    for (const auto& [id, run] : this->runs) {
+        if (run.end <= now)
+            over.emplace_back(id, run.isFailing ? RunOutcome::Failed : RunOutcome::Done);
+        else if (isLapsed)
+            over.emplace_back(id, RunOutcome::LeaseExpired);
+    }
+    for (const auto& [id, outcome] : over)
+        this->finish(id, outcome);
+}
+
+void SimulatedWorker::finish(const TaskRunId& run, RunOutcome outcome)
+{
+    std::uint64_t& last = this->ended[run.task];
+    last = std::max(last, run.run);
+    this->ends.push_back({ ++this->lastEnd, run, outcome, this->runs.at(run).checkpoint });
+    if (outcome == RunOutcome::Done)
+        this->done[run] = false;
+    this->runs.erase(run);
+}
+
+void SimulatedWorker::restart(Instant now)
+{
+    ListedWorker entry = this->listed;
+    ++entry.born;
+    *this = SimulatedWorker(std::move(entry), now);
+}
+
+} // namespace dragonflytray
