--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -131,7 +131,7 @@
         for (const auto& [number, unit] : progress.units) {
             Json failures = Json::array();
             for (const auto& [index, failed] : unit.failures)
-                failures.push_back({ index, failed.count, failed.lastRun });
+                failures.push_back({ index, failed });
             Json checkpoints = Json::array();
             for (const auto& [index, checkpoint] : unit.checkpoints)
                 checkpoints.push_back({ index, checkpoint });
@@ -146,7 +146,7 @@
         for (const char bit : json.at(1).get<std::string>())
             unit.done.push_back(bit == '1');
         for (const Json& failed : json.at(2))
-            unit.failures[failed.at(0)] = { failed.at(1), failed.at(2) };
+            unit.failures[failed.at(0)] = failed.at(1).get<TaskFailures>();
         for (const Json& checkpoint : json.at(3))
             unit.checkpoints[checkpoint.at(0)] = checkpoint.at(1);
         return unit;
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -14,7 +14,7 @@
     for (const StoredRowChange& change : read.rows)
         this->applyRow(change, turn);
     this->followed = std::max(this->followed, read.revision);
-    this->dispatcher.storeFollowed(this->followed, turn);
+    this->dispatcher.storeFollowed(this->followed, this->book, turn);
     this->keepLeases(turn);
     this->dispatcher.tick(turn);
 }
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -18,24 +18,33 @@
 {
 }
 
-void Dispatcher::cellTaken(const CellTaken& taken, JobBook& book, Turn& turn)
+void Dispatcher::cellTaken(const CellTaken& taken, Turn& turn)
+{
+    this->taken[taken.cell] = taken;
+    this->metHigherEpoch.reset();
+    turn.add(FollowWorkers { true });
+}
+
+void Dispatcher::beginToLead(const CellTaken& taken, const JobBook& book, Turn& turn)
 {
     Cell cell { .epoch = taken.epoch, .takenAt = taken.takenAt, .since = turn.now };
     cell.unconfirmed.insert(taken.unconfirmed.begin(), taken.unconfirmed.end());
     this->fleet.beginEpoch(taken.cell, turn.now);
     std::erase_if(this->strays, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == taken.cell; });
     Cell& placed = this->cells[taken.cell] = std::move(cell);
-    this->metHigherEpoch.reset();
+    placed.hasList = this->hasList;
     for (const auto& [id, record] : book.all()) {
         if (record.definition.cell == taken.cell)
             this->openJob(record, placed, turn);
     }
-    turn.add(FollowWorkers { true });
 }
 
 void Dispatcher::cellLost(const CellName& cell)
 {
+    this->taken.erase(cell);
     this->cells.erase(cell);
+    if (!this->leadsAny())
+        this->hasList = false;
     std::erase_if(this->runs, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
 
@@ -46,9 +55,16 @@
         found->second.settleAt = version;
 }
 
-void Dispatcher::storeFollowed(RowVersion version, Turn& turn)
+void Dispatcher::storeFollowed(RowVersion version, const JobBook& book, Turn& turn)
 {
     this->followed = std::max(this->followed, version);
+    for (auto entry = this->taken.begin(); entry != this->taken.end();) {
+        const CellTaken taken = entry->second;
+        const bool isKnown = this->followed >= taken.takenAt;
+        entry = isKnown ? this->taken.erase(entry) : std::next(entry);
+        if (isKnown)
+            this->beginToLead(taken, book, turn);
+    }
     this->settleCells(turn);
 }
 
@@ -159,6 +175,7 @@
 {
     this->fleet.list(change);
     if (change.isWhole) {
+        this->hasList = true;
         for (auto& [name, cell] : this->cells)
             cell.hasList = true;
     }
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -6,7 +6,8 @@
 // Example:
 //
 //     Dispatcher dispatcher({});
-//     dispatcher.cellTaken({ .cell = cell, .epoch = 3, .takenAt = version }, book, turn);
+//     dispatcher.cellTaken({ .cell = cell, .epoch = 3, .takenAt = version }, turn);
+//     dispatcher.storeFollowed(version, book, turn);
 //     dispatcher.holdEnded(end, turn);
 //     dispatcher.tick(turn);
 
@@ -39,6 +40,8 @@
         Duration holdWait { std::chrono::milliseconds(1000) }; // a quarter of the lease or less
         Duration holdRetry { std::chrono::milliseconds(150) }; // after a hold without answer
         Duration owedHold { std::chrono::milliseconds(120) }; // to look again while ends wait to be recorded
+        Duration renewalPatience { std::chrono::milliseconds(1500) }; // leases are renewed so long without an answer
+        std::size_t movesAtOnce { 2 }; // lasting tasks from one leaving worker in one pass
         Duration stopTimeout { std::chrono::milliseconds(400) }; // a worker ends a run within it
         Duration stopRetry { std::chrono::milliseconds(500) };
         Duration unhealthyRest { std::chrono::milliseconds(1500) };
@@ -61,10 +64,10 @@
     Dispatcher(Options options, const std::map<DataCentreName, CellName>& cellOf);
 
     // Commands. Each adds what has to be done to the turn.
-    void cellTaken(const CellTaken& taken, JobBook& book, Turn& turn);
+    void cellTaken(const CellTaken& taken, Turn& turn);
     void cellLost(const CellName& cell);
     void renewalRecorded(const CellName& cell, RowVersion version);
-    void storeFollowed(RowVersion version, Turn& turn);
+    void storeFollowed(RowVersion version, const JobBook& book, Turn& turn);
     void jobChanged(const JobRecord& record, Turn& turn);
     void jobRemoved(const JobId& job);
     void workersListed(const WorkersListed& change);
@@ -77,8 +80,9 @@
 
     // Queries.
     bool owns(std::uint64_t write) const { return this->recorder.owns(write); }
-    bool leads(const CellName& cell) const { return this->cells.contains(cell); }
-    bool leadsAny() const { return !this->cells.empty(); }
+    bool leads(const CellName& cell) const { return this->cells.contains(cell) || this->taken.contains(cell); }
+    bool leadsAny() const { return !this->cells.empty() || !this->taken.empty(); }
+    bool isWaitingToLead(const CellName& cell) const { return this->taken.contains(cell); }
     std::optional<Epoch> fencedAt() const { return this->metHigherEpoch; }
     std::int64_t capacityOf(const CellName& cell) const;
     std::vector<std::string> labelsOf(const CellName& cell) const;
@@ -102,6 +106,8 @@
         std::set<TaskId> unconfirmed {}; // believed alive until the former leases have lapsed
     };
 
+    void beginToLead(const CellTaken& taken, const JobBook& book, Turn& turn);
+
     // Ends of runs.
     void noteEnd(FleetWorker& worker, const EndedRun& end, Turn& turn);
     void endDone(JobRun& job, const TaskId& task, Turn& turn);
@@ -129,6 +135,7 @@
     void stopEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
     void holdWorkers(Turn& turn);
     void hold(FleetWorker& worker, const Cell& cell, Turn& turn);
+    void evacuate(FleetWorker& worker, Turn& turn);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
     WorkerAddress addressOf(const FleetWorker& worker) const;
 
@@ -152,6 +159,8 @@
     void placeTasks(Turn& turn);
     std::vector<JobRun*> orderedJobs(Instant now);
     void placeUnit(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
+    PlacementRequest requestFor(JobRun& job, const TaskId& task, Instant now);
+    FleetWorker* findWorker(JobRun& job, const TaskId& task, Instant now);
     void placeGang(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
     bool placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn);
     void start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn);
@@ -166,6 +175,7 @@
     Recorder recorder;
     FillControl fillControl;
     JobRuns runs;
+    std::map<CellName, CellTaken> taken; // until everything stored before is known here
     std::map<CellName, Cell> cells;
     std::map<QueueName, QueueRule> queues;
     RowVersion followed { 0 };
@@ -175,6 +185,7 @@
     bool needsPass { false };
     Instant lastPass;
     Instant lastShortStart; // of a task that neither lasts nor fills
+    bool hasList { false }; // the whole list of workers has been read since this host began to lead
     std::set<JobId> finished; // final jobs that may still have something on workers or owed
 };
 
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -14,6 +14,8 @@
                 gone.push_back(id);
             continue;
         }
+        if (worker.entry.isDraining)
+            this->evacuate(worker, turn);
         const bool isLapsed = (worker.isSuspect || !worker.isListed) && turn.now >= worker.leaseEnd && worker.clock;
         if (isLapsed && !worker.runs.empty())
             this->loseRuns(worker, "lease-lapsed", turn);
@@ -32,9 +34,11 @@
 void Dispatcher::hold(FleetWorker& worker, const Cell& cell, Turn& turn)
 {
     HoldWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.acknowledged, .wait = Duration(0) };
-    const bool isLapsed = worker.isSuspect && turn.now >= worker.leaseEnd;
-    if (!isLapsed && worker.isFenced)
+    // A worker that does not answer gets no longer lease after a while, so that its runs can be given up.
+    const bool mayRenew = !worker.isSuspect || turn.now < worker.lastAnswer + this->options.renewalPatience;
+    if (mayRenew && worker.isFenced)
         call.deadline = worker.deadlineAt(turn.now, this->fleet.lease());
+    worker.leaseBeforeHold = worker.leaseEnd;
     if (call.deadline)
         this->fleet.granted(worker, turn.now);
     if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
@@ -45,6 +49,23 @@
     turn.add(std::move(call));
 }
 
+void Dispatcher::evacuate(FleetWorker& worker, Turn& turn)
+{
+    std::vector<TaskRunId> moving;
+    for (const auto& [run, charge] : worker.runs) {
+        JobRun* job = charge.isStopping ? nullptr : this->findRun(run.task.job);
+        const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
+        if (!slot || slot->run != run.run || slot->stage != TaskStage::Running || !job->definition().steps[run.task.step].isLasting)
+            continue;
+        if (this->findWorker(*job, run.task, turn.now))
+            moving.push_back(run);
+        if (moving.size() >= this->options.movesAtOnce)
+            break;
+    }
+    for (const TaskRunId& run : moving)
+        this->stopRun(worker, run, "evacuated", turn);
+}
+
 void Dispatcher::stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
 {
     const auto charge = worker.runs.find(run);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -122,27 +122,40 @@
     return static_cast<std::uint32_t>(std::distance(worker->runs.lower_bound(first), worker->runs.upper_bound(last)));
 }
 
-bool Dispatcher::placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn)
+PlacementRequest Dispatcher::requestFor(JobRun& job, const TaskId& task, Instant now)
 {
     const StepDefinition& step = job.definition().steps[task.step];
-    const QueueRule& rule = this->ruleOf(job);
-    TaskSlot& slot = *job.slot(task);
-    const bool isPlain = step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    if (isPlain && pass.isHopeless(job.definition().cell, rule.service, step))
-        return false;
-    const PlacementRequest request {
+    const TaskSlot& slot = *job.slot(task);
+    // A failed run of a lasting task costs no attempt; it may go back to where it was.
+    return {
         .step = step,
         .fills = this->fillControl,
         .image = this->fillControl.numberOf(step.image),
         .cell = job.definition().cell,
-        .service = rule.service,
-        .now = turn.now,
-        .avoid = slot.failedOn,
-        .avoidsFailing = job.failures(task) > 0,
-        .mayLeaveData = step.nearLabel.empty() || turn.now >= slot.since + this->options.dataPatience,
+        .service = this->ruleOf(job).service,
+        .now = now,
+        .avoid = step.isLasting ? WorkerId() : slot.failedOn,
+        .avoidsFailing = !step.isLasting && job.failures(task) > 0,
+        .mayLeaveData = step.nearLabel.empty() || now >= slot.since + this->options.dataPatience,
         .rack = {},
-        .sameStepRuns = [&](const WorkerId& worker) { return this->sameStepRuns(task, worker); },
+        .sameStepRuns = [this, task](const WorkerId& worker) { return this->sameStepRuns(task, worker); },
     };
+}
+
+FleetWorker* Dispatcher::findWorker(JobRun& job, const TaskId& task, Instant now)
+{
+    return chooseWorker(this->fleet, this->requestFor(job, task, now));
+}
+
+bool Dispatcher::placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn)
+{
+    const StepDefinition& step = job.definition().steps[task.step];
+    const QueueRule& rule = this->ruleOf(job);
+    TaskSlot& slot = *job.slot(task);
+    const bool isPlain = step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
+    if (isPlain && pass.isHopeless(job.definition().cell, rule.service, step))
+        return false;
+    const PlacementRequest request = this->requestFor(job, task, turn.now);
     FleetWorker* worker = chooseWorker(this->fleet, request);
     if (worker && this->yieldsToShortWork(step, slot, turn.now))
         return true;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -64,6 +64,11 @@
         worker.isListed = false;
         return;
     }
+    if (end.status == WorkerCallStatus::NotSent) {
+        worker.leaseEnd = worker.leaseBeforeHold;
+        if (worker.entry.isDraining && !worker.isListed) // it has left, and nothing outlives it
+            this->loseRuns(worker, "worker-left", turn);
+    }
     if (!worker.isSuspect)
         turn.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(turn.now - worker.lastAnswer) });
     worker.isSuspect = true;
@@ -291,7 +296,7 @@
 void Dispatcher::paceFills(FleetWorker& worker, Turn& turn)
 {
     this->fillControl.observe(worker, turn.now);
-    for (const PaceChange& change : this->fillControl.pacesFor(worker)) {
+    for (const PaceChange& change : this->fillControl.pacesFor(worker, turn.now)) {
         turn.add(PaceTask { this->addressOf(worker), change.run, change.percent });
         turn.add(LogDecision { DecisionEvent::TaskPaced, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
     }
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -170,7 +170,7 @@
     worker.servingUsage += this->options.usageGain * (goal - worker.servingUsage);
 }
 
-std::vector<PaceChange> FillControl::pacesFor(FleetWorker& worker)
+std::vector<PaceChange> FillControl::pacesFor(FleetWorker& worker, Instant now)
 {
     std::vector<PaceChange> changes;
     if (worker.fillMillicores == 0 || worker.serving == 0)
@@ -183,14 +183,21 @@
         least = entry.headroom;
         serving = entry.image;
     }
-    if (least < this->options.paceHeadroom)
-        this->paceDown(worker, this->options.admitHeadroom - least, serving, changes);
+    if (least >= 1)
+        worker.missedSince = {};
+    else if (worker.missedSince == Instant())
+        worker.missedSince = now;
+    const bool isMissedLong = least < 1 && now >= worker.missedSince + this->options.missLimit;
+    if (isMissedLong) // whatever the model says, the fills have to make room
+        this->paceDown(worker, std::numeric_limits<double>::infinity(), 0, serving, changes);
+    else if (least < this->options.paceHeadroom)
+        this->paceDown(worker, this->options.admitHeadroom - least, this->options.material / 2, serving, changes);
     else
         this->relax(worker, changes);
     return changes;
 }
 
-void FillControl::paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes)
+void FillControl::paceDown(FleetWorker& worker, double missing, double least, std::size_t serving, std::vector<PaceChange>& changes)
 {
     // The fills that weigh most are paced first, until the predicted headroom is back.
     std::vector<std::pair<double, std::pair<const TaskRunId, RunCharge>*>> fills;
@@ -201,7 +208,7 @@
     }
     std::sort(fills.begin(), fills.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     for (const auto& [effect, entry] : fills) {
-        if (missing <= 0 || effect < this->options.material / 2)
+        if (missing <= 0 || effect < least)
             return;
         const int before = entry->second.pace;
         entry->second.pace = this->options.lowestPace;
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -36,6 +36,7 @@
         double material { 0.12 }; // headroom that a fill has to take before it counts as harmful
         double paceHeadroom { 1.15 }; // below it fills are paced down
         double exposureShare { 0.125 }; // of a worker's cores in use by fills that counts as one full task to the model
+        Duration missLimit { std::chrono::milliseconds(1200) }; // a target missed for so long slows every fill beside it
         int lowestPace { 5 }; // percent
         int paceStep { 35 }; // percent by which a fill is let go faster after a report
         double usagePrior { 0.5 }; // share of its reserved cores that a serving task uses until more is known
@@ -52,7 +53,7 @@
     void observe(FleetWorker& worker, Instant now);
 
     // pacesFor() is what has to change so that the targets hold. Linear in the worker's runs, squared.
-    std::vector<PaceChange> pacesFor(FleetWorker& worker);
+    std::vector<PaceChange> pacesFor(FleetWorker& worker, Instant now);
 
     // idleMillicores() is what fills may still use on the worker.
     double idleMillicores(const FleetWorker& worker) const;
@@ -83,7 +84,7 @@
     void trackWorst(FleetWorker& worker, Instant now);
     bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     void learnUsage(FleetWorker& worker, Instant now) const;
-    void paceDown(FleetWorker& worker, double missing, std::size_t serving, std::vector<PaceChange>& changes);
+    void paceDown(FleetWorker& worker, double missing, double least, std::size_t serving, std::vector<PaceChange>& changes);
     void relax(FleetWorker& worker, std::vector<PaceChange>& changes);
 
     Options options;
--- a/packages/scheduling/fill_control_test.cc
+++ b/packages/scheduling/fill_control_test.cc
@@ -76,7 +76,7 @@
     this->add(this->worker, "bad", fill("heavy"));
     this->add(this->worker, "good", fill("light"));
     this->report(0.75);
-    const auto changes = this->control.pacesFor(this->worker);
+    const auto changes = this->control.pacesFor(this->worker, this->now);
     REQUIRE(changes.size() == 1);
     CHECK(changes.front().run.task.job.value() == "bad");
     CHECK(this->runOf("good").pace == 100);
@@ -87,11 +87,11 @@
     this->learn();
     this->add(this->worker, "bad", fill("heavy"));
     this->report(0.75);
-    REQUIRE(!this->control.pacesFor(this->worker).empty());
+    REQUIRE(!this->control.pacesFor(this->worker, this->now).empty());
     const int paced = this->runOf("bad").pace;
     for (int i = 0; i < 60; ++i) {
         this->report(0.1);
-        (void)this->control.pacesFor(this->worker);
+        (void)this->control.pacesFor(this->worker, this->now);
     }
     CHECK(this->runOf("bad").pace > paced);
 }
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -67,6 +67,7 @@
     std::optional<std::int64_t> clock; // ms on the worker's steady clock, at clockSeen
     Instant clockSeen;
     Instant leaseEnd; // every lease that was granted has surely lapsed then
+    Instant leaseBeforeHold; // leaseEnd without the hold in flight
     Instant lastAnswer;
     bool isSuspect { false }; // the last hold had no answer
     Instant restUntil; // takes no new tasks until then
@@ -80,6 +81,7 @@
     double servingUsage { 0.5 }; // share of their reserved cores that serving tasks are seen to use
     std::int64_t servingMillicores { 0 }; // reserved by serving runs
     FillSample fillSample;
+    Instant missedSince; // since when some serving run misses its target; zero: none does
     std::vector<ServingHeadroom> servings; // as of the last report
     std::map<TaskRunId, RunCharge> runs;
 
--- a/packages/scheduling/job_run.cc
+++ b/packages/scheduling/job_run.cc
@@ -109,7 +109,7 @@
             if (const auto saved = progress->checkpoints.find(index); saved != progress->checkpoints.end())
                 slot.checkpoint = saved->second;
             if (const auto failed = progress->failures.find(index); failed != progress->failures.end())
-                slot.run = failed->second.lastRun;
+                slot.run = *failed->second.rbegin();
         }
         unit.done += slot.stage == TaskStage::Done ? 1 : 0;
         unit.waiting += slot.stage == TaskStage::Waiting ? 1 : 0;
@@ -181,11 +181,8 @@
 
 bool JobRun::countFailure(const TaskId& task, std::uint64_t run)
 {
-    TaskFailures& failures = this->progressOf(task.occurrence, task.step).failures[task.index];
-    if (run <= failures.lastRun)
+    if (!this->progressOf(task.occurrence, task.step).failures[task.index].insert(run).second)
         return false;
-    ++failures.count;
-    failures.lastRun = run;
     this->touch();
     return true;
 }
@@ -209,7 +206,7 @@
     if (!progress)
         return 0;
     const auto found = progress->failures.find(task.index);
-    return found == progress->failures.end() ? 0 : found->second.count;
+    return found == progress->failures.end() ? 0 : static_cast<std::uint32_t>(found->second.size());
 }
 
 bool JobRun::isDone(const TaskId& task) const
@@ -260,11 +257,8 @@
             if (unit.done[task.index])
                 this->markDone(task, now);
         }
-        for (const auto& [index, failures] : unit.failures) {
-            TaskFailures& own = this->progressOf(task.occurrence, task.step).failures[index];
-            if (failures.lastRun > own.lastRun)
-                own = failures;
-        }
+        for (const auto& [index, failures] : unit.failures)
+            this->progressOf(task.occurrence, task.step).failures[index].insert(failures.begin(), failures.end());
     }
     if (isFinal(other.phase)) {
         this->state.phase = other.phase;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -92,7 +92,7 @@
     const CellLeadership& leadership = this->leaderships.at(cell);
     if (change == LeadershipChange::Taken) {
         turn.add(LogDecision { DecisionEvent::LeadershipTaken, cell.value(), {}, "lease-recorded", leadership.epoch(), 0 });
-        this->dispatcher.cellTaken({ cell, leadership.epoch(), leadership.takenAt(), unconfirmed }, this->book, turn);
+        this->dispatcher.cellTaken({ cell, leadership.epoch(), leadership.takenAt(), unconfirmed }, turn);
     } else if (change == LeadershipChange::Lost) {
         this->loseCell(cell, turn);
     }
@@ -111,11 +111,14 @@
 void Scheduler::keepLeases(Turn& turn)
 {
     for (auto& [cell, leadership] : this->leaderships) {
-        if (this->dispatcher.leads(cell) && !leadership.isLeader(turn.now)) {
+        // A leader that can write but not follow the store lets go.
+        const bool isBlind = this->dispatcher.isWaitingToLead(cell) && !leadership.holdsLease(turn.now);
+        if (this->dispatcher.leads(cell) && (isBlind || !leadership.isLeader(turn.now))) {
             leadership.fence();
             this->loseCell(cell, turn);
         }
-        if (this->hasFollowed) {
+        const bool mayWrite = this->hasFollowed && !this->dispatcher.isWaitingToLead(cell);
+        if (mayWrite) {
             const CellReport report { this->dispatcher.capacityOf(cell), this->dispatcher.labelsOf(cell), this->dispatcher.unconfirmedOf(cell) };
             if (auto write = leadership.nextWrite(this->nextWrite, report, turn.now)) {
                 ++this->nextWrite;
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -8,6 +8,7 @@
 
 #include "scheduling/job_types.h"
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace dragonflytray {
@@ -46,13 +47,8 @@
 // partitionOf() is the partition of a row; the same on every host and for every release.
 std::uint32_t partitionOf(const StoredRowKey& key);
 
-// TaskFailures counts the failed runs of one task.
-struct TaskFailures {
-    std::uint32_t count { 0 };
-    std::uint64_t lastRun { 0 }; // an end of a run up to this one has been counted
-
-    bool operator==(const TaskFailures&) const = default;
-};
+// TaskFailures is the failed runs of one task, each by its number: ends may be reported in any order.
+using TaskFailures = std::set<std::uint64_t>;
 
 // UnitProgress is what is recorded of one step in one occurrence.
 struct UnitProgress {
