--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -53,6 +53,7 @@
         std::size_t misfitsInPass { 48 }; // tasks without room after which a pass over the queue ends
         Duration guardWait { std::chrono::milliseconds(350) }; // of holds where fills work beside serving tasks near their target
         Duration lastingPatience { std::chrono::milliseconds(1500) }; // room has to last so long before a lasting task takes it from short work
+        Duration lastingLimit { std::chrono::milliseconds(3000) }; // after which it takes any room; half of what the users bear
         Duration shortWorkMemory { std::chrono::seconds(5) }; // short work is expected so long after the last
         double restartLoss { 0.3 }; // seconds of work that stopping a run with checkpoints costs
         std::size_t evictionsInPass { 2 }; // searches
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -176,7 +176,8 @@
 
 bool Dispatcher::yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const
 {
-    if (!step.isLasting || now >= this->lastShortStart + this->options.shortWorkMemory)
+    const bool isAwayLong = now >= slot.since + this->options.lastingLimit;
+    if (!step.isLasting || isAwayLong || now >= this->lastShortStart + this->options.shortWorkMemory)
         return false;
     if (slot.roomSince == Instant())
         slot.roomSince = now;
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -60,6 +60,7 @@
     std::map<std::string, RowVersion> followed;
     std::map<std::string, bool> isCutFromStore;
     std::map<WorkerId, SimulatedWorker> workers;
+    std::set<WorkerId> silent; // workers that no call reaches
     std::vector<Held> held;
     std::vector<ReplyToClient> replies;
     std::vector<StartTask> starts;
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -146,6 +146,78 @@
     CHECK(this->runningOf(job).size() == 2);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_lastingTaskAwayLong_takesRoomBesideShortWork")
+{
+    this->addWorker("w1", 16);
+    this->run({ "a" }, takeover);
+    StepDefinition lasting = stepOfTasks(2, 8);
+    lasting.isLasting = true;
+    this->submit("a", job, { lasting });
+    this->run({ "a" }, std::chrono::seconds(1));
+    // Short work comes without end, and leaves room for one lasting task all the while.
+    for (int second = 0; second < 8; ++second) {
+        this->submit("a", "00000000000001a" + std::to_string(second), { stepOfTasks(1, 4) });
+        this->run({ "a" }, std::chrono::seconds(1));
+    }
+    CHECK(this->runningOf(job).size() >= 1);
+    this->run({ "a" }, std::chrono::seconds(4));
+    CHECK(this->runningOf(job).size() == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "JobRun_failuresInAnyOrder_countEachRunOnce")
+{
+    JobRecord record;
+    record.definition.id = JobId(job);
+    record.definition.steps = { stepOfTasks(1, 4) };
+    record.definitionVersion = 1;
+    JobRun run(record, 2, true, this->now);
+    const TaskId task { JobId(job), 0, 0, 0 };
+    CHECK(run.countFailure(task, 1003));
+    CHECK(run.countFailure(task, 1001));
+    CHECK_FALSE(run.countFailure(task, 1003));
+    CHECK(run.failures(task) == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_leaderBehindTheStore_acknowledgesNothingUnknown")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->submit("a", job, { stepOfTasks(2, 4) });
+    this->run({ "a" }, std::chrono::milliseconds(200));
+    const RowVersion behind = this->store.version();
+    this->run({ "a" }, std::chrono::milliseconds(300));
+    REQUIRE(this->runningOf(job).size() == 2);
+    // "b" knows the lease, but not yet the job: its feed is behind when it takes over.
+    this->send("b", StoredRowsRead { { *this->store.find({ StoredRowKind::CellLease, "whole" }) }, 0, false });
+    for (int i = 0; i < 150; ++i) {
+        this->now += std::chrono::milliseconds(20);
+        for (auto& [id, worker] : this->workers)
+            worker.advance(this->now);
+        this->send("b", SchedulerTick { toMilliseconds(this->now.time_since_epoch()) });
+    }
+    CHECK(behind > 0);
+    this->run({ "b" }, std::chrono::seconds(8));
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+    CHECK(this->starts.size() == 2);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_silentWorker_losesItsRunsAfterTheLease")
+{
+    this->addWorker("w1", 4);
+    this->run({ "a" }, takeover);
+    this->taskTime = std::chrono::seconds(60);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->starts.size() == 1);
+    this->addWorker("w2", 4);
+    this->send("a", WorkersListed { { this->workers.at(WorkerId("w2")).entry() }, {}, false });
+    this->silent.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::seconds(4));
+    CHECK(this->starts.size() == 1);
+    this->run({ "a" }, std::chrono::seconds(5));
+    CHECK(this->starts.size() == 2);
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "Scheduler_unansweredStart_neverRunsTwice")
 {
     this->addWorker("w1", 64);
