--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -20,7 +20,7 @@
         Duration following;
     };
     constexpr std::array<FeedPace, feedKindNames.size()> paces { {
-        { std::chrono::milliseconds(10), std::chrono::milliseconds(250) }, // a new job starts as soon as its leader knows it
+        { std::chrono::milliseconds(30), std::chrono::milliseconds(250) }, // a new job starts as soon as its leader knows it
         { std::chrono::milliseconds(0), std::chrono::milliseconds(0) },
         { std::chrono::milliseconds(200), std::chrono::milliseconds(200) }, // heartbeats come at any time
     } };
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -33,6 +33,8 @@
     if (this->inFlight != 0 || now < this->nextAttempt)
         return std::nullopt;
     const bool isHolder = this->ownEpoch != 0;
+    if (this->lastSeen == Instant())
+        this->lastSeen = now; // no lease has ever been seen; the delay counts from the first look
     if (!isHolder && (this->isGivingUp || !this->mayTake(now)))
         return std::nullopt;
     this->sentRow = {
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -122,6 +122,7 @@
     void adoptLife(FleetWorker& worker, const HoldEnded& end, Turn& turn);
     void compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn);
     void confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
+    bool isUnwanted(const FleetWorker& worker, const TaskRunId& run);
     void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void adoptStrays(JobRun& job, Turn& turn);
     void forgetStray(const TaskRunId& run);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -195,6 +195,15 @@
         this->missRun(worker, run, end, turn);
 }
 
+bool Dispatcher::isUnwanted(const FleetWorker& worker, const TaskRunId& run)
+{
+    JobRun* job = this->findRun(run.task.job);
+    if (!job || isFinal(job->progress().phase) || job->isDone(run.task))
+        return true;
+    const TaskSlot* slot = job->slot(run.task);
+    return slot && isOnWorker(slot->stage) && (slot->run != run.run || slot->worker != worker.entry.id);
+}
+
 void Dispatcher::confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn)
 {
     RunCharge& charge = worker.runs.at(task.id);
@@ -202,6 +211,8 @@
         charge.confirmedFirst = turn.now;
     charge.confirmedAt = turn.now;
     charge.load = task.load;
+    if (!charge.isStopping && this->isUnwanted(worker, task.id))
+        return this->stopRun(worker, task.id, "unwanted", turn); // an earlier stop had no answer
     JobRun* job = this->findRun(task.id.task.job);
     TaskSlot* slot = job ? job->slot(task.id.task) : nullptr;
     if (!slot || slot->run != task.id.run)
--- a/packages/scheduling/recorder.h
+++ b/packages/scheduling/recorder.h
@@ -25,7 +25,7 @@
 class Recorder {
 public:
     struct Options {
-        Duration commitInterval { std::chrono::milliseconds(40) }; // between two writes of one partition
+        Duration commitInterval { std::chrono::milliseconds(70) }; // between two writes of one partition
         Duration finalInterval { std::chrono::milliseconds(8) }; // when a job has reached its end
         Duration retryInterval { std::chrono::milliseconds(100) }; // after a write without effect
         std::size_t jobsInWrite { 45 }; // the platform takes at most 100 entries a transaction
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -6,12 +6,14 @@
 
 namespace {
 
-    // startSpread() is a host's place among those of its data centre, between 0 and 1. Larger hosts come first.
-    double startSpread(const Scheduler::Options& options)
+    // takeDelay() is how long a host waits before it takes a lease that is free. Larger hosts come first;
+    // equal ones are told apart by their names.
+    Duration takeDelay(const Scheduler::Options& options)
     {
-        constexpr double hashBuckets = 1000;
-        const double place = static_cast<double>(std::hash<std::string>()(options.self.value()) % static_cast<std::size_t>(hashBuckets)) / hashBuckets;
-        return (place + 1 - std::min(options.processorShare, 1.0)) / 2;
+        constexpr std::size_t hashBuckets = 1000;
+        const double place = static_cast<double>(std::hash<std::string>()(options.self.value()) % hashBuckets) / hashBuckets;
+        const double size = std::min(options.processorShare / options.fullShare, 1.0);
+        return std::chrono::duration_cast<Duration>(options.sizeSpread * (1 - size) + options.nameSpread * place);
     }
 
 } // namespace
@@ -62,7 +64,7 @@
     const std::map<DataCentreName, CellName> cells = cellsOf(this->options.dataCentres, this->options.scope);
     if (const auto home = cells.find(this->options.home); home != cells.end())
         this->homeCell = home->second;
-    const auto spread = std::chrono::duration_cast<Duration>(this->options.takeSpread * startSpread(this->options));
+    const Duration spread = takeDelay(this->options);
     for (const auto& [place, cell] : cells) {
         const Duration delay = spread + (cell == this->homeCell ? Duration(0) : this->options.foreignDelay);
         this->leaderships.try_emplace(cell, CellLeadership::Options { .self = this->options.self, .cell = cell, .lease = this->options.lease, .takeDelay = delay, .storeGrace = this->options.dispatcher.formerGrace });
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -146,7 +146,11 @@
 
 void SchedulerFixture::carry(const std::string& name, const StopTask& effect)
 {
-    const WorkerCallStatus status = this->workers.at(effect.to.worker).stop(effect, this->now);
+    WorkerCallStatus status = WorkerCallStatus::Unclear;
+    if (this->stopsLost > 0)
+        --this->stopsLost;
+    else
+        status = this->workers.at(effect.to.worker).stop(effect, this->now);
     this->send(name, TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
 }
 
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -62,6 +62,7 @@
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> silent; // workers that no call reaches
     std::vector<Held> held;
+    int stopsLost { 0 }; // stops that get no answer and do nothing
     std::vector<ReplyToClient> replies;
     std::vector<StartTask> starts;
     std::vector<LogDecision> log;
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -218,6 +218,36 @@
     CHECK(this->starts.size() == 2);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_stopWithoutAnswer_isAskedForAgain")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->taskTime = std::chrono::seconds(60);
+    this->submit("a", job, { stepOfTasks(2, 4) });
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->stopsLost = 3;
+    this->send("a", RequestCancellation { ReplyToken { 2 }, "desk.example", "/q/" + job });
+    this->run({ "a" }, std::chrono::seconds(3));
+    CHECK(this->stopsLost == 0);
+    CHECK(this->runningOf(job).empty());
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_lateStartOfForgottenJob_isStoppedThoughStopsGetLost")
+{
+    SimulatedWorker& worker = this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::seconds(3));
+    REQUIRE(this->phaseOf(job) == JobPhase::Completed);
+    StartTask late = this->starts.back();
+    late.run = { { JobId("00000000000000ff"), 0, 0, 0 }, 1 };
+    late.deadline += 20000;
+    REQUIRE(worker.start(late, { .id = late.run, .need = {}, .end = Instant::max(), .isFailing = false, .checkpoint = {} }, this->now) == WorkerCallStatus::Ok);
+    this->stopsLost = 2;
+    this->run({ "a" }, std::chrono::seconds(3));
+    CHECK(worker.running().empty());
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "Scheduler_unansweredStart_neverRunsTwice")
 {
     this->addWorker("w1", 64);
