--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -137,14 +137,14 @@
 
 void SchedulingDuty::carryOut(ReplyToClient effect)
 {
-    if (!this->rings.front.tryPush(std::move(effect), RingRoom::Reserved))
+    if (!this->rings.front.tryPush(effect, RingRoom::Reserved))
         logError(LogPart::Scheduling, "A reply was dropped because the ring towards callers is full.");
 }
 
 void SchedulingDuty::carryOut(FollowWorkers effect)
 {
     this->isLeading = effect.shouldFollow;
-    if (!this->rings.store.tryPush(std::move(effect), RingRoom::Reserved))
+    if (!this->rings.store.tryPush(effect, RingRoom::Reserved))
         logError(LogPart::Scheduling, "The list of workers can't be followed because the ring towards the store is full.");
 }
 
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -129,6 +129,7 @@
     const auto charge = worker.runs.find(end.run);
     if (charge == worker.runs.end())
         return;
+    charge->second.isStopConfirmed = end.status == WorkerCallStatus::Ok || end.status == WorkerCallStatus::StaleRun;
     // A stop that may not have reached the worker is asked for again when the next report still names the run.
     if (end.status == WorkerCallStatus::Unclear || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Unhealthy) {
         charge->second.isStopping = false;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -284,8 +284,9 @@
 {
     RunCharge& charge = worker.runs.at(run);
     if (charge.isStopping) {
-        // The stop was carried out before the report, and its end is acknowledged or was never listed.
-        if (end.sentAt > charge.stopAskedAt + this->options.stopTimeout && end.sentAt > charge.confirmedAt)
+        // A run that was seen, or whose stop was answered, can't come any more. Another may yet be started late.
+        const bool isSettled = charge.isStopConfirmed || charge.confirmedFirst != Instant();
+        if (isSettled && end.sentAt > charge.stopAskedAt + this->options.stopTimeout && end.sentAt > charge.confirmedAt)
             this->loseRun(worker, run, "stopped", turn);
         return;
     }
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -22,6 +22,7 @@
     bool isServing { false }; // lasting, with a target of its own
     std::int64_t fillMillicores { 0 }; // wanted by a filling run
     bool isStopping { false };
+    bool isStopConfirmed { false }; // the worker has answered the stop, and rejects the run from now on
     Instant stopAskedAt {};
     Instant confirmedFirst {}; // when it was first known to run
     Instant confirmedAt {}; // when a start was answered or a report named it
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -45,6 +45,8 @@
     void carry(const std::string& name, const ReplyToClient& effect);
     void carry(const std::string& name, const FollowWorkers& effect);
     void carry(const std::string& name, const LogDecision& effect);
+    WorkerCallStatus startOn(const StartTask& call, const SimulatedRun& work);
+    void endWithoutAnswer(const std::string& name, TaskCallEnded end);
     StepDefinition stepOf(const TaskRunId& run) const;
 
     // Held is a report that has not reached its host yet.
@@ -62,6 +64,16 @@
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> silent; // workers that no call reaches
     std::vector<Held> held;
+    // LateStart is an order that its worker carries out after it was given up.
+    struct LateStart {
+        StartTask call;
+        SimulatedRun work;
+        Instant due;
+    };
+    std::vector<LateStart> lateStarts;
+    std::vector<std::pair<Instant, std::pair<std::string, TaskCallEnded>>> timeouts; // calls that end without an answer
+    std::size_t mostAtOnce { 0 }; // runs of one task on all workers, seen after each start
+    int startsLate { 0 }; // starts that get no answer and are carried out 1.5 s later
     int stopsLost { 0 }; // stops that get no answer and do nothing
     std::vector<ReplyToClient> replies;
     std::vector<StartTask> starts;
