--- a/packages/scheduling/job_book.cc
+++ b/packages/scheduling/job_book.cc
@@ -1,5 +1,7 @@
 #include "scheduling/job_book.h"
 
+#include <cmath>
+
 namespace dragonflytray {
 
 namespace {
@@ -94,7 +96,7 @@
 std::uint64_t JobBook::countPending(const std::string& host, const std::string& pathPrefix) const
 {
     const auto found = this->pending.find({ host, pathPrefix });
-    return found == this->pending.end() ? 0 : static_cast<std::uint64_t>(found->second + 0.5);
+    return found == this->pending.end() ? 0 : static_cast<std::uint64_t>(std::llround(found->second));
 }
 
 double JobBook::outstandingWork(const CellName& cell) const
