--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -36,7 +36,7 @@
     std::rename(partial.c_str(), path.c_str());
 }
 
-// blockSignals() leaves SIGTERM and SIGINT to waitForSignal(); every later thread inherits the mask.
+// blockSignals() leaves SIGTERM, SIGINT and SIGHUP to waitForSignal(); every later thread inherits the mask.
 sigset_t blockSignals()
 {
     sigset_t set;
@@ -60,6 +60,14 @@
     }
 }
 
+template <typename AnyDaemon>
+void shutDown(AnyDaemon& daemon)
+{
+    logInfo(LogPart::Daemon, "A graceful shutdown begins.");
+    daemon.drain();
+    daemon.stop();
+}
+
 int serve(const Settings& settings, const std::string& endpointsFile)
 {
     const sigset_t signals = blockSignals();
@@ -74,9 +82,7 @@
     if (!endpointsFile.empty())
         writeEndpoints(endpointsFile, *bound);
     waitForSignal(signals, [] { logInfo(LogPart::Daemon, "These settings are read at the start only; the signal to reload them changes nothing."); });
-    logInfo(LogPart::Daemon, "A graceful shutdown begins.");
-    daemon.drain();
-    daemon.stop();
+    shutDown(daemon);
     logInfo(LogPart::Daemon, "Every request has its answer; the process ends.");
     return 0;
 }
@@ -85,10 +91,12 @@
 void reloadEntry(const std::string& file)
 {
     const auto text = readFile(file);
-    const auto settings = text ? parseEntrySettings(*text, file) : tl::unexpected(Findings());
+    if (!text)
+        return logError(LogPart::Daemon, "The changed settings are not taken. " + file + " cannot be read.");
+    const auto settings = parseEntrySettings(*text, file);
     if (!settings)
         return logError(LogPart::Daemon, "The changed settings are not taken. " + settings.error().text());
-    startLogging(settings->log);
+    setLogLevel(settings->log.level);
     logInfo(LogPart::Daemon, "The settings are read again; the level of the log is in force.");
 }
 
@@ -103,9 +111,7 @@
     }
     logInfo(LogPart::Daemon, "Callers are served at " + formatEndpoint(settings.callers) + "; the store is " + formatEndpoint(settings.store) + ".");
     waitForSignal(signals, [&] { reloadEntry(file); });
-    logInfo(LogPart::Daemon, "A graceful shutdown begins.");
-    daemon.drain();
-    daemon.stop();
+    shutDown(daemon);
     logInfo(LogPart::Daemon, "The process ends.");
     return 0;
 }
--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -114,25 +114,27 @@
         this->decide(std::move(failed));
 }
 
-void SchedulingDuty::carryOut(StartTask effect)
+template <typename TaskCall>
+void SchedulingDuty::callWorker(TaskCallKind kind, TaskCall call, RingRoom room)
 {
-    TaskCallEnded failed { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::NotSent };
-    if (!this->rings.workers.tryPush(std::move(effect)))
+    TaskCallEnded failed { kind, call.to.worker, call.to.epoch, call.run, WorkerCallStatus::NotSent };
+    if (!this->rings.workers.tryPush(std::move(call), room))
         this->decide(std::move(failed));
 }
 
+void SchedulingDuty::carryOut(StartTask effect)
+{
+    this->callWorker(TaskCallKind::Start, std::move(effect), RingRoom::Ordinary);
+}
+
 void SchedulingDuty::carryOut(StopTask effect)
 {
-    TaskCallEnded failed { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::NotSent };
-    if (!this->rings.workers.tryPush(std::move(effect), RingRoom::Reserved))
-        this->decide(std::move(failed));
+    this->callWorker(TaskCallKind::Stop, std::move(effect), RingRoom::Reserved);
 }
 
 void SchedulingDuty::carryOut(PaceTask effect)
 {
-    TaskCallEnded failed { TaskCallKind::Pace, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::NotSent };
-    if (!this->rings.workers.tryPush(std::move(effect)))
-        this->decide(std::move(failed));
+    this->callWorker(TaskCallKind::Pace, std::move(effect), RingRoom::Ordinary);
 }
 
 void SchedulingDuty::carryOut(ReplyToClient effect)
--- a/packages/entry/duties/scheduling_duty.h
+++ b/packages/entry/duties/scheduling_duty.h
@@ -31,6 +31,10 @@
     void carryOut(FollowWorkers effect);
     void carryOut(LogDecision effect);
 
+    // callWorker() hands a call over, or ends it as not sent when the ring has no room.
+    template <typename TaskCall>
+    void callWorker(TaskCallKind kind, TaskCall call, RingRoom room);
+
     EntryRings& rings;
     Scheduler scheduler;
     Instant nextTick;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -1,35 +1,17 @@
 #include "entry/entry_settings.h"
 
-#include "transport/transport.h"
-#include "yaml/yaml.h"
+#include "settings/settings.h"
 
 namespace dragonflytray {
 
 namespace {
 
-    constexpr double largestMilliseconds = 3.6e6; // an hour; no limit of a process is longer
+    constexpr NumberRule millisecondBounds { .minimum = 1, .maximum = 3.6e6 }; // an hour; no limit of a process is longer
 
     // Part of a worker's longest lease that is granted: shorter leases free the tasks of lost workers sooner,
     // longer ones outlast a change of leaders.
     constexpr double leasePart = 0.75;
 
-    Endpoint readEndpoint(YamlMap& map, const std::string& key, bool isRequired)
-    {
-        const std::string text = isRequired ? map.text(key) : map.text(key, "");
-        if (text.empty())
-            return {};
-        auto endpoint = parseEndpoint(text);
-        if (!endpoint)
-            map.addFinding(key, "`" + key + "` must be an IP address and a port", "for example 127.0.0.1:8080");
-        return endpoint.value_or(Endpoint {});
-    }
-
-    Duration readMilliseconds(YamlMap& map, const std::string& key, Duration fallback)
-    {
-        const NumberRule rule { .minimum = 1, .maximum = largestMilliseconds, .fallback = static_cast<double>(toMilliseconds(fallback)) };
-        return std::chrono::milliseconds(static_cast<long long>(map.number(key, rule)));
-    }
-
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
         std::vector<DataCentrePlace> places;
@@ -42,27 +24,18 @@
 
     void readEntry(YamlMap map, EntrySettings& settings)
     {
-        settings.callers = readEndpoint(map, "callers", true);
-        settings.readiness = readEndpoint(map, "readiness", true);
-        settings.metrics = readEndpoint(map, "metrics", false);
-        settings.store = readEndpoint(map, "store", true);
+        settings.callers = readEndpoint(map, "callers", Presence::Required);
+        settings.readiness = readEndpoint(map, "readiness", Presence::Required);
+        settings.metrics = readEndpoint(map, "metrics", Presence::Optional);
+        settings.store = readEndpoint(map, "store", Presence::Required);
         settings.dataCentres = readDataCentres(map);
         settings.leadershipScope = map.choice("leadershipScope", leadershipScopeNames, settings.leadershipScope);
         settings.processorShare = map.number("processorShare", { .maximum = 1024, .fallback = settings.processorShare });
         settings.connections = static_cast<std::size_t>(map.number("connections", { .minimum = 1, .maximum = 1e6, .fallback = static_cast<double>(settings.connections), .isWhole = true }));
-        settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", settings.leaseLimit);
-        settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", settings.stopTimeout);
-        settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", settings.shutdownLimit);
-        map.finish();
-    }
-
-    LogOptions readLog(YamlMap map)
-    {
-        LogOptions log;
-        log.level = map.choice("level", logLevelNames, log.level);
-        log.format = map.choice("format", logFormatNames, log.format);
+        settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", millisecondBounds, settings.leaseLimit);
+        settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", millisecondBounds, settings.stopTimeout);
+        settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
-        return log;
     }
 
 } // namespace
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -28,15 +28,22 @@
     return now >= this->lastSeen + this->options.lease + this->options.takeDelay;
 }
 
-std::optional<WriteStoredRows> CellLeadership::nextWrite(std::uint64_t number, const CellReport& report, Instant now)
+void CellLeadership::beginWatch(Instant now)
+{
+    if (this->lastSeen == Instant())
+        this->lastSeen = now;
+}
+
+bool CellLeadership::isWriteDue(Instant now) const
 {
     if (this->inFlight != 0 || now < this->nextAttempt)
-        return std::nullopt;
+        return false;
+    return this->ownEpoch != 0 || (!this->isGivingUp && this->mayTake(now));
+}
+
+WriteStoredRows CellLeadership::nextWrite(std::uint64_t number, const CellReport& report, Instant now)
+{
     const bool isHolder = this->ownEpoch != 0;
-    if (this->lastSeen == Instant())
-        this->lastSeen = now; // no lease has ever been seen; the delay counts from the first look
-    if (!isHolder && (this->isGivingUp || !this->mayTake(now)))
-        return std::nullopt;
     this->sentRow = {
         .holder = isHolder && this->isGivingUp ? HostName() : this->options.self,
         .epoch = isHolder ? this->ownEpoch : this->lastRow.epoch + 1,
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -10,8 +10,8 @@
 //
 //     CellLeadership leadership({ .self = HostName("entry-1"), .cell = DataCentreName("rs-poa") });
 //     leadership.observe(lease, version, now);
-//     if (auto write = leadership.nextWrite(number, now))
-//         effects.push_back(*write);
+//     if (leadership.isWriteDue(now))
+//         effects.push_back(leadership.nextWrite(number, report, now));
 
 #include "scheduling/scheduling_commands.h"
 
@@ -49,8 +49,14 @@
     // observe() takes the row as read from the store.
     LeadershipChange observe(const CellLease& row, RowVersion version, Instant now);
 
-    // nextWrite() is the conditional write that is due now, if any.
-    std::optional<WriteStoredRows> nextWrite(std::uint64_t number, const CellReport& report, Instant now);
+    // isWriteDue() says whether the lease should be taken, renewed or given up now.
+    bool isWriteDue(Instant now) const;
+
+    // nextWrite() is the conditional write that is due. Call it when isWriteDue().
+    WriteStoredRows nextWrite(std::uint64_t number, const CellReport& report, Instant now);
+
+    // beginWatch() counts the delay before a lease that nobody ever took from `now`. Later calls change nothing.
+    void beginWatch(Instant now);
 
     // writeEnded() takes the end of a write of nextWrite().
     LeadershipChange writeEnded(const RowsWriteEnded& end, Instant now);
--- a/packages/scheduling/client_desk.cc
+++ b/packages/scheduling/client_desk.cc
@@ -69,7 +69,7 @@
         turn.add(ReadJobRows { job });
 }
 
-std::optional<StoredRowChange> ClientDesk::writeEnded(const RowsWriteEnded& end, const JobBook& book, Turn& turn)
+std::optional<StoredRowChange> ClientDesk::writeEnded(const RowsWriteEnded& end, Turn& turn)
 {
     const auto found = this->writes.find(end.write);
     const Write write = std::move(found->second);
@@ -86,7 +86,6 @@
             turn.add(ReplyToClient { .token = call.token, .status = call.kind == CallKind::Submit ? ReplyStatus::Accepted : ReplyStatus::Cancelled });
         }
     }
-    (void)book;
     const bool isJob = write.put.key.kind == StoredRowKind::Definition;
     if (isStored)
         turn.add(LogDecision { isJob ? DecisionEvent::JobAccepted : DecisionEvent::JobCancelled, write.job.value(), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
@@ -115,7 +114,7 @@
         else if (!end.isRead)
             this->answerUnread(end.job, call, turn);
         else
-            this->answerAbsent(end.job, call, turn);
+            this->answerAbsent(call, turn);
     }
 }
 
@@ -133,12 +132,11 @@
     this->refuse(call.token, isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, turn);
 }
 
-void ClientDesk::answerAbsent(const JobId& job, const Call& call, Turn& turn)
+void ClientDesk::answerAbsent(const Call& call, Turn& turn)
 {
     // The write of a submission that is absent now may still take effect.
     if (call.kind == CallKind::Submit)
         return this->refuse(call.token, ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
-    (void)job;
     this->refuse(call.token, ReplyStatus::NoSuchJob, ReplyReason::UnknownId, turn);
 }
 
--- a/packages/scheduling/client_desk.h
+++ b/packages/scheduling/client_desk.h
@@ -10,7 +10,7 @@
 //
 //     ClientDesk desk({});
 //     desk.submit(command, queue, cell, book, turn);
-//     desk.writeEnded(end, book, turn);
+//     desk.writeEnded(end, turn);
 
 #include "scheduling/job_book.h"
 #include "scheduling/scheduling_commands.h"
@@ -53,7 +53,7 @@
     bool owns(std::uint64_t write) const { return this->writes.contains(write); }
 
     // writeEnded() takes the end of a write. It returns what it surely stored, for the book.
-    std::optional<StoredRowChange> writeEnded(const RowsWriteEnded& end, const JobBook& book, Turn& turn);
+    std::optional<StoredRowChange> writeEnded(const RowsWriteEnded& end, Turn& turn);
 
     // rowsRead() takes the end of a ReadJobRows, after the rows went into the book.
     void rowsRead(const JobRowsRead& end, const JobBook& book, Turn& turn);
@@ -85,7 +85,7 @@
     void read(const JobId& job, Call call, Turn& turn);
     void answerFound(const Call& call, const JobRecord& record, Turn& turn);
     void answerUnread(const JobId& job, const Call& call, Turn& turn);
-    void answerAbsent(const JobId& job, const Call& call, Turn& turn);
+    void answerAbsent(const Call& call, Turn& turn);
     void noteUnclear(const JobId& job);
     bool isFull() const { return this->writes.size() + this->reads.size() >= this->options.callsPending; }
 
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -43,7 +43,7 @@
 {
     const auto& end = std::get<RowsWriteEnded>(command);
     if (this->desk.owns(end.write)) {
-        if (const auto change = this->desk.writeEnded(end, this->book, turn))
+        if (const auto change = this->desk.writeEnded(end, turn))
             this->applyRow(*change, turn);
     } else if (this->dispatcher.owns(end.write)) {
         for (const CellName& cell : this->dispatcher.writeEnded(end, turn))
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -122,19 +122,12 @@
 
 void Dispatcher::finish(JobRun& job, JobPhase phase, Turn& turn)
 {
-    static constexpr NameTable events { std::to_array<NameEntry<JobPhase>>({
-        { JobPhase::Queued, "" },
-        { JobPhase::Running, "" },
-        { JobPhase::Completed, "completed" },
-        { JobPhase::Failed, "failed" },
-        { JobPhase::Cancelled, "cancelled" },
-    }) };
     const DecisionEvent event = phase == JobPhase::Completed ? DecisionEvent::JobCompleted : phase == JobPhase::Failed ? DecisionEvent::JobFailed
                                                                                                                        : DecisionEvent::JobCancelled;
     job.setPhase(phase, turn.wallTime);
     this->markDirty(job);
     this->finished.insert(job.definition().id);
-    turn.add(LogDecision { event, job.definition().id.value(), {}, std::string(events.nameOf(phase)), job.version(), turn.wallTime - job.definition().acceptedAt });
+    turn.add(LogDecision { event, job.definition().id.value(), {}, std::string(jobPhaseNames.nameOf(phase)), job.version(), turn.wallTime - job.definition().acceptedAt });
     this->stopTasks(job, "job-over", turn);
     for (const auto& [run, id] : this->strays) {
         FleetWorker* worker = run.task.job == job.definition().id ? this->fleet.find(id) : nullptr;
@@ -188,13 +181,6 @@
         this->queues[queue.name] = queue;
 }
 
-void Dispatcher::allowStarts(const CellName& cell, bool isAllowed)
-{
-    const auto found = this->cells.find(cell);
-    if (found != this->cells.end())
-        found->second.mayStart = isAllowed;
-}
-
 std::vector<CellName> Dispatcher::writeEnded(const RowsWriteEnded& end, Turn& turn)
 {
     std::vector<CellName> lost;
@@ -234,7 +220,9 @@
         if (!job)
             return true;
         // The book has to know the end too, or a row that is read later would open the job again.
-        bool isOccupied = job->isDirty() || !job->isEndFollowed();
+        if (job->isDirty() || !job->isEndFollowed())
+            return false;
+        bool isOccupied = false;
         job->allTasks([&](const TaskId&, const TaskSlot& slot) { isOccupied = isOccupied || isOnWorker(slot.stage); });
         if (!isOccupied)
             this->runs.erase(id);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -76,7 +76,6 @@
     void taskCallEnded(const TaskCallEnded& end, Turn& turn);
     std::vector<CellName> writeEnded(const RowsWriteEnded& end, Turn& turn); // cells led by another host
     void configurationChanged(const SchedulingConfiguration& configuration);
-    void allowStarts(const CellName& cell, bool isAllowed);
     void tick(Turn& turn);
 
     // Queries.
@@ -91,7 +90,6 @@
     std::size_t owedJobs() const { return this->recorder.owedJobs(); }
     std::size_t activeJobs() const { return this->runs.size(); }
     std::size_t runningTasks() const;
-    const Fleet& workers() const { return this->fleet; }
 
 private:
     // Cell is one cell that this host leads.
@@ -103,7 +101,6 @@
         bool areWorkersFenced { false };
         RowVersion settleAt { 0 }; // the store has to be followed so far; 0: not known yet
         bool isSettled { false }; // every run of former leaders is accounted for
-        bool mayStart { true };
         std::set<TaskId> unconfirmed {}; // believed alive until the former leases have lapsed
     };
 
@@ -125,7 +122,6 @@
     bool isUnwanted(const FleetWorker& worker, const TaskRunId& run);
     void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void adoptStrays(JobRun& job, Turn& turn);
-    void forgetStray(const TaskRunId& run);
     void missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn);
     void paceFills(FleetWorker& worker, Turn& turn);
     void loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
@@ -136,7 +132,7 @@
     void startEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
     void stopEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
     void holdWorkers(Turn& turn);
-    void hold(FleetWorker& worker, const Cell& cell, Turn& turn);
+    void hold(FleetWorker& worker, Turn& turn);
     void evacuate(FleetWorker& worker, Turn& turn);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
     WorkerAddress addressOf(const FleetWorker& worker) const;
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -25,13 +25,13 @@
             continue;
         }
         if (!worker.isHolding && turn.now >= worker.nextHold)
-            this->hold(worker, cell->second, turn);
+            this->hold(worker, turn);
     }
     for (const WorkerId& id : gone)
         this->fleet.drop(id);
 }
 
-void Dispatcher::hold(FleetWorker& worker, const Cell& cell, Turn& turn)
+void Dispatcher::hold(FleetWorker& worker, Turn& turn)
 {
     HoldWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.acknowledged, .wait = Duration(0) };
     // A worker that does not answer gets no longer lease after a while, so that its runs can be given up.
@@ -43,9 +43,7 @@
         this->fleet.granted(worker, turn.now);
     if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
         call.wait = worker.serving > 0 && worker.fillMillicores > 0 ? this->options.guardWait : this->options.holdWait;
-    call.to.epoch = cell.epoch;
     worker.isHolding = true;
-    worker.holdSentAt = turn.now;
     turn.add(std::move(call));
 }
 
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -68,7 +68,7 @@
     std::vector<Entry> entries;
     for (auto& [id, job] : this->runs) {
         const auto cell = this->cells.find(job->definition().cell);
-        if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end() || !cell->second.mayStart)
+        if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end())
             continue;
         entries.push_back({ rankOf(urgencyOf(*job, now), this->ruleOf(*job).priority), job->objectiveEnd, job.get() });
     }
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -81,7 +81,7 @@
     this->needsPass = true;
     const TaskId& task = end.id.task;
     this->fleet.release(worker, end.id);
-    this->forgetStray(end.id);
+    this->strays.erase(end.id);
     JobRun* job = this->findRun(task.job);
     if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
         worker.owed.push_back({ end.number, task.job, 0 });
@@ -275,11 +275,6 @@
     return stray != this->strays.end() && stray->first.task == task;
 }
 
-void Dispatcher::forgetStray(const TaskRunId& run)
-{
-    this->strays.erase(run);
-}
-
 void Dispatcher::missRun(FleetWorker& worker, const TaskRunId& run, const HoldEnded& end, Turn& turn)
 {
     RunCharge& charge = worker.runs.at(run);
@@ -317,7 +312,7 @@
 void Dispatcher::loseRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn)
 {
     this->fleet.release(worker, run);
-    this->forgetStray(run);
+    this->strays.erase(run);
     JobRun* job = this->findRun(run.task.job);
     TaskSlot* slot = job ? job->slot(run.task) : nullptr;
     if (!slot || slot->run != run.run || slot->worker != worker.entry.id || !isOnWorker(slot->stage))
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -132,7 +132,7 @@
     this->summarize(worker);
 }
 
-void FillControl::learn(FleetWorker& worker, FillSample sample)
+void FillControl::learn(const FleetWorker& worker, const FillSample& sample)
 {
     std::map<ImageName, double> changes = sample.exposures;
     for (const auto& [image, exposure] : worker.fillSample.exposures)
@@ -222,12 +222,11 @@
     for (auto& [run, charge] : worker.runs) {
         if (!charge.isFilling || charge.isStopping || charge.pace >= 100)
             continue;
-        RunCharge faster = charge;
-        faster.pace = std::min(100, charge.pace + this->options.paceStep);
-        const std::int64_t more = charge.fillMillicores * (faster.pace - charge.pace) / 100;
+        const int faster = std::min(100, charge.pace + this->options.paceStep);
+        const std::int64_t more = charge.fillMillicores * (faster - charge.pace) / 100;
         if (!this->keepsHeadroom(worker, this->numberOf(charge.image), more))
             continue;
-        charge.pace = faster.pace;
+        charge.pace = faster;
         changes.push_back({ run, charge.pace });
     }
 }
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -77,7 +77,7 @@
 private:
     double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
     double exposureOf(const FleetWorker& worker, const RunCharge& charge) const;
-    void learn(FleetWorker& worker, FillSample sample);
+    void learn(const FleetWorker& worker, const FillSample& sample);
     double effectOf(std::size_t serving, std::size_t filling) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
     double takenFrom(const FleetWorker& worker, std::size_t serving) const;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -63,7 +63,6 @@
     bool isListed { false };
     bool isFenced { false }; // has answered under the current epoch
     bool isHolding { false }; // a hold is in flight
-    Instant holdSentAt;
     Instant nextHold;
     std::optional<std::int64_t> clock; // ms on the worker's steady clock, at clockSeen
     Instant clockSeen;
--- a/packages/scheduling/job_types.h
+++ b/packages/scheduling/job_types.h
@@ -74,19 +74,10 @@
     bool operator==(const QueueRule&) const = default;
 };
 
-// ServiceRule is what the configuration says about one service.
-struct ServiceRule {
-    ServiceName name;
-    bool enforcesLimits { true }; // its workers reject what does not fit
-
-    bool operator==(const ServiceRule&) const = default;
-};
-
 // SchedulingConfiguration is one whole version.
 struct SchedulingConfiguration {
     std::uint64_t version { 0 };
     std::vector<QueueRule> queues;
-    std::vector<ServiceRule> services;
 
     // findQueue() is the queue with the longest matching prefix, or nothing. Linear in the queues.
     const QueueRule* findQueue(std::string_view host, std::string_view path) const;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -42,17 +42,15 @@
 
 std::map<DataCentreName, CellName> cellsOf(const std::vector<DataCentrePlace>& places, LeadershipScope scope)
 {
+    using CellOf = CellName (*)(const DataCentrePlace&);
+    static constexpr std::array<CellOf, leadershipScopeNames.size()> namings {
+        [](const DataCentrePlace&) { return CellName("whole"); },
+        [](const DataCentrePlace& place) { return CellName(place.region.value()); },
+        [](const DataCentrePlace& place) { return CellName(place.name.value()); },
+    };
     std::map<DataCentreName, CellName> cells;
-    for (const DataCentrePlace& place : places) {
-        const EnumArray<LeadershipScope, std::string, leadershipScopeNames.size()> names = [&] {
-            EnumArray<LeadershipScope, std::string, leadershipScopeNames.size()> byScope;
-            byScope[LeadershipScope::Whole] = "whole";
-            byScope[LeadershipScope::Region] = place.region.value();
-            byScope[LeadershipScope::DataCentre] = place.name.value();
-            return byScope;
-        }();
-        cells[place.name] = CellName(names[scope]);
-    }
+    for (const DataCentrePlace& place : places)
+        cells[place.name] = namings[indexOf(scope)](place);
     return cells;
 }
 
@@ -120,13 +118,13 @@
             this->loseCell(cell, turn);
         }
         const bool mayWrite = this->hasFollowed && !this->dispatcher.isWaitingToLead(cell);
-        if (mayWrite) {
-            const CellReport report { this->dispatcher.capacityOf(cell), this->dispatcher.labelsOf(cell), this->dispatcher.unconfirmedOf(cell) };
-            if (auto write = leadership.nextWrite(this->nextWrite, report, turn.now)) {
-                ++this->nextWrite;
-                turn.add(std::move(*write));
-            }
-        }
+        if (!mayWrite)
+            continue;
+        leadership.beginWatch(turn.now);
+        if (!leadership.isWriteDue(turn.now))
+            continue;
+        const CellReport report { this->dispatcher.capacityOf(cell), this->dispatcher.labelsOf(cell), this->dispatcher.unconfirmedOf(cell) };
+        turn.add(leadership.nextWrite(this->nextWrite++, report, turn.now));
     }
 }
 
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -24,7 +24,7 @@
 SchedulerFixture::SchedulerFixture()
 {
     QueueRule queue { .name = QueueName("quick"), .host = hostName, .pathPrefix = prefix, .service = ServiceName("desk"), .priority = 0, .maxAttempts = 2, .slackFactor = 2, .targetLatency = std::chrono::seconds(1) };
-    this->configuration = { .version = 1, .queues = { queue }, .services = { { ServiceName("desk"), true } } };
+    this->configuration = { .version = 1, .queues = { queue } };
 }
 
 Scheduler& SchedulerFixture::host(const std::string& name)
--- a/packages/telemetry/log.cc
+++ b/packages/telemetry/log.cc
@@ -77,6 +77,11 @@
     LOG(INFO) << line.dump().substr(1);
 }
 
+void setLogLevel(LogLevel level)
+{
+    activeLevel = level;
+}
+
 void startLogging(LogOptions options)
 {
     activeLevel = options.level;
--- a/packages/telemetry/log.h
+++ b/packages/telemetry/log.h
@@ -83,6 +83,9 @@
 // startLogging() sets the process up to log to standard output. Call it once, before the first thread.
 void startLogging(LogOptions options);
 
+// setLogLevel() changes what is written from now on. Thread-safe.
+void setLogLevel(LogLevel level);
+
 // LogField is one named value of a structured line.
 struct LogField {
     std::string_view name;
