Count a holder's silence on through doubts about the lease; a holder that lists leave out gives up

The leader then stopped for a moment and began again with resume(), which set the silence of every holder to nought, so that the 10 s after which a cut-off holder is freed never passed. A report now counts as heard while the lease is in doubt, and only a pause of the process sets the silence back. A holder that reads lists for the isolation limit, none of which shows it, now gives up. Ruled out: the division of slots and the answers to grants (each idle slot was that of the cut-off holder).

--- a/packages/shares/commands/change_leader.cc
+++ b/packages/shares/commands/change_leader.cc
@@ -28,10 +28,16 @@
 {
     this->isLeading = true;
     this->leaderEndpoint = this->options.peerEndpoint;
-    if (this->book && this->bookEpoch == this->epoch)
-        this->book->resume(now);
-    else
+    if (!this->hasOwnBook())
         this->beginBook(now);
+    else if (this->bookPauses != this->pauses)
+        this->book->resume(now);
+    this->bookPauses = this->pauses;
+}
+
+bool Shares::hasOwnBook() const
+{
+    return this->book && this->bookEpoch == this->epoch;
 }
 
 void Shares::beginBook(Instant now)
--- a/packages/shares/commands/receive_report.cc
+++ b/packages/shares/commands/receive_report.cc
@@ -7,8 +7,12 @@
     const ShareReport& report = std::get<ShareReportReceived>(command).report;
     if (report.epoch > this->epoch)
         this->followEpoch(HostName(), report.epoch); // another leads, who will say so
-    if (!this->isLeading)
+    if (!this->isLeading) {
+        // A leader whose lease is in doubt answers nobody, but the silence of a holder counts on from what it hears.
+        if (report.epoch == this->epoch && this->hasOwnBook())
+            this->book->takeReport(report, now);
         return;
+    }
     if (report.epoch < this->epoch) {
         // The holder may still take a grant of the leader before; its next report will be under this epoch.
         ShareBook::Holder stranger;
--- a/packages/shares/shares.cc
+++ b/packages/shares/shares.cc
@@ -91,7 +91,7 @@
 
 void Shares::lapseIfIsolated(Instant now)
 {
-    if (this->hasGuards || this->shares.empty())
+    if (this->shares.empty() || (this->hasGuards && !this->isLeftOut()))
         return;
     if (this->confirmedAt && now < *this->confirmedAt + this->options.timing.isolationLimit)
         return;
@@ -100,6 +100,11 @@
     ++this->lapses;
 }
 
+bool Shares::isLeftOut() const
+{
+    return this->leftOutSince && this->listAskedAt - *this->leftOutSince >= this->options.timing.isolationLimit;
+}
+
 void Shares::setShares(const std::vector<SlotShare>& next)
 {
     std::map<HostName, int> nextShares;
--- a/packages/shares/shares.h
+++ b/packages/shares/shares.h
@@ -13,7 +13,8 @@
 //   silent for `Timing::releaseAfter()`.
 // - Without guards, a holder gives up all shares once neither the leader has answered a report nor a list
 //   has shown this host for `Timing::isolationLimit`. Word from other peers does not count: a group that is cut off
-//   together hears its members, and the leader may have freed all of them. With guards it goes on.
+//   together hears its members, and the leader may have freed all of them. With guards it goes on, unless it reads
+//   lists for that long that leave it out: another process has replaced it, and the leader frees what it holds.
 // - Evidence is dated by the sending of the question, never by the arrival of the answer, so that a late
 //   answer or a paused process extends nothing.
 // - Grants are fenced by epoch, sequence and incarnation of the process. A new leader counts only reports
--- a/packages/shares/shares_state.h
+++ b/packages/shares/shares_state.h
@@ -84,9 +84,14 @@
     ShareReport makeReport() const;
     void takeShares(const ShareGrant& grant);
     bool isListed() const;
+    // isLeftOut() says whether every read of the list for the isolation limit left this process out, so that it has
+    // been replaced and isn't merely cut off.
+    bool isLeftOut() const;
 
     // As assigner.
     void lead(Instant now);
+    // hasOwnBook() says whether the book is of the epoch in force.
+    bool hasOwnBook() const;
     void beginBook(Instant now);
     void refreshBook(Instant now);
     void grant(const ShareBook::Holder& holder, bool withShares, Instant now, SharesEffects& effects);
@@ -114,7 +119,7 @@
     std::uint64_t reportSequence { 0 };
     std::deque<SentReport> sentReports;
     std::optional<Instant> confirmedAt;
-    std::optional<Instant> listedAt; // the latest read that showed this host began then
+    std::optional<Instant> leftOutSince; // the first of the latest reads, none of which showed this host, began then
     bool isSuspended { false }; // after a pause, until there is new evidence
     Instant evidenceAfter; // older evidence doesn't end a suspension
     std::optional<Instant> published; // end of validity as last told to routing
@@ -128,6 +133,7 @@
     Instant leadingAsOf;
     std::optional<ShareBook> book;
     Epoch bookEpoch { 0 };
+    std::uint64_t bookPauses { 0 }; // pauses of this process when it last began to lead
     Instant listAskedAt; // of the latest read of the list
     Instant nextRebalance;
     Instant nextAnnouncement;
--- a/packages/shares/shares_test.cc
+++ b/packages/shares/shares_test.cc
@@ -125,6 +125,70 @@
             CHECK((holder->id.incarnation == 2 || holder->granted.empty()));
     }
 
+    // A holder with guards whose name the list gives to another process.
+    struct ReplacedHolderFixture {
+        Shares holder { { .self = HostName("e1"), .dataCentre = DataCentreName("dc1"), .peerEndpoint = { "10.0.0.1", 1 }, .incarnation = 7 } };
+        Instant now { std::chrono::hours(1) };
+
+        ReplacedHolderFixture()
+        {
+            auto declaration = std::make_shared<Declaration>();
+            declaration->workers.push_back({ DataCentreName("dc1"), true });
+            this->holder.handle(ChangeConfiguration { { 1, declaration } }, this->now);
+            this->holder.handle(ChangeHosts { { this->entryHost("e1", 2), this->entryHost("e2", 3) } }, this->now);
+            this->holder.handle(LeaderChanged { HostName("e2"), 2, false, this->now }, this->now);
+            this->holder.handle(SharesTick {}, this->now);
+            ShareGrant grant;
+            grant.leader = HostName("e2");
+            grant.epoch = 2;
+            grant.holder = HostName("e1");
+            grant.incarnation = 7;
+            grant.reportSequence = 1;
+            grant.sequence = 1;
+            grant.shares = { { HostName("r1"), 3 } };
+            this->holder.handle(ShareGrantReceived { grant }, this->now);
+        }
+
+        static Host entryHost(const std::string& name, std::uint16_t port)
+        {
+            Host host;
+            host.name = HostName(name);
+            host.kind = HostKind::EntryHost;
+            host.dataCentre = DataCentreName("dc1");
+            host.peerEndpoint = { "10.0.0.1", port };
+            return host;
+        }
+
+        // pass() lets seconds go by, with or without reads of the list.
+        void pass(int seconds, bool isListRead)
+        {
+            for (int i = 0; i < seconds; ++i) {
+                this->now += std::chrono::seconds(1);
+                if (isListRead)
+                    this->holder.handle(ListConfirmed { this->now }, this->now);
+                this->holder.handle(SharesTick {}, this->now);
+            }
+        }
+
+        bool holdsShares() const { return !std::get<SharesSummary>(this->holder.ask(SharesSummaryQuery {}, this->now)).shares.empty(); }
+    };
+
+    TEST_CASE_METHOD(ReplacedHolderFixture, "Shares_listLeavesHolderOutForTheIsolationLimit_givesUpWithGuards")
+    {
+        CHECK(this->holdsShares());
+        this->pass(5, true);
+        CHECK(this->holdsShares());
+        this->pass(7, true);
+        CHECK_FALSE(this->holdsShares());
+    }
+
+    TEST_CASE_METHOD(ReplacedHolderFixture, "Shares_listIsNotReadAnyMore_goesOnWithGuards")
+    {
+        this->pass(1, true);
+        this->pass(60, false);
+        CHECK(this->holdsShares());
+    }
+
     TEST_CASE("Apportion_demandOnOneSide_keepsOneSlotForTheOther")
     {
         const std::vector<double> targets = apportion(8, { 1, 1000 });
