Make the leader's passes cheap, promise room to the task that it was made for, wait before stopping others

Cause: on the grown sites the leader used up its processor. scheduling_benchmark (490 workers, 28 jobs a second, all cores reserved by lasting tasks) showed 0.21 cores, 0.17 of them in reports: every report walked the whole fleet, every pass searched victims anew through the table of jobs, and a task that waited for a stop searched again in each pass. Changed: workers are grouped by cell and service; what an eviction needs to know stands in the charge of a run; a report holds its own worker only; ends that wait for the store are kept by worker; a search in vain rests for 100 ms; room that is being made is promised to one task; a task waits 0.15 of its job's slack before others are stopped for it; reports are asked for often only where a serving task is near its target.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -191,9 +191,14 @@
     }
     if (end.status != TransactionStatus::Committed)
         turn.add(LogDecision { DecisionEvent::WriteRetried, std::to_string(end.write), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
-    for (auto& [id, worker] : this->fleet.all())
-        this->acknowledge(worker);
-    this->holdWorkers(turn);
+    std::erase_if(this->owing, [&](const WorkerId& id) {
+        FleetWorker* worker = this->fleet.find(id);
+        if (worker)
+            this->acknowledge(*worker);
+        if (worker && worker->owed.empty() && this->mayHold(*worker, turn.now))
+            this->hold(*worker, turn);
+        return !worker || worker->owed.empty();
+    });
     return lost;
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -49,14 +49,16 @@
         Duration failureRest { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
         std::uint32_t failuresToRest { 3 };
         Duration dataPatience { std::chrono::milliseconds(500) }; // for room near the data
-        Duration evictionInterval { std::chrono::milliseconds(500) }; // between two evictions for one task
+        Duration evictionInterval { std::chrono::milliseconds(500) }; // between two evictions for one task; a stop takes 400 ms at most
         std::size_t misfitsInPass { 48 }; // tasks without room after which a pass over the queue ends
         Duration guardWait { std::chrono::milliseconds(350) }; // of holds where fills work beside serving tasks near their target
         Duration lastingPatience { std::chrono::milliseconds(1500) }; // room has to last so long before a lasting task takes it from short work
         Duration lastingLimit { std::chrono::milliseconds(3000) }; // after which it takes any room; half of what the users bear
         Duration shortWorkMemory { std::chrono::seconds(5) }; // short work is expected so long after the last
+        double evictionPatience { 0.15 }; // share of a job's slack that a task waits for room before others are stopped for it
         double restartLoss { 0.3 }; // seconds of work that stopping a run with checkpoints costs
         std::size_t evictionsInPass { 2 }; // searches
+        Duration evictionRest { std::chrono::milliseconds(100) }; // after a search in vain, for needs that are as large
         Duration passPause { std::chrono::milliseconds(10) }; // between passes however much changes
         Duration passInterval { std::chrono::milliseconds(50) }; // between passes when nothing has changed
     };
@@ -118,7 +120,7 @@
     // Reports of workers.
     void adoptLife(FleetWorker& worker, const HoldEnded& end, Turn& turn);
     void compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn);
-    void confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
+    void confirmRun(FleetWorker& worker, const RunningTask& task, RunCharge& charge, Turn& turn);
     bool isUnwanted(const FleetWorker& worker, const TaskRunId& run);
     void adoptRun(FleetWorker& worker, const RunningTask& task, Turn& turn);
     void adoptStrays(JobRun& job, Turn& turn);
@@ -133,6 +135,7 @@
     void stopEnded(FleetWorker& worker, const TaskCallEnded& end, Turn& turn);
     void holdWorkers(Turn& turn);
     void hold(FleetWorker& worker, Turn& turn);
+    bool mayHold(const FleetWorker& worker, Instant now) const;
     void evacuate(FleetWorker& worker, Turn& turn);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, Turn& turn);
     WorkerAddress addressOf(const FleetWorker& worker) const;
@@ -154,16 +157,23 @@
 
     // Placement.
     struct Pass;
+    // Fit says what became of a task in a pass.
+    enum class Fit {
+        Started,
+        Waits, // for room that is being made, or by its own choice
+        NoRoom, // and none for its equals either
+    };
     void placeTasks(Turn& turn);
     std::vector<JobRun*> orderedJobs(Instant now);
     void placeUnit(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
     PlacementRequest requestFor(JobRun& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobRun& job, const TaskId& task, Instant now);
     void placeGang(JobRun& job, UnitRun& unit, Pass& pass, Turn& turn);
-    bool placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn);
+    Fit placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn);
     void start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn);
-    void evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn);
-    std::optional<double> evictionCost(const TaskRunId& run, const PlacementRequest& request, int priority);
+    bool evictFor(const JobRun& job, TaskSlot& slot, const PlacementRequest& request, Turn& turn);
+    bool mayEvictFor(const JobRun& job, const StepDefinition& step, const TaskSlot& slot, Instant now);
+    RunCharge chargeFor(const JobRun& job, const StepDefinition& step) const;
     bool hasStray(const TaskId& task) const;
     bool yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const;
     std::uint32_t sameStepRuns(const TaskId& task, const WorkerId& worker);
@@ -179,8 +189,17 @@
     RowVersion followed { 0 };
     std::optional<WallTime> nextDue; // of an occurrence
     std::optional<Epoch> metHigherEpoch;
+    std::set<WorkerId> owing; // workers with ends that are noted and not yet recorded
     std::map<TaskRunId, WorkerId> strays; // runs on workers that no open task owns
     bool needsPass { false };
+    // VainEviction is a search for runs to stop that found too little.
+    struct VainEviction {
+        TaskResources need;
+        bool isLasting { false };
+        int priority { 0 };
+        Instant until;
+    };
+    std::vector<VainEviction> vainEvictions;
     Instant lastPass;
     Instant lastShortStart; // of a task that neither lasts nor fills
     bool hasList { false }; // the whole list of workers has been read since this host began to lead
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -24,13 +24,18 @@
             gone.push_back(id);
             continue;
         }
-        if (!worker.isHolding && turn.now >= worker.nextHold)
+        if (this->mayHold(worker, turn.now))
             this->hold(worker, turn);
     }
     for (const WorkerId& id : gone)
         this->fleet.drop(id);
 }
 
+bool Dispatcher::mayHold(const FleetWorker& worker, Instant now) const
+{
+    return !worker.isHolding && now >= worker.nextHold && this->cells.contains(worker.cell);
+}
+
 void Dispatcher::hold(FleetWorker& worker, Turn& turn)
 {
     HoldWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.acknowledged, .wait = Duration(0) };
@@ -42,7 +47,7 @@
     if (call.deadline)
         this->fleet.granted(worker, turn.now);
     if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
-        call.wait = worker.serving > 0 && worker.fillMillicores > 0 ? this->options.guardWait : this->options.holdWait;
+        call.wait = this->fillControl.isTight(worker) ? this->options.guardWait : this->options.holdWait;
     worker.isHolding = true;
     turn.add(std::move(call));
 }
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -107,13 +107,20 @@
     for (std::uint32_t index = 0; index < unit.tasks.size(); ++index) {
         const TaskSlot& slot = unit.tasks[index];
         const TaskId task { job.definition().id, unit.occurrence, unit.step, index };
-        if (slot.stage != TaskStage::Waiting || turn.now < slot.notBefore || this->hasStray(task))
+        if (slot.stage != TaskStage::Waiting || this->hasStray(task))
             continue;
-        if (!this->placeTask(job, task, pass, turn))
+        if (this->placeTask(job, task, pass, turn) == Fit::NoRoom)
             return;
     }
 }
 
+RunCharge Dispatcher::chargeFor(const JobRun& job, const StepDefinition& step) const
+{
+    RunCharge charge = chargeOf(step);
+    charge.priority = this->ruleOf(job).priority;
+    return charge;
+}
+
 std::uint32_t Dispatcher::sameStepRuns(const TaskId& task, const WorkerId& id)
 {
     const FleetWorker* worker = this->fleet.find(id);
@@ -147,31 +154,34 @@
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
 }
 
-bool Dispatcher::placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn)
+Dispatcher::Fit Dispatcher::placeTask(JobRun& job, const TaskId& task, Pass& pass, Turn& turn)
 {
     const StepDefinition& step = job.definition().steps[task.step];
     const QueueRule& rule = this->ruleOf(job);
     TaskSlot& slot = *job.slot(task);
     const bool isPlain = step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    if (isPlain && pass.isHopeless(job.definition().cell, rule.service, step))
-        return false;
+    const bool isHopeless = isPlain && pass.isHopeless(job.definition().cell, rule.service, step);
+    const bool isMakingRoom = turn.now < slot.roomDue;
+    const bool maySearch = !isMakingRoom && pass.evictions < this->options.evictionsInPass && this->mayEvictFor(job, step, slot, turn.now);
+    if (isHopeless && !maySearch)
+        return isMakingRoom ? Fit::Waits : Fit::NoRoom;
     const PlacementRequest request = this->requestFor(job, task, turn.now);
-    FleetWorker* worker = chooseWorker(this->fleet, request);
+    FleetWorker* worker = isHopeless ? nullptr : chooseWorker(this->fleet, request);
     if (worker && this->yieldsToShortWork(step, slot, turn.now))
-        return true;
+        return Fit::Waits;
     if (worker) {
         this->start(job, task, *worker, job.nextRun(slot), turn);
-        return true;
+        return Fit::Started;
     }
     slot.roomSince = {};
-    if (pass.evictions < this->options.evictionsInPass) {
-        ++pass.evictions;
-        this->evictFor(job, task, request, turn);
-    }
-    ++pass.count;
-    if (isPlain && slot.failedOn.isEmpty())
+    if (!isHopeless)
+        ++pass.count;
+    if (!isHopeless && isPlain && slot.failedOn.isEmpty())
         pass.misfits.push_back({ &job.definition().cell, rule.service, step.need, step.isFilling, step.image });
-    return false;
+    if (!maySearch)
+        return isMakingRoom ? Fit::Waits : Fit::NoRoom;
+    ++pass.evictions;
+    return this->evictFor(job, slot, request, turn) ? Fit::Waits : Fit::NoRoom;
 }
 
 bool Dispatcher::yieldsToShortWork(const StepDefinition& step, TaskSlot& slot, Instant now) const
@@ -233,47 +243,41 @@
         this->markDirty(job);
     }
     const TaskRunId id { task, run };
-    this->fleet.charge(worker, id, chargeOf(step));
+    this->fleet.charge(worker, id, this->chargeFor(job, step));
     this->fillControl.summarize(worker);
     this->fleet.granted(worker, turn.now);
     turn.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = slot.checkpoint, .deadline = worker.deadlineAt(turn.now, this->fleet.lease()).value_or(0) });
     turn.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", worker.notedEnd, turn.wallTime - job.definition().acceptedAt });
 }
 
-std::optional<double> Dispatcher::evictionCost(const TaskRunId& run, const PlacementRequest& request, int priority)
+bool Dispatcher::mayEvictFor(const JobRun& job, const StepDefinition& step, const TaskSlot& slot, Instant now)
 {
-    JobRun* job = this->findRun(run.task.job);
-    const TaskSlot* slot = job ? job->slot(run.task) : nullptr;
-    if (!slot || slot->stage != TaskStage::Running || slot->run != run.run)
-        return std::nullopt;
-    const StepDefinition& step = job->definition().steps[run.task.step];
-    const auto cores = static_cast<double>(step.need.millicores);
-    if (step.isGang || step.isFilling || step.disruptionBudget > 0)
-        return std::nullopt;
-    // A lasting task loses the time that it is away; short work of its own priority is worth more a core.
-    if (step.isLasting)
-        return !request.step.isLasting && this->ruleOf(*job).priority >= priority ? std::optional(cores) : std::nullopt;
-    if (this->ruleOf(*job).priority <= priority)
-        return std::nullopt;
-    // What a run without checkpoints loses is its work; one with them only starts anew elsewhere.
-    const double lost = step.isCheckpointing ? this->options.restartLoss : toSeconds(request.now - slot->since);
-    return lost * cores;
+    const bool isWorthIt = step.isLasting || urgencyOf(job, now) == UrgencyClass::InTime;
+    const auto patience = std::chrono::duration_cast<Duration>(this->options.evictionPatience * job.slack);
+    if (step.isFilling || !isWorthIt || now < slot.since + patience)
+        return false;
+    std::erase_if(this->vainEvictions, [now](const VainEviction& vain) { return vain.until <= now; });
+    const TaskResources need = chargeOf(step).need;
+    const int priority = this->ruleOf(job).priority;
+    return std::none_of(this->vainEvictions.begin(), this->vainEvictions.end(), [&](const VainEviction& vain) {
+        return vain.isLasting == step.isLasting && vain.priority <= priority && vain.need.fitsIn(need);
+    });
 }
 
-void Dispatcher::evictFor(JobRun& job, const TaskId& task, const PlacementRequest& request, Turn& turn)
+bool Dispatcher::evictFor(const JobRun& job, TaskSlot& slot, const PlacementRequest& request, Turn& turn)
 {
-    TaskSlot& slot = *job.slot(task);
     const int priority = this->ruleOf(job).priority;
-    const bool isWorthIt = request.step.isLasting || urgencyOf(job, turn.now) == UrgencyClass::InTime;
-    if (request.step.isFilling || !isWorthIt)
-        return;
-    slot.notBefore = turn.now + this->options.evictionInterval;
-    const auto eviction = chooseEviction(this->fleet, request, [&](const TaskRunId& run) { return this->evictionCost(run, request, priority); });
-    if (!eviction)
-        return;
-    slot.notBefore = turn.now;
+    const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartLoss = this->options.restartLoss });
+    if (!eviction) {
+        const bool isPlain = request.mayLeaveData && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
+        if (isPlain)
+            this->vainEvictions.push_back({ chargeOf(request.step).need, request.step.isLasting, priority, turn.now + this->options.evictionRest });
+        return false;
+    }
+    slot.roomDue = turn.now + this->options.evictionInterval;
     for (const TaskRunId& victim : eviction->victims)
         this->stopRun(*eviction->worker, victim, "evicted", turn);
+    return true;
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -33,7 +33,8 @@
     this->acknowledge(*worker);
     worker->nextHold = worker->owed.empty() ? turn.now : turn.now + this->options.owedHold;
     this->placeTasks(turn);
-    this->holdWorkers(turn);
+    if (turn.now >= worker->nextHold)
+        this->hold(*worker, turn);
 }
 
 void Dispatcher::adoptLife(FleetWorker& worker, const HoldEnded& end, Turn& turn)
@@ -85,6 +86,7 @@
     JobRun* job = this->findRun(task.job);
     if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
         worker.owed.push_back({ end.number, task.job, 0 });
+        this->owing.insert(worker.entry.id);
         return;
     }
     turn.add(LogDecision { DecisionEvent::TaskEnded, formatRun(end.id), worker.entry.id.value(), std::string(runOutcomeNames.nameOf(end.outcome)), job->version(), turn.wallTime - job->definition().acceptedAt });
@@ -100,6 +102,7 @@
         this->resetGang(*job, task, turn);
     this->markDirty(*job);
     worker.owed.push_back({ end.number, task.job, job->generation() });
+    this->owing.insert(worker.entry.id);
     if (!isFinal(job->progress().phase))
         this->advance(*job, turn);
 }
@@ -178,17 +181,17 @@
 
 void Dispatcher::compareRuns(FleetWorker& worker, const HoldEnded& end, Turn& turn)
 {
-    std::set<TaskRunId> reported;
+    ++worker.reports;
     for (const RunningTask& task : end.running) {
-        reported.insert(task.id);
-        if (worker.runs.contains(task.id))
-            this->confirmRun(worker, task, turn);
+        const auto charge = worker.runs.find(task.id);
+        if (charge != worker.runs.end())
+            this->confirmRun(worker, task, charge->second, turn);
         else
             this->adoptRun(worker, task, turn);
     }
     std::vector<TaskRunId> missing;
     for (const auto& [run, charge] : worker.runs) {
-        if (!reported.contains(run))
+        if (charge.lastReport != worker.reports)
             missing.push_back(run);
     }
     for (const TaskRunId& run : missing)
@@ -204,9 +207,9 @@
     return slot && isOnWorker(slot->stage) && (slot->run != run.run || slot->worker != worker.entry.id);
 }
 
-void Dispatcher::confirmRun(FleetWorker& worker, const RunningTask& task, Turn& turn)
+void Dispatcher::confirmRun(FleetWorker& worker, const RunningTask& task, RunCharge& charge, Turn& turn)
 {
-    RunCharge& charge = worker.runs.at(task.id);
+    charge.lastReport = worker.reports;
     if (charge.confirmedFirst == Instant())
         charge.confirmedFirst = turn.now;
     charge.confirmedAt = turn.now;
@@ -229,8 +232,9 @@
     const TaskId& id = task.id.task;
     JobRun* job = this->findRun(id.job);
     TaskSlot* slot = job && id.step < job->definition().steps.size() ? job->slot(id) : nullptr;
-    RunCharge charge = slot ? chargeOf(job->definition().steps[id.step]) : RunCharge {};
+    RunCharge charge = slot ? this->chargeFor(*job, job->definition().steps[id.step]) : RunCharge {};
     charge.confirmedAt = turn.now;
+    charge.lastReport = worker.reports;
     this->fleet.charge(worker, task.id, charge);
     const bool isWanted = slot && !isFinal(job->progress().phase) && (slot->stage == TaskStage::Unaccounted || (slot->stage == TaskStage::Waiting && slot->run <= task.id.run && !this->hasStray(id)));
     if (!isWanted) {
@@ -262,6 +266,9 @@
             continue;
         slot->worker = stray->second;
         slot->run = run.run;
+        this->fleet.release(*worker, run);
+        this->fleet.charge(*worker, run, this->chargeFor(job, job.definition().steps[run.task.step]));
+        worker->runs.at(run).confirmedAt = turn.now;
         job.setStage(run.task, TaskStage::Running, turn.now);
         adopted.push_back(run);
     }
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -240,6 +240,13 @@
     });
 }
 
+bool FillControl::isTight(const FleetWorker& worker) const
+{
+    if (worker.fillMillicores == 0)
+        return false;
+    return std::any_of(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) { return entry.headroom < this->options.tightHeadroom; });
+}
+
 double FillControl::idleMillicores(const FleetWorker& worker) const
 {
     const double idle = static_cast<double>(worker.entry.capacity.millicores - worker.used.millicores) + static_cast<double>(worker.servingMillicores) * (1 - worker.servingUsage);
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -36,6 +36,7 @@
         double material { 0.12 }; // headroom that a fill has to take before it counts as harmful
         double paceHeadroom { 1.15 }; // below it fills are paced down
         double exposureShare { 0.125 }; // of a worker's cores in use by fills that counts as one full task to the model
+        double tightHeadroom { 1.5 }; // below it reports are asked for more often; twice the margin of paceHeadroom and more
         Duration missLimit { std::chrono::milliseconds(1200) }; // a target missed for so long slows every fill beside it
         int lowestPace { 5 }; // percent
         int paceStep { 35 }; // percent by which a fill is let go faster after a report
@@ -55,6 +56,9 @@
     // pacesFor() is what has to change so that the targets hold. Linear in the worker's runs, squared.
     std::vector<PaceChange> pacesFor(FleetWorker& worker, Instant now);
 
+    // isTight() says whether fills work beside a serving task that is near its target, or not measured yet.
+    bool isTight(const FleetWorker& worker) const;
+
     // idleMillicores() is what fills may still use on the worker.
     double idleMillicores(const FleetWorker& worker) const;
 
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -31,6 +31,7 @@
 
 void Fleet::list(const WorkersListed& change)
 {
+    this->isRegroupDue = true;
     std::set<WorkerId> named;
     for (const ListedWorker& entry : change.changed) {
         FleetWorker& worker = this->workers[entry.id];
@@ -104,6 +105,22 @@
 void Fleet::drop(const WorkerId& worker)
 {
     this->workers.erase(worker);
+    this->isRegroupDue = true;
+}
+
+const std::vector<FleetWorker*>& Fleet::group(const CellName& cell, const ServiceName& service)
+{
+    if (this->isRegroupDue)
+        this->regroup();
+    return this->groups[{ cell, service }];
+}
+
+void Fleet::regroup()
+{
+    this->isRegroupDue = false;
+    this->groups.clear();
+    for (auto& [id, worker] : this->workers)
+        this->groups[{ worker.cell, worker.entry.service }].push_back(&worker);
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -21,13 +21,19 @@
     bool isFilling { false };
     bool isServing { false }; // lasting, with a target of its own
     std::int64_t fillMillicores { 0 }; // wanted by a filling run
+    bool isLasting { false };
+    bool isEvictable { false }; // may be stopped for a more urgent task
+    bool isCheckpointing { false };
+    int priority { 0 }; // of its queue
     bool isStopping { false };
+    bool isPromised { false }; // its room is for the task that it was stopped for
     bool isStopConfirmed { false }; // the worker has answered the stop, and rejects the run from now on
     Instant stopAskedAt {};
     Instant confirmedFirst {}; // when it was first known to run
     Instant confirmedAt {}; // when a start was answered or a report named it
     Duration latencyTarget { 0 };
     ImageName image {};
+    std::uint64_t lastReport { 0 }; // number of the last report that named it
     std::int64_t load { 0 }; // as last reported
     double worstAlone { 0 }; // of a serving run: the least headroom of late without what fills took; 0: not measured
     int pace { 100 }; // percent that was last asked for
@@ -72,6 +78,7 @@
     bool isSuspect { false }; // the last hold had no answer
     Instant restUntil; // takes no new tasks until then
     std::uint32_t failuresInRow { 0 };
+    std::uint64_t reports { 0 }; // taken so far
     std::uint64_t notedEnd { 0 }; // ends up to this number are noted
     std::uint64_t acknowledged { 0 }; // ends up to this number are recorded
     std::deque<OwedEnd> owed; // noted and not yet recorded
@@ -126,6 +133,9 @@
     // drop() removes a worker without runs that is no longer listed.
     void drop(const WorkerId& worker);
 
+    // group() is the workers of a cell for a service, in a stable order. Constant time but after a change of the list.
+    const std::vector<FleetWorker*>& group(const CellName& cell, const ServiceName& service);
+
     // all() is every worker known, in a stable order.
     std::map<WorkerId, FleetWorker>& all() { return this->workers; }
     const std::map<WorkerId, FleetWorker>& all() const { return this->workers; }
@@ -133,9 +143,13 @@
     Duration lease() const { return this->options.lease; }
 
 private:
+    void regroup();
+
     Options options;
     std::map<DataCentreName, CellName> cellOf;
     std::map<WorkerId, FleetWorker> workers;
+    std::map<std::pair<CellName, ServiceName>, std::vector<FleetWorker*>> groups;
+    bool isRegroupDue { false };
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/job_book.cc
+++ b/packages/scheduling/job_book.cc
@@ -36,15 +36,18 @@
     if (!change.value) {
         if (change.key.kind == StoredRowKind::Definition) {
             if (const JobRecord* record = this->find(id))
-                this->addTally(*record, -1);
+                this->addTally(*record, tallyOf(*record), -1);
             this->records.erase(id);
         }
         return nullptr;
     }
     JobRecord& record = this->records[id];
-    this->addTally(record, -1);
+    const Tally before = tallyOf(record);
     this->applyValue(record, change);
-    this->addTally(record, 1);
+    if (tallyOf(record) == before)
+        return &record;
+    this->addTally(record, before, -1);
+    this->addTally(record, tallyOf(record), 1);
     return &record;
 }
 
@@ -54,6 +57,7 @@
         if (!record.isDefined()) {
             record.definition = *definition;
             record.definitionVersion = change.version;
+            record.work = workOf(record.definition);
         }
     } else if (const auto* progress = std::get_if<JobProgress>(&*change.value)) {
         if (change.version > record.progressVersion) {
@@ -81,12 +85,11 @@
 {
     if (!record.isDefined() || isFinal(record.phase()))
         return {};
-    return { .isPending = record.phase() == JobPhase::Queued, .work = workOf(record.definition) };
+    return { .isPending = record.phase() == JobPhase::Queued, .work = record.work };
 }
 
-void JobBook::addTally(const JobRecord& record, double sign)
+void JobBook::addTally(const JobRecord& record, const Tally& tally, double sign)
 {
-    const Tally tally = tallyOf(record);
     if (tally.isPending)
         this->pending[{ record.definition.queue.host, record.definition.queue.pathPrefix }] += sign;
     if (tally.work != 0)
--- a/packages/scheduling/job_book.h
+++ b/packages/scheduling/job_book.h
@@ -20,6 +20,7 @@
     JobProgress progress;
     RowVersion progressVersion { 0 }; // 0: nothing is recorded
     RowVersion cancellationVersion { 0 }; // 0: no request to cancel
+    double work { 0 }; // of the definition, as workOf() has it
 
     // phase() is where the job stands for its caller.
     JobPhase phase() const;
@@ -56,10 +57,12 @@
     struct Tally {
         bool isPending { false };
         double work { 0 };
+
+        bool operator==(const Tally&) const = default;
     };
 
     static Tally tallyOf(const JobRecord& record);
-    void addTally(const JobRecord& record, double sign);
+    void addTally(const JobRecord& record, const Tally& tally, double sign);
     void applyValue(JobRecord& record, const StoredRowChange& change);
 
     std::unordered_map<JobId, JobRecord> records;
--- a/packages/scheduling/job_run.cc
+++ b/packages/scheduling/job_run.cc
@@ -42,6 +42,7 @@
     const auto objective = std::chrono::duration_cast<Duration>(chain * queue.slackFactor) + queue.targetLatency;
     this->objectiveEnd = now + objective;
     this->lateEnd = now + lateFactor * objective;
+    this->slack = std::max(objective - chainOf(record.definition), Duration(0));
 }
 
 std::uint32_t JobRun::unitNumber(std::uint32_t occurrence, std::uint32_t step) const
--- a/packages/scheduling/job_run.h
+++ b/packages/scheduling/job_run.h
@@ -49,7 +49,7 @@
     std::uint64_t run { 0 }; // number of the current or last run
     std::string checkpoint; // newest known
     Instant since; // when the stage was entered
-    Instant notBefore; // of the next start
+    Instant roomDue; // runs have been stopped for it, and are gone by then
     Instant roomSince; // of a lasting task: since when there has been room for it without a break
     WorkerId failedOn; // where the last failed run was
     int percent { 0 }; // as last reported
@@ -149,6 +149,9 @@
     Instant objectiveEnd;
     Instant lateEnd;
 
+    // slack is how much longer than its longest chain of estimated work the job may take to count in full.
+    Duration slack { 0 };
+
 private:
     std::uint32_t unitNumber(std::uint32_t occurrence, std::uint32_t step) const;
     UnitProgress& progressOf(std::uint32_t occurrence, std::uint32_t step);
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -24,7 +24,7 @@
     // isEligible() says whether the task may run on the worker at all.
     bool isEligible(const FleetWorker& worker, const PlacementRequest& request)
     {
-        if (worker.cell != request.cell || worker.entry.service != request.service || !worker.takesTasks(request.now))
+        if (!worker.takesTasks(request.now))
             return false;
         const StepDefinition& step = request.step;
         if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel))
@@ -38,9 +38,9 @@
         return step.maxPerWorker == 0 || !request.sameStepRuns || request.sameStepRuns(worker.entry.id) < step.maxPerWorker;
     }
 
-    bool hasRoom(const FleetWorker& worker, const PlacementRequest& request)
+    bool hasRoom(const FleetWorker& worker, const TaskResources& need, const PlacementRequest& request)
     {
-        if (!chargeOf(request.step).need.fitsIn(worker.room()))
+        if (!need.fitsIn(worker.room()))
             return false;
         return !request.step.isFilling || request.fills.admits(worker, request.image, request.step.need.millicores);
     }
@@ -77,6 +77,9 @@
     charge.isServing = step.latencyTarget > Duration(0);
     charge.latencyTarget = step.latencyTarget;
     charge.image = step.image;
+    charge.isLasting = step.isLasting;
+    charge.isCheckpointing = step.isCheckpointing;
+    charge.isEvictable = !step.isGang && !step.isFilling && step.disruptionBudget == 0;
     if (step.isFilling) {
         charge.need.millicores = 0;
         charge.fillMillicores = step.need.millicores;
@@ -88,12 +91,13 @@
 {
     FleetWorker* best = nullptr;
     double bestScore = 0;
-    for (auto& [id, worker] : fleet.all()) {
-        if (!isEligible(worker, request) || !hasRoom(worker, request))
+    const TaskResources need = chargeOf(request.step).need;
+    for (FleetWorker* worker : fleet.group(request.cell, request.service)) {
+        if (!hasRoom(*worker, need, request) || !isEligible(*worker, request))
             continue;
-        const double score = leftOver(worker, request);
+        const double score = leftOver(*worker, request);
         if (!best || score < bestScore) {
-            best = &worker;
+            best = worker;
             bestScore = score;
         }
     }
@@ -102,54 +106,89 @@
 
 namespace {
 
-    // VictimList collects the cheapest runs of one worker until a need fits.
-    struct VictimList {
-        std::vector<TaskRunId> runs;
+    // evictionCost() is what stopping a run loses in core seconds; nothing: it must not be stopped for this task.
+    std::optional<double> evictionCost(const RunCharge& charge, const PlacementRequest& request, const EvictionTerms& terms)
+    {
+        if (!charge.isEvictable || charge.isStopping || charge.confirmedFirst == Instant())
+            return std::nullopt;
+        const auto cores = static_cast<double>(charge.need.millicores);
+        // A lasting task loses the time that it is away; short work of its own priority is worth more a core.
+        if (charge.isLasting)
+            return !request.step.isLasting && charge.priority >= terms.priority ? std::optional(cores) : std::nullopt;
+        if (charge.priority <= terms.priority)
+            return std::nullopt;
+        // What a run without checkpoints loses is its work; one with them only starts anew elsewhere.
+        const double lost = charge.isCheckpointing ? terms.restartLoss : toSeconds(request.now - charge.confirmedFirst);
+        return lost * cores;
+    }
+
+    // Victim is a run that may be stopped, and what that costs.
+    struct Victim {
         double cost { 0 };
+        const TaskRunId* run { nullptr };
+        const RunCharge* charge { nullptr };
     };
 
-    std::optional<VictimList> victimsOn(const FleetWorker& worker, const TaskResources& need, const EvictionCost& cost)
+    // findVictims() leaves the runs that have to stop in `victims`, the cheapest first, and is their cost; nothing when
+    // no room can be made.
+    std::optional<double> findVictims(const FleetWorker& worker, const PlacementRequest& request, const EvictionTerms& terms, std::vector<Victim>& victims)
     {
-        std::vector<std::pair<double, const TaskRunId*>> candidates;
+        const TaskResources need = chargeOf(request.step).need;
         TaskResources room = worker.room();
+        TaskResources most = room;
+        victims.clear();
         for (const auto& [run, charge] : worker.runs) {
-            if (charge.isStopping) {
+            const auto cost = evictionCost(charge, request, terms);
+            const bool isFreed = charge.isStopping && !charge.isPromised;
+            if (isFreed)
                 room += charge.need;
-                continue;
-            }
-            if (const auto price = cost(run))
-                candidates.emplace_back(*price, &run);
+            if (isFreed || cost)
+                most += charge.need;
+            if (cost)
+                victims.push_back({ *cost, &run, &charge });
         }
-        std::sort(candidates.begin(), candidates.end());
-        VictimList victims;
-        for (const auto& [price, run] : candidates) {
-            if (need.fitsIn(room))
-                break;
-            room += worker.runs.at(*run).need;
-            victims.runs.push_back(*run);
-            victims.cost += price;
-        }
-        if (!need.fitsIn(room))
+        if (!need.fitsIn(most))
             return std::nullopt;
-        return victims;
+        std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+        double sum = 0;
+        std::size_t taken = 0;
+        for (; !need.fitsIn(room); ++taken) {
+            room += victims[taken].charge->need;
+            sum += victims[taken].cost;
+        }
+        victims.resize(taken);
+        return sum;
+    }
+
+    // promiseRoom() keeps what the eviction frees from the next search.
+    void promiseRoom(const Eviction& eviction)
+    {
+        for (auto& [run, charge] : eviction.worker->runs)
+            charge.isPromised = charge.isPromised || charge.isStopping;
+        for (const TaskRunId& run : eviction.victims)
+            eviction.worker->runs.at(run).isPromised = true;
     }
 
 } // namespace
 
-std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionCost& cost)
+std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionTerms& terms)
 {
     std::optional<Eviction> best;
     double bestCost = 0;
-    const TaskResources need = chargeOf(request.step).need;
-    for (auto& [id, worker] : fleet.all()) {
-        if (!isEligible(worker, request))
+    std::vector<Victim> victims;
+    for (FleetWorker* worker : fleet.group(request.cell, request.service)) {
+        if (!isEligible(*worker, request))
             continue;
-        auto victims = victimsOn(worker, need, cost);
-        if (!victims || (best && victims->cost >= bestCost))
+        const auto cost = findVictims(*worker, request, terms, victims);
+        if (!cost || (best && *cost >= bestCost))
             continue;
-        bestCost = victims->cost;
-        best = Eviction { &worker, std::move(victims->runs) };
+        bestCost = *cost;
+        best = Eviction { worker, {} };
+        for (const Victim& victim : victims)
+            best->victims.push_back(*victim.run);
     }
+    if (best)
+        promiseRoom(*best);
     return best;
 }
 
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -40,10 +40,13 @@
     std::vector<TaskRunId> victims;
 };
 
-// EvictionCost is what stopping a run loses; nothing: the run must not be stopped for this task.
-using EvictionCost = std::function<std::optional<double>(const TaskRunId&)>;
+// EvictionTerms say for whom runs may be stopped and what that costs.
+struct EvictionTerms {
+    int priority { 0 }; // of the task that needs room
+    double restartLoss { 0.3 }; // seconds of work that stopping a run with checkpoints costs
+};
 
 // chooseEviction() is the cheapest eviction that makes room, or nothing. Linear in workers and runs.
-std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionCost& cost);
+std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionTerms& terms);
 
 } // namespace dragonflytray
--- /dev/null
+++ b/packages/scheduling/scheduling_benchmark.cc
@@ -0,0 +1,228 @@
+// Cost of the scheduler of a leader under a steady load: processor time of each kind of command. Not a test: run it
+// on a quiet machine.
+//
+// Usage: scheduling_benchmark [workers] [jobs a second]
+
+#include "scheduling/simulation/simulated_store.h"
+#include "scheduling/simulation/simulated_worker.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <queue>
+#include <random>
+
+namespace dragonflytray {
+namespace {
+
+    constexpr std::int64_t coresOfWorker = 64;
+    constexpr int seconds = 20;
+    constexpr int lastingJobs = 390; // of 14 tasks of 6 cores: together more than 490 workers have
+    constexpr Duration step = std::chrono::milliseconds(5);
+    const DataCentreName place("rs-poa");
+
+    double processorSeconds()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+    }
+
+    WallTime wallAt(Instant now)
+    {
+        return toMilliseconds(now.time_since_epoch());
+    }
+
+    // Bench drives one leader whose store and workers answer after a step.
+    class Bench {
+    public:
+        Bench(int workers, int jobsInSecond)
+            : jobsInSecond(jobsInSecond)
+            , scheduler({ .self = HostName("entry-1"), .home = place, .dataCentres = { { place, RegionName("sul-rs") } } })
+        {
+            for (int i = 0; i < workers; ++i) {
+                ListedWorker entry { .id = WorkerId("i-" + std::to_string(1000000 + i)), .service = ServiceName("desk"), .endpoint = { "10.0.0.1", static_cast<std::uint16_t>(i) }, .dataCentre = place, .labels = { "rack-" + std::to_string(i / 8) }, .rack = "rack-" + std::to_string(i / 8), .capacity = { coresOfWorker * 1000, 256000, 0 }, .isDraining = false, .born = 1 };
+                this->workers.try_emplace(entry.id, entry, this->now);
+            }
+            const QueueRule queue { .name = QueueName("quick"), .host = "desk.example", .pathPrefix = "/q/", .service = ServiceName("desk"), .priority = 0, .maxAttempts = 3, .slackFactor = 2, .targetLatency = std::chrono::seconds(1) };
+            this->send(SchedulerTick { wallAt(this->now) });
+            this->send(ConfigurationFollowed { { .version = 1, .queues = { queue } } });
+        }
+
+        void run()
+        {
+            this->passTime(std::chrono::seconds(5));
+            for (int i = 0; i < lastingJobs; ++i)
+                this->submit({ { .count = 14, .need = { 6000, 1000, 0 }, .isLasting = true, .image = ImageName("serve-" + std::to_string(i % 6)), .latencyTarget = std::chrono::milliseconds(45) } });
+            this->passTime(std::chrono::seconds(5));
+            this->costs = {};
+            this->counts = {};
+            for (int second = 0; second < seconds; ++second) {
+                for (int i = 0; i < this->jobsInSecond; ++i) {
+                    this->submitShort(i);
+                    this->passTime(std::chrono::milliseconds(1000) / this->jobsInSecond);
+                }
+            }
+            this->print();
+        }
+
+    private:
+        void submitShort(int number)
+        {
+            const bool isFilling = number % 2 == 0;
+            StepDefinition first { .count = isFilling ? 20U : 10U, .need = { isFilling ? 7000 : 9000, 1000, 0 }, .estimate = std::chrono::seconds(1), .isFilling = isFilling, .image = ImageName("short-" + std::to_string(number % 8)) };
+            StepDefinition second = first;
+            second.after = { 0 };
+            this->submit(isFilling ? std::vector<StepDefinition> { first, second } : std::vector<StepDefinition> { first });
+        }
+
+        void submit(std::vector<StepDefinition> steps)
+        {
+            char id[17];
+            (void)std::snprintf(id, sizeof id, "%016x", ++this->jobs);
+            SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = "desk.example", .path = std::string("/q/") + id, .job = {} };
+            submit.job.spec = std::string(300, 'x');
+            this->definitions[JobId(id)] = steps;
+            submit.job.steps = std::move(steps);
+            this->send(submit);
+        }
+
+        void passTime(Duration time)
+        {
+            const Instant end = this->now + time;
+            while (this->now < end) {
+                this->now += step;
+                std::vector<SchedulerCommand> due;
+                while (!this->answers.empty() && this->answers.begin()->first <= this->now) {
+                    due.push_back(std::move(this->answers.begin()->second));
+                    this->answers.erase(this->answers.begin());
+                }
+                for (const SchedulerCommand& command : due)
+                    this->send(command);
+                this->endHolds();
+                if (++this->steps % 8 == 0) {
+                    this->send(this->store.changesAfter(this->followed));
+                    this->followed = this->store.version();
+                }
+                if (this->steps % 4 == 0)
+                    this->send(SchedulerTick { wallAt(this->now) });
+            }
+        }
+
+        // endHolds() answers the holds whose wait is over, and those of workers on which a run has ended.
+        void endHolds()
+        {
+            std::vector<HoldWorker> over;
+            std::erase_if(this->holds, [&](const auto& hold) {
+                const auto wake = this->wakes.find(hold.second.to.worker);
+                const bool hasEnd = wake != this->wakes.end() && wake->second <= this->now;
+                if (hasEnd || hold.first + hold.second.wait <= this->now) {
+                    over.push_back(hold.second);
+                    if (hasEnd)
+                        this->wakes.erase(wake);
+                    return true;
+                }
+                return false;
+            });
+            for (const HoldWorker& call : over) {
+                HoldEnded end = this->workers.at(call.to.worker).hold(call, this->now);
+                for (RunningTask& task : end.running)
+                    task.load = 15 + static_cast<std::int64_t>(this->generator() % 20);
+                this->answer(std::move(end));
+            }
+        }
+
+        void answer(SchedulerCommand command) { this->answers.emplace(this->now + step, std::move(command)); }
+
+        void send(const SchedulerCommand& command)
+        {
+            const double before = processorSeconds();
+            const SchedulerEffects effects = this->scheduler.handle(command, this->now);
+            this->costs[command.index()] += processorSeconds() - before;
+            ++this->counts[command.index()];
+            for (const SchedulerEffect& effect : effects)
+                std::visit([&](const auto& value) { this->carry(value); }, effect);
+        }
+
+        void carry(const WriteStoredRows& effect) { this->answer(this->store.apply(effect)); }
+        void carry(const ReadJobRows& effect) { this->answer(this->store.rowsOf(effect.job)); }
+        void carry(const HoldWorker& effect)
+        {
+            this->holds.emplace_back(this->now, effect);
+        }
+        void carry(const StartTask& effect)
+        {
+            const StepDefinition& definition = this->definitions.at(effect.run.task.job).at(effect.run.task.step);
+            TaskResources need = definition.need;
+            if (definition.isFilling)
+                need.millicores = 0;
+            const Instant end = definition.isLasting ? Instant::max() : this->now + std::chrono::milliseconds(500 + this->generator() % 2000);
+            if (!definition.isLasting)
+                this->wakes[effect.to.worker] = end;
+            SimulatedRun work { .id = effect.run, .need = need, .end = end, .isFailing = false, .checkpoint = {} };
+            const WorkerCallStatus status = this->workers.at(effect.to.worker).start(effect, work, this->now);
+            this->answer(TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
+            ++this->started;
+        }
+        void carry(const StopTask& effect)
+        {
+            const WorkerCallStatus status = this->workers.at(effect.to.worker).stop(effect, this->now);
+            this->answer(TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
+        }
+        void carry(const PaceTask&) { ++this->paced; }
+        void carry(const ReplyToClient&) { }
+        void carry(const FollowWorkers& effect)
+        {
+            WorkersListed list { {}, {}, true };
+            for (const auto& [id, worker] : this->workers)
+                list.changed.push_back(worker.entry());
+            if (effect.shouldFollow)
+                this->answer(list);
+        }
+        void carry(const LogDecision&) { ++this->logged; }
+
+        void print() const
+        {
+            double sum = 0;
+            for (const auto& entry : schedulerCommandNames) {
+                const std::size_t index = indexOf(entry.value);
+                if (this->counts[index] == 0)
+                    continue;
+                sum += this->costs[index];
+                std::printf("%-24s %8lu a second, %8.2f us each, %7.4f cores\n", std::string(entry.name).c_str(), this->counts[index] / seconds, 1e6 * this->costs[index] / static_cast<double>(this->counts[index]), this->costs[index] / seconds);
+            }
+            std::printf("in all %.4f cores; %d starts, %d orders on pace, %d lines\n", sum / seconds, this->started, this->paced, this->logged);
+        }
+
+        int jobsInSecond;
+        Scheduler scheduler;
+        Instant now { std::chrono::hours(1) };
+        SimulatedStore store;
+        RowVersion followed { 0 };
+        std::map<WorkerId, SimulatedWorker> workers;
+        std::map<JobId, std::vector<StepDefinition>> definitions;
+        std::multimap<Instant, SchedulerCommand> answers;
+        std::vector<std::pair<Instant, HoldWorker>> holds;
+        std::map<WorkerId, Instant> wakes;
+        std::mt19937_64 generator { 1 };
+        std::array<double, schedulerCommandNames.size()> costs {};
+        std::array<std::uint64_t, schedulerCommandNames.size()> counts {};
+        unsigned jobs { 0 };
+        int steps { 0 };
+        int started { 0 };
+        int paced { 0 };
+        int logged { 0 };
+    };
+
+} // namespace
+} // namespace dragonflytray
+
+int main(int argc, char** argv)
+{
+    constexpr int defaultWorkers = 490;
+    constexpr int defaultJobs = 28; // a second
+    const int workers = argc > 1 ? std::atoi(argv[1]) : defaultWorkers;
+    const int jobs = argc > 2 ? std::atoi(argv[2]) : defaultJobs;
+    dragonflytray::Bench(workers, jobs).run();
+    return 0;
+}
