--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -98,15 +98,17 @@
     return taken;
 }
 
-void FillControl::trackWorst(FleetWorker& worker, Instant now)
+void FillControl::trackWorst(FleetWorker& worker, Instant now) const
 {
-    const double forgotten = this->options.recovery * std::clamp(toSeconds(now - worker.fillSample.at), 0.0, 1.0);
+    const double forgotten = this->options.recovery * std::clamp(toSeconds(now - worker.observedAt), 0.0, 1.0);
     for (auto& [run, charge] : worker.runs) {
-        if (!isMeasured(charge))
+        const auto image = isMeasured(charge) ? this->numbers.find(charge.image) : this->numbers.end();
+        if (image == this->numbers.end())
             continue;
-        const double alone = headroomOf(charge) + this->takenFrom(worker, this->numberOf(charge.image));
+        const double alone = headroomOf(charge) + this->takenFrom(worker, image->second);
         charge.worstAlone = charge.worstAlone == 0 ? alone : std::min(alone, charge.worstAlone + forgotten);
     }
+    worker.observedAt = now;
 }
 
 void FillControl::observe(FleetWorker& worker, Instant now)
@@ -211,8 +213,9 @@
         if (missing <= 0 || effect < least)
             return;
         const int before = entry->second.pace;
-        entry->second.pace = this->options.lowestPace;
-        missing -= effect * (before - this->options.lowestPace) / before;
+        const double kept = std::isinf(missing) ? 0 : 1 - missing / effect;
+        entry->second.pace = std::max(this->options.lowestPace, static_cast<int>(before * kept));
+        missing -= effect * (before - entry->second.pace) / before;
         changes.push_back({ entry->first, entry->second.pace });
     }
 }
@@ -224,13 +227,24 @@
             continue;
         const int faster = std::min(100, charge.pace + this->options.paceStep);
         const std::int64_t more = charge.fillMillicores * (faster - charge.pace) / 100;
-        if (!this->keepsHeadroom(worker, this->numberOf(charge.image), more))
+        const std::size_t image = this->numberOf(charge.image);
+        if (!this->mayRelax(worker, image, more))
             continue;
         charge.pace = faster;
         changes.push_back({ run, charge.pace });
+        for (ServingHeadroom& entry : worker.servings)
+            entry.headroom -= this->effectOf(entry.image, image) * this->exposureOf(worker, more);
     }
 }
 
+bool FillControl::mayRelax(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    const double exposure = this->exposureOf(worker, millicores);
+    return std::all_of(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) {
+        return entry.headroom - this->effectOf(entry.image, image) * exposure >= this->options.admitHeadroom;
+    });
+}
+
 bool FillControl::keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
     const double exposure = this->exposureOf(worker, millicores);
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -85,7 +85,8 @@
     double effectOf(std::size_t serving, std::size_t filling) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
     double takenFrom(const FleetWorker& worker, std::size_t serving) const;
-    void trackWorst(FleetWorker& worker, Instant now);
+    void trackWorst(FleetWorker& worker, Instant now) const;
+    bool mayRelax(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     void learnUsage(FleetWorker& worker, Instant now) const;
     void paceDown(FleetWorker& worker, double missing, double least, std::size_t serving, std::vector<PaceChange>& changes);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -87,6 +87,7 @@
     std::uint32_t serving { 0 };
     double servingUsage { 0.5 }; // share of their reserved cores that serving tasks are seen to use
     std::int64_t servingMillicores { 0 }; // reserved by serving runs
+    Instant observedAt; // when the last report was taken
     FillSample fillSample;
     Instant missedSince; // since when some serving run misses its target; zero: none does
     std::vector<ServingHeadroom> servings; // as of the last report
