Fills go first to workers that few other images can use

The openness of a worker, the share of images that harm none of its serving tasks, now counts against it in the choice.

--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -65,6 +65,20 @@
             row.resize(filling + 1, PairEstimator::Options {}.priorEffect);
         row[filling] = std::max(estimator.effect(name, assumedLoad).mean, 0.0);
     }
+    if (this->opennesses.size() <= serving)
+        this->opennesses.resize(serving + 1, 1.0);
+    const auto harmless = std::count_if(estimator.classes().begin(), estimator.classes().end(), [&](const BatchClassName& name) { return row[this->numberOf(ImageName(name.value()))] < this->options.material; });
+    this->opennesses[serving] = static_cast<double>(harmless) / static_cast<double>(std::max<std::size_t>(estimator.classes().size(), 1));
+}
+
+double FillControl::openness(const FleetWorker& worker) const
+{
+    double least = 1;
+    for (const ServingHeadroom& entry : worker.servings) {
+        if (entry.image < this->opennesses.size())
+            least = std::min(least, this->opennesses[entry.image]);
+    }
+    return least;
 }
 
 void FillControl::summarize(FleetWorker& worker)
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -69,6 +69,9 @@
     // among workers.
     double risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
+    // openness() is the share of the filling images seen so far that harm none of the serving images on the worker.
+    double openness(const FleetWorker& worker) const;
+
     // numberOf() is the number that admits() and risk() know an image by; a new one for a new image.
     std::size_t numberOf(const ImageName& image);
 
@@ -96,6 +99,7 @@
     std::map<ImageName, PairEstimator> estimators; // by serving image
     std::map<ImageName, std::size_t> numbers;
     std::vector<std::vector<double>> effects; // by number of the serving and of the filling image; absent: not known
+    std::vector<double> opennesses; // by number of the serving image
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -12,6 +12,9 @@
     // A fill goes where it harms least; among equals, where most cores are idle.
     constexpr double riskWeight = 50000; // millicores for a whole target of headroom
 
+    // Workers that few other images can use come first, so that room is left for these.
+    constexpr double opennessWeight = 30000; // millicores; half a worker for one that every image can use
+
     // Serving tasks of one image gather, so that fills that harm them find workers without them.
     constexpr double sameImagePreference = 200000; // millicores; more than any worker has
 
@@ -59,7 +62,7 @@
         const StepDefinition& step = request.step;
         double score = static_cast<double>(worker.room().millicores);
         if (step.isFilling)
-            score = request.fills.risk(worker, request.image, step.need.millicores) * riskWeight - request.fills.idleMillicores(worker);
+            score = request.fills.risk(worker, request.image, step.need.millicores) * riskWeight + request.fills.openness(worker) * opennessWeight - request.fills.idleMillicores(worker);
         else if (step.latencyTarget > Duration(0))
             score += servingScore(worker, request.image);
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
