Keep a worker's runs for the leases that a former leader or a start has granted; histograms of each stage

A hold that was not sent also took back what a start had granted while it was in flight. Now the first fenced answer counts as a grant of the longest lease, and a start's grant outlasts the hold in flight. Two tests, which failed first: two runs of one task at once. Ruled out: late starts of the former leader (run 1001 was the new leader's own). Also: histograms of accept, wait, start, run, record and show at the metrics address; the one type for histograms has moved to base, and the request latencies are rendered through it.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -12,6 +12,7 @@
 #include "base/bounded_ring.h"
 #include "base/duty_thread.h"
 #include "base/findings.h"
+#include "base/latency_histogram.h"
 #include "base/name_table.h"
 #include "base/precondition.h"
 #include "base/strong_id.h"
--- a/packages/routing/latency_histogram.h
+++ b/packages/base/latency_histogram.h
@@ -1,26 +1,19 @@
 #pragma once
 
 // Latency histograms with fixed bounds, as metrics want them.
+//
+// Example:
+//
+//     LatencyHistogram histogram;
+//     histogram.record(std::chrono::milliseconds(7));
 
-#include "base/base.h"
+#include "base/boot_clock.h"
 #include <algorithm>
+#include <array>
+#include <cstdint>
 
 namespace dragonflytray {
 
-// RequestStage names the parts of a request's time.
-enum class RequestStage {
-    Queue, // from the queue's entry to the send
-    Runner, // from the send to the answer
-    Total, // from admission to the answer
-};
-
-inline constexpr NameTable requestStageNames { std::to_array<NameEntry<RequestStage>>({
-    { RequestStage::Queue, "queue" },
-    { RequestStage::Runner, "runner" },
-    { RequestStage::Total, "total" },
-}) };
-static_assert(requestStageNames.isWhole(RequestStage::Total));
-
 // latencyBoundsInSeconds are the upper bounds of the buckets; one more bucket has no bound.
 inline constexpr std::array latencyBoundsInSeconds { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0 };
 
--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -9,17 +9,6 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(5);
     constexpr Duration reportInterval = std::chrono::milliseconds(500);
 
-    void appendLatency(std::vector<Metric>& metrics, const std::string& priority, const std::string& stage, const LatencyHistogram& latency)
-    {
-        const std::string name = "dragonflytray_request_latency_seconds";
-        for (std::size_t i = 0; i < latency.cumulative.size(); ++i) {
-            const std::string bound = i < latencyBoundsInSeconds.size() ? std::to_string(latencyBoundsInSeconds[i]) : "+Inf";
-            metrics.push_back({ name + "_bucket", MetricKind::Counter, { { "class", priority }, { "stage", stage }, { "le", bound } }, static_cast<double>(latency.cumulative[i]) });
-        }
-        metrics.push_back({ name + "_sum", MetricKind::Counter, { { "class", priority }, { "stage", stage } }, latency.sumSeconds });
-        metrics.push_back({ name + "_count", MetricKind::Counter, { { "class", priority }, { "stage", stage } }, static_cast<double>(latency.count()) });
-    }
-
     // appendClass() adds what happened to the requests of one class, and how long each stage took.
     void appendClass(std::vector<Metric>& metrics, const std::string& priority, const ClassSummary& counts)
     {
@@ -29,7 +18,7 @@
         for (const auto& reason : retryReasonNames)
             metrics.push_back({ "dragonflytray_class_request_retries_total", MetricKind::Counter, { { "class", priority }, { "reason", std::string(reason.name) } }, static_cast<double>(counts.retries[reason.value]) });
         for (const auto& stage : requestStageNames)
-            appendLatency(metrics, priority, std::string(stage.name), counts.stages[stage.value]);
+            metrics.push_back({ "dragonflytray_request_latency_seconds", MetricKind::Histogram, { { "class", priority }, { "stage", std::string(stage.name) } }, 0, counts.stages[stage.value] });
     }
 
 } // namespace
--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -90,6 +90,8 @@
     gauge("dragonflytray_highest_epoch", static_cast<double>(summary.highestEpoch));
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
+    for (const auto& entry : stageNames)
+        snapshot.metrics.push_back({ "dragonflytray_stage_seconds", MetricKind::Histogram, { { "stage", std::string(entry.name) } }, 0, summary.stageTimes[entry.value] });
     (void)this->rings.journal.tryPush(std::move(snapshot));
 }
 
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -11,8 +11,8 @@
 //     RoutingEffects effects = routing.handle(SubmitRequest { token, request }, now);
 //     RoutingView view = routing.ask(RoutingSummaryQuery {});
 
-#include "routing/latency_histogram.h"
 #include "routing/request_queue.h"
+#include "routing/request_stage.h"
 #include "routing/routing_commands.h"
 #include "routing/routing_effects.h"
 #include "routing/routing_queries.h"
--- a/packages/routing/routing_queries.h
+++ b/packages/routing/routing_queries.h
@@ -3,7 +3,7 @@
 // The queries of `Routing`. Each reads its state and returns a value; one file under `queries/` each.
 
 #include "model/model.h"
-#include "routing/latency_histogram.h"
+#include "routing/request_stage.h"
 #include <optional>
 #include <variant>
 #include <vector>
--- a/packages/scheduling/client_desk.cc
+++ b/packages/scheduling/client_desk.cc
@@ -58,7 +58,7 @@
     this->writeOf.emplace(put.key, number);
     const StoredRowKey key = put.key;
     turn.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { key, 0 } }, .puts = { put }, .removals = {} });
-    this->writes.emplace(number, Write { JobId(key.name), std::move(put), { call } });
+    this->writes.emplace(number, Write { JobId(key.name), std::move(put), { call }, turn.now });
 }
 
 void ClientDesk::read(const JobId& job, Call call, Turn& turn)
@@ -77,6 +77,8 @@
     this->writeOf.erase(write.put.key);
     const bool isStored = end.status == TransactionStatus::Committed || end.status == TransactionStatus::Conflict;
     for (const Call& call : write.calls) {
+        if (isStored && call.kind == CallKind::Submit)
+            turn.stageTimes[Stage::Accept].record(turn.now - write.sentAt);
         if (end.status == TransactionStatus::Ambiguous) {
             this->noteUnclear(write.job);
             this->read(write.job, call, turn);
--- a/packages/scheduling/client_desk.h
+++ b/packages/scheduling/client_desk.h
@@ -76,6 +76,7 @@
         JobId job;
         StoredRowPut put;
         std::vector<Call> calls;
+        Instant sentAt;
     };
     struct Read {
         std::vector<Call> calls;
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -127,7 +127,7 @@
                                                                                                                        : DecisionEvent::JobCancelled;
     job.setPhase(phase, turn.wallTime);
     this->markDirty(job);
-    this->finished.insert(job.definition().id);
+    this->finished.emplace(job.definition().id, turn.now);
     turn.add(LogDecision { event, job.definition().id.value(), {}, std::string(jobPhaseNames.nameOf(phase)), job.version(), turn.wallTime - job.definition().acceptedAt });
     this->stopTasks(job, "job-over", turn);
     for (const auto& [run, id] : this->strays) {
@@ -194,7 +194,7 @@
     std::erase_if(this->owing, [&](const WorkerId& id) {
         FleetWorker* worker = this->fleet.find(id);
         if (worker)
-            this->acknowledge(*worker);
+            this->acknowledge(*worker, turn);
         if (worker && worker->owed.empty() && this->mayHold(*worker, turn.now))
             this->hold(*worker, turn);
         return !worker || worker->owed.empty();
@@ -216,12 +216,13 @@
     this->holdWorkers(turn);
     for (WriteStoredRows& write : this->recorder.collect(this->runs, turn.nextWrite, turn.now))
         turn.add(std::move(write));
-    this->forgetFinished();
+    this->forgetFinished(turn);
 }
 
-void Dispatcher::forgetFinished()
+void Dispatcher::forgetFinished(Turn& turn)
 {
-    std::erase_if(this->finished, [this](const JobId& id) {
+    std::erase_if(this->finished, [&](const auto& entry) {
+        const auto& [id, since] = entry;
         JobRun* job = this->findRun(id);
         if (!job)
             return true;
@@ -230,8 +231,10 @@
             return false;
         bool isOccupied = false;
         job->allTasks([&](const TaskId&, const TaskSlot& slot) { isOccupied = isOccupied || isOnWorker(slot.stage); });
-        if (!isOccupied)
+        if (!isOccupied) {
+            turn.stageTimes[Stage::Show].record(turn.now - since);
             this->runs.erase(id);
+        }
         return !isOccupied;
     });
 }
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -114,7 +114,7 @@
     void endFailed(JobRun& job, FleetWorker& worker, const EndedRun& end, Turn& turn);
     void freeSlot(JobRun& job, const TaskRunId& run, const std::string& checkpoint, Turn& turn);
     void resetGang(JobRun& job, const TaskId& task, Turn& turn);
-    void acknowledge(FleetWorker& worker);
+    void acknowledge(FleetWorker& worker, Turn& turn);
     bool isRecorded(const OwedEnd& owed) const;
 
     // Reports of workers.
@@ -146,7 +146,7 @@
     void finish(JobRun& job, JobPhase phase, Turn& turn);
     void stopTasks(JobRun& job, const char* cause, Turn& turn);
     void markDirty(JobRun& job);
-    void forgetFinished();
+    void forgetFinished(Turn& turn);
     JobRun* findRun(const JobId& job);
     const QueueRule& ruleOf(const JobRun& job) const;
 
@@ -203,7 +203,7 @@
     Instant lastPass;
     Instant lastShortStart; // of a task that neither lasts nor fills
     bool hasList { false }; // the whole list of workers has been read since this host began to lead
-    std::set<JobId> finished; // final jobs that may still have something on workers or owed
+    std::map<JobId, Instant> finished; // final jobs that may still have something on workers or owed, and since when
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -43,9 +43,10 @@
     const bool mayRenew = !worker.isSuspect || turn.now < worker.lastAnswer + this->options.renewalPatience;
     if (mayRenew && worker.isFenced)
         call.deadline = worker.deadlineAt(turn.now, this->fleet.lease());
-    worker.leaseBeforeHold = worker.leaseEnd;
     if (call.deadline)
-        this->fleet.granted(worker, turn.now);
+        this->fleet.grantedByHold(worker, turn.now);
+    else
+        worker.leaseBeforeHold = worker.leaseEnd;
     if (worker.isFenced && !worker.isSuspect && worker.owed.empty() && call.deadline)
         call.wait = this->fillControl.isTight(worker) ? this->options.guardWait : this->options.holdWait;
     worker.isHolding = true;
@@ -109,6 +110,7 @@
     if (!isCurrent || (slot->stage != TaskStage::Starting && slot->stage != TaskStage::Unclear))
         return;
     if (end.status == WorkerCallStatus::Ok) {
+        turn.stageTimes[Stage::Start].record(turn.now - slot->since);
         worker.runs[end.run].confirmedAt = turn.now;
         worker.runs[end.run].confirmedFirst = turn.now;
         return job->setStage(end.run.task, TaskStage::Running, turn.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -231,6 +231,7 @@
 void Dispatcher::start(JobRun& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, Turn& turn)
 {
     TaskSlot& slot = *job.slot(task);
+    turn.stageTimes[Stage::Wait].record(turn.now - slot.since);
     slot.worker = worker.entry.id;
     slot.run = run;
     slot.roomSince = {};
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -30,7 +30,7 @@
     }
     this->compareRuns(*worker, end, turn);
     this->paceFills(*worker, turn);
-    this->acknowledge(*worker);
+    this->acknowledge(*worker, turn);
     worker->nextHold = worker->owed.empty() ? turn.now : turn.now + this->options.owedHold;
     this->placeTasks(turn);
     if (turn.now >= worker->nextHold)
@@ -50,6 +50,8 @@
     if (worker.isSuspect)
         turn.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.epoch, toMilliseconds(turn.now - worker.lastAnswer) });
     worker.isSuspect = false;
+    if (!worker.isFenced) // a former leader may have granted leases up to now
+        this->fleet.granted(worker, turn.now);
     worker.isFenced = true;
     worker.clock = end.clock;
     worker.clockSeen = turn.now;
@@ -85,11 +87,13 @@
     this->strays.erase(end.id);
     JobRun* job = this->findRun(task.job);
     if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
-        worker.owed.push_back({ end.number, task.job, 0 });
+        worker.owed.push_back({ end.number, task.job, 0, turn.now });
         this->owing.insert(worker.entry.id);
         return;
     }
     turn.add(LogDecision { DecisionEvent::TaskEnded, formatRun(end.id), worker.entry.id.value(), std::string(runOutcomeNames.nameOf(end.outcome)), job->version(), turn.wallTime - job->definition().acceptedAt });
+    if (const TaskSlot* slot = job->slot(task); slot && slot->run == end.id.run && end.outcome == RunOutcome::Done)
+        turn.stageTimes[Stage::Run].record(turn.now - slot->since);
     if (end.outcome == RunOutcome::Done)
         this->endDone(*job, task, turn);
     else if (end.outcome == RunOutcome::Failed)
@@ -101,7 +105,7 @@
     if (job->definition().steps[task.step].isGang && end.outcome != RunOutcome::Done)
         this->resetGang(*job, task, turn);
     this->markDirty(*job);
-    worker.owed.push_back({ end.number, task.job, job->generation() });
+    worker.owed.push_back({ end.number, task.job, job->generation(), turn.now });
     this->owing.insert(worker.entry.id);
     if (!isFinal(job->progress().phase))
         this->advance(*job, turn);
@@ -163,9 +167,10 @@
     }
 }
 
-void Dispatcher::acknowledge(FleetWorker& worker)
+void Dispatcher::acknowledge(FleetWorker& worker, Turn& turn)
 {
     while (!worker.owed.empty() && this->isRecorded(worker.owed.front())) {
+        turn.stageTimes[Stage::Record].record(turn.now - worker.owed.front().notedAt);
         worker.acknowledged = worker.owed.front().number;
         worker.owed.pop_front();
         if (worker.owed.empty())
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -96,10 +96,22 @@
     worker.runs.erase(found);
 }
 
-void Fleet::granted(FleetWorker& worker, Instant now)
+Instant Fleet::longestLease(Instant now) const
 {
     const auto longest = std::chrono::duration_cast<Duration>(this->options.lease * (1 + 2 * this->options.clockDrift));
-    worker.leaseEnd = std::max(worker.leaseEnd, now + longest + this->options.clockSlack);
+    return now + longest + this->options.clockSlack;
+}
+
+void Fleet::granted(FleetWorker& worker, Instant now)
+{
+    worker.leaseBeforeHold = std::max(worker.leaseBeforeHold, this->longestLease(now));
+    worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseBeforeHold);
+}
+
+void Fleet::grantedByHold(FleetWorker& worker, Instant now)
+{
+    worker.leaseBeforeHold = worker.leaseEnd;
+    worker.leaseEnd = std::max(worker.leaseEnd, this->longestLease(now));
 }
 
 void Fleet::drop(const WorkerId& worker)
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -44,6 +44,7 @@
     std::uint64_t number { 0 };
     JobId job;
     std::uint64_t generation { 0 };
+    Instant notedAt;
 };
 
 // FillSample is what one report said about serving and filling runs, for comparison with the next.
@@ -73,7 +74,7 @@
     std::optional<std::int64_t> clock; // ms on the worker's steady clock, at clockSeen
     Instant clockSeen;
     Instant leaseEnd; // every lease that was granted has surely lapsed then
-    Instant leaseBeforeHold; // leaseEnd without the hold in flight
+    Instant leaseBeforeHold; // leaseEnd without what the hold in flight grants
     Instant lastAnswer;
     bool isSuspect { false }; // the last hold had no answer
     Instant restUntil; // takes no new tasks until then
@@ -128,9 +129,12 @@
     void charge(FleetWorker& worker, const TaskRunId& run, RunCharge charge);
     void release(FleetWorker& worker, const TaskRunId& run);
 
-    // granted() notes that a lease from `now` may take effect on the worker.
+    // granted() notes that a lease from `now` may take effect on the worker, whatever becomes of the hold in flight.
     void granted(FleetWorker& worker, Instant now);
 
+    // grantedByHold() notes a lease from `now` that takes effect unless the hold that carries it is never sent.
+    void grantedByHold(FleetWorker& worker, Instant now);
+
     // drop() removes a worker without runs that is no longer listed.
     void drop(const WorkerId& worker);
 
@@ -145,6 +149,7 @@
 
 private:
     void regroup();
+    Instant longestLease(Instant now) const;
 
     Options options;
     std::map<DataCentreName, CellName> cellOf;
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -30,6 +30,7 @@
         .runningTasks = this->dispatcher.runningTasks(),
         .owedJobs = this->dispatcher.owedJobs(),
         .replies = this->desk.replies(),
+        .stageTimes = this->stageTimes,
     };
     for (const auto& [cell, leadership] : this->leaderships) {
         summary.ledCells += leadership.epoch() != 0 ? 1 : 0;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -72,7 +72,7 @@
 SchedulerEffects Scheduler::handle(const SchedulerCommand& command, Instant now)
 {
     SchedulerEffects effects;
-    Turn turn { now, this->wallTime, this->nextWrite, effects };
+    Turn turn { now, this->wallTime, this->nextWrite, effects, this->stageTimes };
     (this->*handlers[command.index()])(command, turn);
     return effects;
 }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -131,6 +131,7 @@
     WallTime wallTime { 0 };
     std::uint64_t nextWrite { 1 };
     Instant nextSweep;
+    StageTimes stageTimes;
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -143,7 +143,9 @@
 void SchedulerFixture::carry(const std::string& name, const HoldWorker& effect)
 {
     HoldEnded end { .worker = effect.to.worker, .epoch = effect.to.epoch, .sentAt = this->now, .status = WorkerCallStatus::Unclear };
-    if (!this->silent.contains(effect.to.worker))
+    if (this->unreachable.contains(effect.to.worker))
+        end.status = WorkerCallStatus::NotSent;
+    else if (!this->silent.contains(effect.to.worker))
         end = this->workers.at(effect.to.worker).hold(effect, this->now);
     this->held.push_back({ name, std::move(end), this->now + step });
 }
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -289,4 +289,63 @@
     CHECK(this->starts.size() == 1);
 }
 
+// Found on a bench day of power loss: the next leader took a worker that it could not reach for one without leases.
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_workerUnreachableAfterTakeover_keepsItsRunsForTheLease")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->taskTime = std::chrono::seconds(20);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::milliseconds(500));
+    REQUIRE(this->runningOf(job).size() == 1);
+    this->addWorker("w2", 64);
+    const auto isHeldByNext = [this] { return std::any_of(this->held.begin(), this->held.end(), [](const Held& report) { return report.host == "b"; }); };
+    while (!isHeldByNext())
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    this->unreachable.insert(WorkerId("w1")); // after the first hold, which is on its way back
+    this->run({ "b" }, std::chrono::milliseconds(1500));
+    CHECK(this->starts.size() == 1);
+    CHECK(this->mostAtOnce == 1);
+    this->run({ "b" }, std::chrono::seconds(8));
+    CHECK(this->runningOf(job).size() == 1);
+    CHECK(this->mostAtOnce == 1);
+}
+
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_holdNotSentAfterStart_keepsTheLeaseOfTheStart")
+{
+    SimulatedWorker& worker = this->addWorker("w1", 64);
+    this->run({ "a" }, std::chrono::milliseconds(20));
+    while (this->held.empty())
+        this->run({ "a" }, std::chrono::milliseconds(20));
+    this->unreachable.insert(WorkerId("w1")); // from the next hold on, which is in flight when the task starts
+    this->taskTime = std::chrono::seconds(20);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, feedDelay);
+    REQUIRE(worker.running().size() == 1);
+    this->addWorker("w2", 64);
+    this->send("a", WorkersListed { { this->workers.at(WorkerId("w2")).entry() }, {}, false });
+    this->run({ "a" }, std::chrono::seconds(4));
+    CHECK(this->mostAtOnce == 1);
+    this->run({ "a" }, std::chrono::seconds(4));
+    CHECK(this->mostAtOnce == 1);
+}
+
+// Each of two tasks needs the room of one lasting task; the second must not count on the room made for the first.
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_twoTasksWithoutRoom_eachGetsRoomOfItsOwn")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    StepDefinition lasting = stepOfTasks(2, 32);
+    lasting.isLasting = true;
+    this->submit("a", "00000000000000aa", { lasting });
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf("00000000000000aa").size() == 2);
+    this->taskTime = std::chrono::seconds(20);
+    this->submit("a", job, { stepOfTasks(2, 32) });
+    this->run({ "a" }, std::chrono::milliseconds(200));
+    CHECK(this->runningOf("00000000000000aa").size() == 2); // room may still come by itself
+    this->run({ "a" }, std::chrono::milliseconds(600));
+    CHECK(this->runningOf(job).size() == 2);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -44,6 +44,7 @@
     std::size_t ledCells { 0 };
     Epoch highestEpoch { 0 };
     ReplyCounts replies;
+    StageTimes stageTimes;
 };
 
 using SchedulerQuery = std::variant<QueueQuery, ReadinessQuery, SchedulerSummaryQuery>;
--- a/packages/telemetry/metrics.cc
+++ b/packages/telemetry/metrics.cc
@@ -3,20 +3,43 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <limits>
+
 namespace dragonflytray {
 
 namespace {
 
+    void encodeCounter(const Metric& metric, prometheus::ClientMetric& encoded)
+    {
+        encoded.counter.value = metric.value;
+    }
+
+    void encodeGauge(const Metric& metric, prometheus::ClientMetric& encoded)
+    {
+        encoded.gauge.value = metric.value;
+    }
+
+    void encodeHistogram(const Metric& metric, prometheus::ClientMetric& encoded)
+    {
+        encoded.histogram.sample_count = metric.histogram.count();
+        encoded.histogram.sample_sum = metric.histogram.sumSeconds;
+        for (std::size_t i = 0; i < metric.histogram.cumulative.size(); ++i) {
+            const double bound = i < latencyBoundsInSeconds.size() ? latencyBoundsInSeconds.at(i) : std::numeric_limits<double>::infinity();
+            encoded.histogram.bucket.push_back({ metric.histogram.cumulative.at(i), bound });
+        }
+    }
+
+    using EncodeMetric = void (*)(const Metric&, prometheus::ClientMetric&);
+    constexpr std::array<EncodeMetric, 3> encoders { &encodeCounter, &encodeGauge, &encodeHistogram };
+    constexpr std::array<prometheus::MetricType, 3> metricTypes { prometheus::MetricType::Counter, prometheus::MetricType::Gauge, prometheus::MetricType::Histogram };
+
     prometheus::ClientMetric encodeMetric(const Metric& metric)
     {
         prometheus::ClientMetric encoded;
         encoded.label.reserve(metric.labels.size());
         for (const auto& [name, value] : metric.labels)
             encoded.label.push_back({ name, value });
-        if (metric.kind == MetricKind::Counter)
-            encoded.counter.value = metric.value;
-        else
-            encoded.gauge.value = metric.value;
+        encoders[indexOf(metric.kind)](metric, encoded);
         return encoded;
     }
 
@@ -46,7 +69,7 @@
         for (const Metric& metric : snapshot.metrics) {
             prometheus::MetricFamily& family = families[metric.name];
             family.name = metric.name;
-            family.type = metric.kind == MetricKind::Counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+            family.type = metricTypes[indexOf(metric.kind)];
             family.metric.push_back(encodeMetric(metric));
         }
     }
--- a/packages/telemetry/metrics.h
+++ b/packages/telemetry/metrics.h
@@ -22,6 +22,7 @@
 enum class MetricKind {
     Counter,
     Gauge,
+    Histogram, // in seconds
 };
 
 // Metric is one value with its labels.
@@ -29,7 +30,8 @@
     std::string name;
     MetricKind kind { MetricKind::Gauge };
     std::map<std::string, std::string> labels;
-    double value { 0 };
+    double value { 0 }; // of a counter or gauge
+    LatencyHistogram histogram {}; // of a histogram
 };
 
 // MetricsSnapshot is everything that one duty reports.
