--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -121,6 +121,15 @@
     this->needsPass = true;
 }
 
+void Dispatcher::noteRunning(JobRun& job, const TaskId& task, Turn& turn)
+{
+    job.setStage(task, TaskStage::Running, turn.now);
+    if (job.progress().phase != JobPhase::Queued)
+        return;
+    job.setPhase(JobPhase::Running, turn.wallTime);
+    this->markDirty(job);
+}
+
 void Dispatcher::finish(JobRun& job, JobPhase phase, Turn& turn)
 {
     const DecisionEvent event = phase == JobPhase::Completed ? DecisionEvent::JobCompleted : phase == JobPhase::Failed ? DecisionEvent::JobFailed
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -146,6 +146,7 @@
     // Jobs.
     void openJob(const JobRecord& record, const Cell& cell, Turn& turn);
     void advance(JobRun& job, Turn& turn);
+    void noteRunning(JobRun& job, const TaskId& task, Turn& turn); // the task is known to run
     void finish(JobRun& job, JobPhase phase, Turn& turn);
     void stopTasks(JobRun& job, const char* cause, Turn& turn);
     void markDirty(JobRun& job);
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -113,7 +113,7 @@
         turn.stageTimes[Stage::Start].record(turn.now - slot->since);
         worker.runs[end.run].confirmedAt = turn.now;
         worker.runs[end.run].confirmedFirst = turn.now;
-        return job->setStage(end.run.task, TaskStage::Running, turn.now);
+        return this->noteRunning(*job, end.run.task, turn);
     }
     if (end.status == WorkerCallStatus::Unclear)
         return job->setStage(end.run.task, TaskStage::Unclear, turn.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -250,10 +250,6 @@
     if (!step.isLasting && !step.isFilling)
         this->lastShortStart = turn.now;
     job.setStage(task, TaskStage::Starting, turn.now);
-    if (job.progress().phase == JobPhase::Queued) {
-        job.setPhase(JobPhase::Running, turn.wallTime);
-        this->markDirty(job);
-    }
     const TaskRunId id { task, run };
     this->fleet.charge(worker, id, this->chargeFor(job, step));
     this->fillControl.summarize(worker);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -226,7 +226,7 @@
     if (!slot || slot->run != task.id.run)
         return;
     if (slot->stage == TaskStage::Starting || slot->stage == TaskStage::Unclear)
-        job->setStage(task.id.task, TaskStage::Running, turn.now);
+        this->noteRunning(*job, task.id.task, turn);
     slot->percent = task.percent;
     if (!task.checkpoint.empty())
         slot->checkpoint = task.checkpoint;
@@ -253,7 +253,7 @@
     slot->run = task.id.run;
     if (!task.checkpoint.empty())
         slot->checkpoint = task.checkpoint;
-    job->setStage(id, TaskStage::Running, turn.now);
+    this->noteRunning(*job, id, turn);
     const auto cell = this->cells.find(job->definition().cell);
     if (cell != this->cells.end())
         cell->second.unconfirmed.erase(id);
@@ -274,7 +274,7 @@
         this->fleet.release(*worker, run);
         this->fleet.charge(*worker, run, this->chargeFor(job, job.definition().steps[run.task.step]));
         worker->runs.at(run).confirmedAt = turn.now;
-        job.setStage(run.task, TaskStage::Running, turn.now);
+        this->noteRunning(job, run.task, turn);
         adopted.push_back(run);
     }
     for (const TaskRunId& run : adopted)
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -416,4 +416,18 @@
     CHECK(this->mostAtOnce == 1);
 }
 
+// Found by a hunt: jobs whose starts had no effect were no longer counted as waiting.
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_startWithoutAnswer_jobStillCountsAsWaiting")
+{
+    this->addWorker("w1", 64);
+    this->run({ "a" }, takeover);
+    this->startsLate = 1;
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::milliseconds(600));
+    REQUIRE(this->starts.size() == 1);
+    CHECK(this->phaseOf(job) == JobPhase::Queued);
+    this->run({ "a" }, std::chrono::seconds(6));
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
