--- a/packages/scheduling/client_desk.cc
+++ b/packages/scheduling/client_desk.cc
@@ -7,9 +7,11 @@
 {
 }
 
-void ClientDesk::refuse(ReplyToken token, ReplyStatus status, ReplyReason reason, Turn& turn)
+void ClientDesk::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, Turn& turn)
 {
     ++this->counts[reason];
+    const DecisionEvent event = status == ReplyStatus::Unclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused;
+    turn.add(LogDecision { event, subject, {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 });
     const bool hasRetry = status == ReplyStatus::Refused;
     turn.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = hasRetry ? this->options.retryAfter : Duration(0) });
 }
@@ -20,11 +22,11 @@
     if (const JobRecord* record = book.find(job.id); record && record->isDefined())
         return this->answerFound(call, *record, turn);
     if (this->unclear.contains(job.id) && !this->isStoreAnswering)
-        return this->refuse(token, ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
+        return this->refuse(token, job.id.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
     if (!this->isStoreAnswering)
-        return this->refuse(token, ReplyStatus::Refused, ReplyReason::StoreUnavailable, turn);
+        return this->refuse(token, job.id.value(), ReplyStatus::Refused, ReplyReason::StoreUnavailable, turn);
     if (this->isFull())
-        return this->refuse(token, this->unclear.contains(job.id) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, turn);
+        return this->refuse(token, job.id.value(), this->unclear.contains(job.id) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, turn);
     this->write({ { StoredRowKind::Definition, job.id.value() }, job }, call, turn);
 }
 
@@ -116,7 +118,7 @@
         else if (!end.isRead)
             this->answerUnread(end.job, call, turn);
         else
-            this->answerAbsent(call, turn);
+            this->answerAbsent(end.job, call, turn);
     }
 }
 
@@ -130,16 +132,15 @@
 {
     const bool isUnclear = call.kind != CallKind::LookUp && this->unclear.contains(job);
     const ReplyReason reason = isUnclear ? ReplyReason::StoreUnclear : ReplyReason::StoreUnavailable;
-    turn.add(LogDecision { isUnclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused, job.value(), {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 });
-    this->refuse(call.token, isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, turn);
+    this->refuse(call.token, job.value(), isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, turn);
 }
 
-void ClientDesk::answerAbsent(const Call& call, Turn& turn)
+void ClientDesk::answerAbsent(const JobId& job, const Call& call, Turn& turn)
 {
     // The write of a submission that is absent now may still take effect.
     if (call.kind == CallKind::Submit)
-        return this->refuse(call.token, ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
-    this->refuse(call.token, ReplyStatus::NoSuchJob, ReplyReason::UnknownId, turn);
+        return this->refuse(call.token, job.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, turn);
+    this->refuse(call.token, job.value(), ReplyStatus::NoSuchJob, ReplyReason::UnknownId, turn);
 }
 
 void ClientDesk::noteUnclear(const JobId& job)
--- a/packages/scheduling/client_desk.h
+++ b/packages/scheduling/client_desk.h
@@ -43,8 +43,9 @@
     // lookUp() answers for one job, from the store when it is not in the book.
     void lookUp(ReplyToken token, const JobId& job, const JobBook& book, Turn& turn);
 
-    // refuse() answers a call that can't be served; nothing was stored for it.
-    void refuse(ReplyToken token, ReplyStatus status, ReplyReason reason, Turn& turn);
+    // refuse() answers a call that can't be served; nothing was stored for it. `subject` is the job, or the path when
+    // it names none.
+    void refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, Turn& turn);
 
     // setStoreAnswering() notes whether the store can be reached.
     void setStoreAnswering(bool isAnswering) { this->isStoreAnswering = isAnswering; }
@@ -86,7 +87,7 @@
     void read(const JobId& job, Call call, Turn& turn);
     void answerFound(const Call& call, const JobRecord& record, Turn& turn);
     void answerUnread(const JobId& job, const Call& call, Turn& turn);
-    void answerAbsent(const Call& call, Turn& turn);
+    void answerAbsent(const JobId& job, const Call& call, Turn& turn);
     void noteUnclear(const JobId& job);
     bool isFull() const { return this->writes.size() + this->reads.size() >= this->options.callsPending; }
 
--- a/packages/scheduling/commands/client_calls.cc
+++ b/packages/scheduling/commands/client_calls.cc
@@ -32,17 +32,17 @@
 std::optional<Scheduler::JobAddress> Scheduler::resolve(ReplyToken token, const std::string& host, const std::string& path, Turn& turn)
 {
     if (this->configuration.version == 0) {
-        this->desk.refuse(token, ReplyStatus::Refused, ReplyReason::NoConfiguration, turn);
+        this->desk.refuse(token, path, ReplyStatus::Refused, ReplyReason::NoConfiguration, turn);
         return std::nullopt;
     }
     const QueueRule* queue = this->configuration.findQueue(host, path);
     if (!queue) {
-        this->desk.refuse(token, ReplyStatus::NoSuchQueue, ReplyReason::UnknownRoute, turn);
+        this->desk.refuse(token, path, ReplyStatus::NoSuchQueue, ReplyReason::UnknownRoute, turn);
         return std::nullopt;
     }
     const std::string id = path.substr(queue->pathPrefix.size());
     if (!isJobId(id)) {
-        this->desk.refuse(token, ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
+        this->desk.refuse(token, path, ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
         return std::nullopt;
     }
     return JobAddress { queue, JobId(id) };
@@ -55,7 +55,7 @@
     if (!address)
         return;
     if (!isWellFormed(submit.job))
-        return this->desk.refuse(submit.token, ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
+        return this->desk.refuse(submit.token, address->job.value(), ReplyStatus::Malformed, ReplyReason::BadRequest, turn);
     JobDefinition job = submit.job;
     job.id = address->job;
     job.queue = *address->queue;
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -47,6 +47,16 @@
     CHECK(this->store.find({ StoredRowKind::Definition, job }) == nullptr);
 }
 
+// Found by an incident: jobs refused at once left no line.
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_refusedJob_leavesALine")
+{
+    this->run({ "a" }, takeover);
+    this->send("a", StoreContact { false });
+    REQUIRE(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Refused);
+    const auto names = [](const LogDecision& line) { return line.event == DecisionEvent::JobRefused && line.subject == job && line.outcome == "store-unavailable"; };
+    CHECK(std::count_if(this->log.begin(), this->log.end(), names) == 1);
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "Scheduler_cancelledJob_stopsAndStaysCancelled")
 {
     this->addWorker("w1", 64);
