A new leader starts no failed task again before it knows every end

The next leader saw the third run alive, then its failure, and started the task anew before the other workers had told of theirs. Such a task now waits until every worker of the list has answered. Test failed first (three starts instead of two).

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -138,6 +138,9 @@
         slot->failedOn = worker.entry.id;
     this->freeSlot(job, end.id, end.checkpoint, turn);
     const bool isLasting = job.definition().steps[task.step].isLasting;
+    // Workers that have not answered yet may know of more failures.
+    if (const TaskSlot* slot = job.slot(task); slot && slot->stage == TaskStage::Waiting && job.mayHaveUnknownRuns() && !isLasting)
+        job.setStage(task, TaskStage::Unaccounted, turn.now);
     if (isNew && !isLasting && job.failures(task) >= this->ruleOf(job).maxAttempts && !isFinal(job.progress().phase))
         this->finish(job, JobPhase::Failed, turn);
 }
--- a/packages/scheduling/job_run.h
+++ b/packages/scheduling/job_run.h
@@ -78,6 +78,9 @@
     // settle() notes that no run of a former leader is left; tasks that wait for one may start.
     void settle(const std::set<TaskId>& unconfirmed, Instant now);
 
+    // mayHaveUnknownRuns() says whether runs and ends of a former leader may not be known yet.
+    bool mayHaveUnknownRuns() const { return this->mayHaveRuns; }
+
     // unit() is the open step in that occurrence, or null.
     UnitRun* unit(std::uint32_t occurrence, std::uint32_t step);
 
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -172,7 +172,7 @@
 {
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
-    SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLasting ? Instant::max() : this->now + this->taskTime, .isFailing = false, .checkpoint = {} };
+    SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLasting ? Instant::max() : this->now + this->taskTime, .isFailing = this->doTasksFail, .checkpoint = {} };
     WorkerCallStatus status = WorkerCallStatus::Unclear;
     if (this->startsLate > 0) {
         --this->startsLate;
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -63,6 +63,7 @@
     std::map<std::string, bool> isCutFromStore;
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> silent; // workers that no call reaches
+    bool doTasksFail { false };
     bool areListsRead { true }; // answers of the feed of workers reach leaders
     std::set<WorkerId> unlisted; // workers that the list leaves out
     std::set<WorkerId> unreachable; // workers to which no hold can be sent
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -440,4 +440,30 @@
     CHECK(this->phaseOf(job) == JobPhase::Completed);
 }
 
+// Found by a hunt: the next leader started a task again before it knew of all its failures.
+TEST_CASE_METHOD(SchedulerFixture, "Scheduler_failureKnownToASilentWorkerOnly_startsNoRunTooMany")
+{
+    this->addWorker("w1", 64);
+    this->addWorker("w2", 64);
+    this->addWorker("w3", 64);
+    this->run({ "a" }, takeover);
+    this->doTasksFail = true;
+    this->taskTime = std::chrono::milliseconds(300);
+    this->submit("a", job, { stepOfTasks(1, 4) });
+    this->run({ "a" }, feedDelay);
+    this->isCutFromStore["a"] = true;
+    this->taskTime = std::chrono::milliseconds(2500);
+    this->run({ "a" }, std::chrono::milliseconds(700));
+    REQUIRE(this->starts.size() == 2); // as often as the queue allows
+    const WorkerId first = this->starts.front().to.worker;
+    REQUIRE(this->starts.back().to.worker != first);
+    this->unreachable.insert(first);
+    this->run({ "b" }, std::chrono::milliseconds(2500));
+    CHECK(this->starts.size() == 2);
+    this->unreachable.clear();
+    this->run({ "b" }, std::chrono::seconds(2));
+    CHECK(this->starts.size() == 2);
+    CHECK(this->phaseOf(job) == JobPhase::Failed);
+}
+
 } // namespace dragonflytray
