--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -39,8 +39,7 @@
 } // namespace
 
 StoreDuty::StoreDuty(const EntrySettings& settings, EntryRings& rings, const StoreProtocol& protocol)
-    : rings(rings)
-    , protocol(protocol)
+    : protocol(protocol)
     , endpoint(settings.store)
     , outbox(this->loop, rings.scheduling)
     , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -41,7 +41,6 @@
     void again(Feed& feed, Duration delay);
     void noteContact(const Feed& feed, bool isAnswering);
 
-    EntryRings& rings;
     const StoreProtocol& protocol;
     Endpoint endpoint;
     IoLoop loop;
--- a/packages/entry/duties/worker_call_duty.cc
+++ b/packages/entry/duties/worker_call_duty.cc
@@ -13,8 +13,7 @@
 } // namespace
 
 WorkerCallDuty::WorkerCallDuty(EntryRings& rings, const WorkerProtocol& protocol)
-    : rings(rings)
-    , protocol(protocol)
+    : protocol(protocol)
     , outbox(this->loop, rings.scheduling)
     , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
 {
--- a/packages/entry/duties/worker_call_duty.h
+++ b/packages/entry/duties/worker_call_duty.h
@@ -35,7 +35,6 @@
     void enqueue(TaskCall call);
     void advance(Lane& lane);
 
-    EntryRings& rings;
     const WorkerProtocol& protocol;
     IoLoop loop;
     Outbox outbox;
