Ask for a need without building a charge; look groups up without copying names; use the summary that is there

findVictims() built a whole charge for each worker only to read its need, a lookup of a group copied two names, and trackWorst() summed again what summarize() had just summed for each image.

--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -265,7 +265,7 @@
     if (step.isFilling || !isWorthIt || now < slot.since + patience)
         return false;
     std::erase_if(this->vainEvictions, [now](const VainEviction& vain) { return vain.until <= now; });
-    const TaskResources need = chargeOf(step).need;
+    const TaskResources need = needOf(step);
     const int priority = this->ruleOf(job).priority;
     return std::none_of(this->vainEvictions.begin(), this->vainEvictions.end(), [&](const VainEviction& vain) {
         return vain.isLasting == step.isLasting && vain.priority <= priority && vain.need.fitsIn(need);
@@ -279,7 +279,7 @@
     if (!eviction) {
         const bool isPlain = request.mayLeaveData && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (isPlain)
-            this->vainEvictions.push_back({ chargeOf(request.step).need, request.step.isLasting, priority, turn.now + this->options.evictionRest });
+            this->vainEvictions.push_back({ needOf(request.step), request.step.isLasting, priority, turn.now + this->options.evictionRest });
         return false;
     }
     slot.roomDue = turn.now + this->options.evictionInterval;
--- a/packages/scheduling/fill_control.cc
+++ b/packages/scheduling/fill_control.cc
@@ -112,14 +112,23 @@
     return taken;
 }
 
+const ServingHeadroom* FillControl::summaryOf(const FleetWorker& worker, const ImageName& image) const
+{
+    const auto number = this->numbers.find(image);
+    if (number == this->numbers.end())
+        return nullptr;
+    const auto found = std::find_if(worker.servings.begin(), worker.servings.end(), [&](const ServingHeadroom& entry) { return entry.image == number->second; });
+    return found == worker.servings.end() ? nullptr : &*found;
+}
+
 void FillControl::trackWorst(FleetWorker& worker, Instant now) const
 {
     const double forgotten = this->options.recovery * std::clamp(toSeconds(now - worker.observedAt), 0.0, 1.0);
     for (auto& [run, charge] : worker.runs) {
-        const auto image = isMeasured(charge) ? this->numbers.find(charge.image) : this->numbers.end();
-        if (image == this->numbers.end())
+        const ServingHeadroom* summary = isMeasured(charge) ? this->summaryOf(worker, charge.image) : nullptr;
+        if (!summary)
             continue;
-        const double alone = headroomOf(charge) + this->takenFrom(worker, image->second);
+        const double alone = headroomOf(charge) + summary->taken;
         charge.worstAlone = charge.worstAlone == 0 ? alone : std::min(alone, charge.worstAlone + forgotten);
     }
     worker.observedAt = now;
--- a/packages/scheduling/fill_control.h
+++ b/packages/scheduling/fill_control.h
@@ -88,6 +88,8 @@
     double effectOf(std::size_t serving, std::size_t filling) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
     double takenFrom(const FleetWorker& worker, std::size_t serving) const;
+    // summaryOf() is what summarize() last found for an image; null when it serves nothing there.
+    const ServingHeadroom* summaryOf(const FleetWorker& worker, const ImageName& image) const;
     void trackWorst(FleetWorker& worker, Instant now) const;
     bool mayRelax(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -124,7 +124,7 @@
 {
     if (this->isRegroupDue)
         this->regroup();
-    return this->groups[{ cell, service }];
+    return this->groups[cell][service];
 }
 
 void Fleet::regroup()
@@ -132,7 +132,7 @@
     this->isRegroupDue = false;
     this->groups.clear();
     for (auto& [id, worker] : this->workers)
-        this->groups[{ worker.cell, worker.entry.service }].push_back(&worker);
+        this->groups[worker.cell][worker.entry.service].push_back(&worker);
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -154,7 +154,7 @@
     Options options;
     std::map<DataCentreName, CellName> cellOf;
     std::map<WorkerId, FleetWorker> workers;
-    std::map<std::pair<CellName, ServiceName>, std::vector<FleetWorker*>> groups;
+    std::map<CellName, std::map<ServiceName, std::vector<FleetWorker*>>> groups;
     bool isRegroupDue { false };
 };
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -72,10 +72,18 @@
 
 } // namespace
 
+TaskResources needOf(const StepDefinition& step)
+{
+    TaskResources need = step.need;
+    if (step.isFilling)
+        need.millicores = 0;
+    return need;
+}
+
 RunCharge chargeOf(const StepDefinition& step)
 {
     RunCharge charge;
-    charge.need = step.need;
+    charge.need = needOf(step);
     charge.isFilling = step.isFilling;
     charge.isServing = step.latencyTarget > Duration(0);
     charge.latencyTarget = step.latencyTarget;
@@ -83,10 +91,7 @@
     charge.isLasting = step.isLasting;
     charge.isCheckpointing = step.isCheckpointing;
     charge.isEvictable = !step.isGang && !step.isFilling && step.disruptionBudget == 0;
-    if (step.isFilling) {
-        charge.need.millicores = 0;
-        charge.fillMillicores = step.need.millicores;
-    }
+    charge.fillMillicores = step.isFilling ? step.need.millicores : 0;
     return charge;
 }
 
@@ -94,7 +99,7 @@
 {
     FleetWorker* best = nullptr;
     double bestScore = 0;
-    const TaskResources need = chargeOf(request.step).need;
+    const TaskResources need = needOf(request.step);
     for (FleetWorker* worker : fleet.group(request.cell, request.service)) {
         if (!hasRoom(*worker, need, request) || !isEligible(*worker, request))
             continue;
@@ -136,7 +141,7 @@
     // no room can be made.
     std::optional<double> findVictims(const FleetWorker& worker, const PlacementRequest& request, const EvictionTerms& terms, std::vector<Victim>& victims)
     {
-        const TaskResources need = chargeOf(request.step).need;
+        const TaskResources need = needOf(request.step);
         TaskResources room = worker.room();
         TaskResources most = room;
         victims.clear();
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -28,6 +28,9 @@
     std::function<std::uint32_t(const WorkerId&)> sameStepRuns; // tasks of the step on a worker; may be empty
 };
 
+// needOf() is what a task of `step` takes of a worker's capacity.
+TaskResources needOf(const StepDefinition& step);
+
 // chargeOf() is what a task of `step` occupies.
 RunCharge chargeOf(const StepDefinition& step);
 
