--- a/packages/story/job_story.cc
+++ b/packages/story/job_story.cc
@@ -14,6 +14,11 @@
         return a.time < b.time;
     }
 
+    long countOf(const std::vector<LogLine>& lines, std::string_view event, std::string_view outcome = {})
+    {
+        return std::count_if(lines.begin(), lines.end(), [&](const LogLine& line) { return line.event == event && (outcome.empty() || line.outcome == outcome); });
+    }
+
     std::string number(long value, const char* what)
     {
         return std::to_string(value) + " " + what;
@@ -67,12 +72,6 @@
     return lines;
 }
 
-long JobStory::count(std::string_view event, std::string_view outcome) const
-{
-    const std::vector<LogLine> all = this->lines();
-    return std::count_if(all.begin(), all.end(), [&](const LogLine& line) { return line.event == event && (outcome.empty() || line.outcome == outcome); });
-}
-
 long JobStory::longestAge(std::string_view event) const
 {
     long longest = 0;
@@ -89,20 +88,22 @@
         StoryCause cause;
         bool isMet;
     };
-    const bool isAccepted = this->count("job-accepted") + this->count("task-started") > 0;
-    const long repeated = this->count("task-lost") + this->count("task-stopped") + this->count("task-ended", "failed") + this->count("task-ended", "lease-expired");
+    const std::vector<LogLine> lines = this->lines();
+    const auto count = [&](std::string_view event, std::string_view outcome = {}) { return countOf(lines, event, outcome); };
+    const bool isAccepted = count("job-accepted") + count("task-started") > 0;
+    const long repeated = count("task-lost") + count("task-stopped") + count("task-ended", "failed") + count("task-ended", "lease-expired");
     const auto isSlow = [](const LogLine& line) { return line.event == "task-paced" && line.outcome != "100"; };
     const std::array rules {
-        Rule { StoryCause::Refused, !isAccepted && this->count("job-refused") > 0 },
-        Rule { StoryCause::Unclear, !isAccepted && this->count("job-unclear") > 0 },
-        Rule { StoryCause::Failed, this->count("job-failed") > 0 },
-        Rule { StoryCause::Cancelled, this->count("job-cancelled") > 0 },
-        Rule { StoryCause::NotRecorded, this->count("job-completed") > 0 && this->count("write-retried") > 0 },
-        Rule { StoryCause::LeaderChanged, isAccepted && this->count("leadership-taken") > 0 },
+        Rule { StoryCause::Refused, !isAccepted && count("job-refused") > 0 },
+        Rule { StoryCause::Unclear, !isAccepted && count("job-unclear") > 0 },
+        Rule { StoryCause::Failed, count("job-failed") > 0 },
+        Rule { StoryCause::Cancelled, count("job-cancelled") > 0 },
+        Rule { StoryCause::NotRecorded, count("job-completed") > 0 && count("write-retried") > 0 },
+        Rule { StoryCause::LeaderChanged, isAccepted && count("leadership-taken") > 0 },
         Rule { StoryCause::RunsRepeated, repeated > 0 },
         Rule { StoryCause::Slowed, std::any_of(this->own.begin(), this->own.end(), isSlow) },
-        Rule { StoryCause::WaitedForRoom, this->count("task-started") > 0 && this->longestAge("task-started") >= waitOfNote },
-        Rule { StoryCause::InTime, this->count("job-completed") > 0 },
+        Rule { StoryCause::WaitedForRoom, count("task-started") > 0 && this->longestAge("task-started") >= waitOfNote },
+        Rule { StoryCause::InTime, count("job-completed") > 0 },
     };
     const auto* met = std::find_if(rules.begin(), rules.end(), [](const Rule& rule) { return rule.isMet; });
     return met == rules.end() ? StoryCause::NotKnown : met->cause;
--- a/packages/story/job_story.h
+++ b/packages/story/job_story.h
@@ -57,7 +57,6 @@
 
 private:
     bool isOwn(const LogLine& line) const;
-    long count(std::string_view event, std::string_view outcome = {}) const;
     long longestAge(std::string_view event) const;
     std::vector<LogLine> ownLines() const;
 
