--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -358,27 +358,41 @@
     CHECK(this->runningOf(job).size() == 2);
 }
 
+namespace {
+
+    // The leader is gone, the store is back after an outage, and the list leaves out the worker that runs a task.
+    struct StoreOutageFixture : SchedulerFixture {
+        std::string other; // the host that goes on
+        WorkerId busy;
+
+        StoreOutageFixture()
+        {
+            this->addWorker("w1", 64);
+            this->addWorker("w2", 64);
+            this->run({ "a", "b" }, takeover);
+            const std::string leader = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).holder.value();
+            this->other = leader == "a" ? "b" : "a";
+            this->taskTime = std::chrono::seconds(20);
+            this->submit(leader, job, { stepOfTasks(1, 4) });
+            this->run({ leader, this->other }, std::chrono::milliseconds(500));
+            this->busy = this->starts.back().to.worker;
+            this->send(this->other, StoreContact { false });
+            this->unlisted.insert(this->busy);
+            this->isCutFromStore[this->other] = true;
+            this->run({ this->other }, std::chrono::seconds(2));
+            this->isCutFromStore[this->other] = false;
+            this->send(this->other, StoreContact { true });
+        }
+    };
+
+} // namespace
+
 // Found on a bench day on which the entries of workers lapsed while the store was away.
-TEST_CASE_METHOD(SchedulerFixture, "Scheduler_workerBackOnTheListAfterTheStore_keepsItsRuns")
+TEST_CASE_METHOD(StoreOutageFixture, "Scheduler_workerBackOnTheListAfterTheStore_keepsItsRuns")
 {
-    this->addWorker("w1", 64);
-    this->addWorker("w2", 64);
-    this->run({ "a", "b" }, takeover);
-    const std::string leader = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).holder.value();
-    const std::string other = leader == "a" ? "b" : "a";
-    this->taskTime = std::chrono::seconds(20);
-    this->submit(leader, job, { stepOfTasks(1, 4) });
-    this->run({ leader, other }, std::chrono::milliseconds(500));
-    const WorkerId busy = this->starts.back().to.worker;
-    this->send(other, StoreContact { false });
-    this->unlisted.insert(busy);
-    this->isCutFromStore[other] = true;
-    this->run({ other }, std::chrono::seconds(2));
-    this->isCutFromStore[other] = false;
-    this->send(other, StoreContact { true });
-    this->run({ other }, std::chrono::milliseconds(1500));
-    this->send(other, WorkersListed { { this->workers.at(busy).entry() }, {}, false });
-    this->run({ other }, std::chrono::seconds(2));
+    this->run({ this->other }, std::chrono::milliseconds(1500));
+    this->send(this->other, WorkersListed { { this->workers.at(this->busy).entry() }, {}, false });
+    this->run({ this->other }, std::chrono::seconds(2));
     CHECK(this->starts.size() == 1);
     CHECK(this->mostAtOnce == 1);
     CHECK(this->runningOf(job).size() == 1);
@@ -400,29 +414,14 @@
 }
 
 // The list that was asked for before the workers were back says nothing, however late it is taken.
-TEST_CASE_METHOD(SchedulerFixture, "Scheduler_listAskedForBeforeWorkersAreBack_isNotTakenForComplete")
+TEST_CASE_METHOD(StoreOutageFixture, "Scheduler_listAskedForBeforeWorkersAreBack_isNotTakenForComplete")
 {
-    this->addWorker("w1", 64);
-    this->addWorker("w2", 64);
-    this->run({ "a", "b" }, takeover);
-    const std::string leader = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).holder.value();
-    const std::string other = leader == "a" ? "b" : "a";
-    this->taskTime = std::chrono::seconds(20);
-    this->submit(leader, job, { stepOfTasks(1, 4) });
-    this->run({ leader, other }, std::chrono::milliseconds(500));
-    const WorkerId busy = this->starts.back().to.worker;
-    this->send(other, StoreContact { false });
-    this->unlisted.insert(busy);
-    this->isCutFromStore[other] = true;
-    this->run({ other }, std::chrono::seconds(2));
-    this->isCutFromStore[other] = false;
-    this->send(other, StoreContact { true });
     this->areListsRead = false;
-    this->run({ other }, std::chrono::seconds(4));
+    this->run({ this->other }, std::chrono::seconds(4));
     CHECK(this->starts.size() == 1);
-    this->send(other, WorkersListed { { this->workers.at(busy).entry() }, {}, false, this->now });
+    this->send(this->other, WorkersListed { { this->workers.at(this->busy).entry() }, {}, false, this->now });
     this->areListsRead = true;
-    this->run({ other }, std::chrono::seconds(1));
+    this->run({ this->other }, std::chrono::seconds(1));
     CHECK(this->mostAtOnce == 1);
 }
 
