scheduling: measure the age of the leader's view of the store

Pages of the feed end after about 500 rows, and answers are late when the host is busy.

StoreView compares the versions that a feed has reached with the versions of this host's own writes: once the feed has reached a write, every change acknowledged before that write was sent is known. The age is in each task-started line (viewAgeMs) and in the metric dragonflytray_view_age_seconds, for the job rows and the list of workers together.

The list of workers counts as whole after an outage by the same measure, instead of by the time of the request: a page that does not reach the newest change proved nothing. WorkersListed carries the version instead of that time.

No decision changes otherwise.

--- a/packages/entry/duties/journal_duty.cc
+++ b/packages/entry/duties/journal_duty.cc
@@ -33,7 +33,7 @@
         return;
     }
     ++allowance.written;
-    logFields(LogPart::Scheduling, decisionEventNames.nameOf(message.event), { { "id", message.subject }, { "worker", message.worker }, { "outcome", message.outcome }, { "version", std::to_string(message.version) }, { "ageMs", std::to_string(message.ageMilliseconds) } });
+    logFields(LogPart::Scheduling, decisionEventNames.nameOf(message.event), { { "id", message.subject }, { "worker", message.worker }, { "outcome", message.outcome }, { "version", std::to_string(message.version) }, { "ageMs", std::to_string(message.ageMilliseconds) }, { "viewAgeMs", message.viewAgeMilliseconds ? std::to_string(*message.viewAgeMilliseconds) : "" } });
 }
 
 void JournalDuty::writeSums()
--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -82,6 +82,8 @@
     gauge("dragonflytray_configuration_version", static_cast<double>(summary.configurationVersion));
     gauge("dragonflytray_store_version", static_cast<double>(summary.followedVersion));
     gauge("dragonflytray_store_age_seconds", static_cast<double>(summary.storeAgeMilliseconds) / 1000.0);
+    if (summary.viewAgeMilliseconds)
+        gauge("dragonflytray_view_age_seconds", static_cast<double>(*summary.viewAgeMilliseconds) / 1000.0);
     gauge("dragonflytray_known_jobs", static_cast<double>(summary.knownJobs));
     gauge("dragonflytray_active_jobs", static_cast<double>(summary.activeJobs));
     gauge("dragonflytray_running_tasks", static_cast<double>(summary.runningTasks));
--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -94,7 +94,6 @@
         return this->poll(feed);
     feed.partition = 0;
     feed.scanned = {};
-    feed.askedAt = BootClock::now();
     this->scanPage(feed, {});
 }
 
@@ -129,7 +128,6 @@
 
 void StoreDuty::poll(Feed& feed)
 {
-    feed.askedAt = BootClock::now();
     this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, feedWait), feedWait + readTimeout, [this, &feed](HttpOutcome outcome) {
         this->pagePolled(feed, this->protocol.decodePage(feed.kind, outcome));
     });
@@ -167,7 +165,7 @@
     if (feed.kind == FeedKind::Jobs)
         return this->outbox.send(StoredRowsRead { std::move(page.jobs), page.revision, isWhole });
     if (feed.kind == FeedKind::Workers)
-        return this->outbox.send(WorkersListed { std::move(page.workers), std::move(page.removedWorkers), isWhole, feed.askedAt });
+        return this->outbox.send(WorkersListed { std::move(page.workers), std::move(page.removedWorkers), isWhole, page.revision });
     if (page.configuration)
         this->outbox.send(ConfigurationFollowed { std::move(*page.configuration) });
 }
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -26,7 +26,6 @@
         RowVersion revision { 0 };
         std::uint32_t partition { 0 }; // of the scan
         FeedPage scanned; // what the scan has brought so far
-        Instant askedAt; // when the poll or scan in flight was begun
     };
 
     void perform(WriteStoredRows call);
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -44,6 +44,8 @@
 void Scheduler::rowsWriteEnded(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& end = std::get<RowsWriteEnded>(command);
+    if (const auto sent = this->writesInFlight.extract(end.write); sent && end.status == TransactionStatus::Committed)
+        this->dispatcher.writeCommitted(end.revision, sent.mapped());
     if (this->clientRequests.owns(end.write)) {
         // Callers see the change at once. The dispatcher receives it from the change feed, after any newer lease, so that a
         // host that has lost a cell does not start the job.
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -49,6 +49,12 @@
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
 
+void Dispatcher::writeCommitted(RowVersion version, Instant sentAt)
+{
+    this->jobsView.writeCommitted(version, sentAt);
+    this->workersView.writeCommitted(version, sentAt);
+}
+
 void Dispatcher::renewalRecorded(const CellName& cell, RowVersion version)
 {
     const auto found = this->cells.find(cell);
@@ -59,6 +65,7 @@
 void Dispatcher::storeFollowed(RowVersion version, const JobCache& jobCache, CommandContext& context)
 {
     this->followedVersion = std::max(this->followedVersion, version);
+    this->jobsView.followed(version);
     for (auto entry = this->acquiredCells.begin(); entry != this->acquiredCells.end();) {
         const CellAcquired acquired = entry->second;
         const bool isKnown = this->followedVersion >= acquired.acquiredAt;
@@ -177,7 +184,7 @@
 void Dispatcher::workersListed(const WorkersListed& change)
 {
     this->fleet.updateList(change);
-    this->workerListRequestedAt = std::max(this->workerListRequestedAt, change.askedAt);
+    this->workersView.followed(change.revision);
     if (change.isWhole) {
         this->hasWorkerList = true;
         for (auto& [name, cell] : this->cells)
@@ -303,7 +310,7 @@
         if (cell.isReconciled && cell.unconfirmed.empty())
             continue;
         const bool haveLeasesExpired = context.now >= cell.leadingSince + this->options.formerLeaderTimeout + this->fleet.lease() + this->options.fleet.clockMargin;
-        const bool isListComplete = cell.hasWorkerList && this->workerListRequestedAt >= this->workerListCompleteAt;
+        const bool isListComplete = cell.hasWorkerList && this->workersView.asOf() >= this->workerListCompleteAt;
         if (!cell.areWorkersFenced && isListComplete && this->areWorkersFenced(name))
             cell.areWorkersFenced = true;
         const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -20,6 +20,8 @@
 #include "scheduling/job_execution.h"
 #include "scheduling/placement.h"
 #include "scheduling/recorder.h"
+#include "scheduling/store_view.h"
+#include <algorithm>
 #include <array>
 
 namespace dragonflytray {
@@ -85,6 +87,9 @@
     // sets how far the store has to be followed before the cell is reconciled.
     void renewalRecorded(const CellName& cell, RowVersion version);
 
+    // writeCommitted() reports that any write of this host that was sent at `sentAt` was committed at `version`.
+    void writeCommitted(RowVersion version, Instant sentAt);
+
     // storeFollowed() reports that `jobCache` holds every change up to `version`.
     void storeFollowed(RowVersion version, const JobCache& jobCache, CommandContext& context);
 
@@ -150,6 +155,10 @@
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
     std::size_t unrecordedJobs() const { return this->recorder.unrecordedJobs(); }
 
+    // viewedAt() is a time such that every change of jobs and workers that the store acknowledged before it is known here;
+    // the default value if there is none yet.
+    Instant viewedAt() const { return std::min(this->jobsView.asOf(), this->workersView.asOf()); }
+
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
 
@@ -261,6 +270,8 @@
     std::map<CellName, Cell> cells;
     std::map<QueueName, QueueRule> queues;
     RowVersion followedVersion { 0 };
+    StoreView jobsView;
+    StoreView workersView;
     std::optional<WallTime> nextOccurrenceDue; // when the next occurrence of any job is due
     std::optional<Epoch> lastFencedEpoch; // own epoch that a worker rejected
     std::set<WorkerId> workersWithUnacknowledgedEnds; // ends handled but not yet recorded
@@ -277,7 +288,6 @@
     Instant lastPass;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
     Instant workerListCompleteAt; // entries that expired during an outage of the store are back by then
-    Instant workerListRequestedAt; // when the latest read of the list was sent
     bool hasWorkerList { false }; // the whole list was read since this host began to lead
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
 };
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -256,7 +256,7 @@
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
     context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->fleet.lease()).value_or(0) });
-    context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", worker.lastHandledEnd, context.wallTime - job.definition().acceptedAt });
+    context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, toMilliseconds(context.now - this->viewedAt()) });
 }
 
 bool Dispatcher::mayEvictFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now)
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -25,6 +25,7 @@
         .configurationVersion = this->configuration.version,
         .followedVersion = this->appliedVersion,
         .storeAgeMilliseconds = toMilliseconds(now - this->lastStoreAnswer),
+        .viewAgeMilliseconds = {},
         .knownJobs = this->jobCache.size(),
         .activeJobs = this->dispatcher.activeJobs(),
         .runningTasks = this->dispatcher.runningTasks(),
@@ -32,6 +33,8 @@
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
+    if (this->dispatcher.leadsAny() && this->dispatcher.viewedAt() != Instant())
+        summary.viewAgeMilliseconds = toMilliseconds(now - this->dispatcher.viewedAt());
     for (const auto& [cell, leadership] : this->leaderships) {
         summary.ledCells += leadership.epoch() != 0 ? 1 : 0;
         summary.highestEpoch = std::max(summary.highestEpoch, leadership.row().epoch);
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -74,6 +74,10 @@
     SchedulerEffects effects;
     CommandContext context { now, this->wallTime, this->nextWrite, effects, this->stageTimes };
     (this->*commandHandlers[command.index()])(command, context);
+    for (const SchedulerEffect& effect : effects) {
+        if (const auto* write = std::get_if<WriteStoredRows>(&effect))
+            this->writesInFlight.emplace(write->write, now);
+    }
     return effects;
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -145,6 +145,7 @@
     bool isStoreAnswering { true };
     WallTime wallTime { 0 }; // as of the last tick
     std::uint64_t nextWrite { 1 }; // number
+    std::map<std::uint64_t, Instant> writesInFlight; // when each was sent, by number
     Instant nextRemovalAt;
     StageTimes stageTimes;
 };
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -65,7 +65,7 @@
                 this->followed[name] = this->store.version();
             }
             if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
-                this->send(name, WorkersListed { {}, {}, false, this->now });
+                this->send(name, WorkersListed { {}, {}, false, this->store.version() });
             this->send(name, SchedulerTick { wallTimeAt(this->now) });
         }
         std::vector<std::pair<std::string, TaskCallEnded>> over;
@@ -213,7 +213,7 @@
         if (!this->unlisted.contains(id))
             list.changed.push_back(worker.entry());
     }
-    list.askedAt = this->now;
+    list.revision = this->store.version();
     this->send(name, list);
 }
 
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -423,7 +423,7 @@
     this->shouldDeliverLists = false;
     this->run({ this->other }, std::chrono::seconds(4));
     CHECK(this->starts.size() == 1);
-    this->send(this->other, WorkersListed { { this->workers.at(this->busy).entry() }, {}, false, this->now });
+    this->send(this->other, WorkersListed { { this->workers.at(this->busy).entry() }, {}, false, this->store.version() });
     this->shouldDeliverLists = true;
     this->run({ this->other }, std::chrono::seconds(1));
     CHECK(this->maxConcurrentRuns == 1);
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -64,7 +64,7 @@
     std::vector<ListedWorker> changed;
     std::vector<WorkerId> removed;
     bool isWhole { false }; // `changed` is the whole list; all other workers are removed
-    Instant askedAt {}; // when the list was requested; changes up to this time are included
+    RowVersion revision { 0 }; // of the store; all changes of the list up to this version have been delivered
 };
 
 // PollEnded is the result of a PollWorker.
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -199,6 +199,7 @@
     std::string outcome;
     std::uint64_t version { 0 }; // of the input of the decision: epoch, row version or configuration version
     std::int64_t ageMilliseconds { 0 }; // of the job, the run or the input
+    std::optional<std::int64_t> viewAgeMilliseconds {}; // age of what the leader knew of the store when it decided
 };
 
 using SchedulerEffect = std::variant<WriteStoredRows, ReadJobRows, PollWorker, StartTask, StopTask, SetTaskSpeed, ReplyToClient, FollowWorkers, LogDecision>;
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -41,6 +41,7 @@
     std::uint64_t configurationVersion { 0 };
     RowVersion followedVersion { 0 }; // of the store, up to which all changes have been applied
     std::int64_t storeAgeMilliseconds { 0 }; // since the store last answered
+    std::optional<std::int64_t> viewAgeMilliseconds; // see Dispatcher::viewedAt(); nothing if this host leads no cell
     std::size_t knownJobs { 0 }; // in the job cache
     std::size_t activeJobs { 0 }; // in execution, of the cells that this host leads
     std::size_t runningTasks { 0 }; // of the cells that this host leads
