scheduling: test fixture with lagging views of the store and of the list of workers

SchedulerFixture can deliver the changes of the store (feedLag) and of the list of workers (listLag) late to a host while its reads and writes are answered at once. SimulatedStore keeps all changes, so that it can answer as of an older version. SimulatedWorker can be listed as draining. begunRuns records each run that a worker has begun, with its sender.

--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -1,5 +1,8 @@
 #include "scheduling/scheduler_fixture.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace dragonflytray {
 
 namespace {
@@ -56,16 +59,14 @@
             worker.advance(this->now);
         std::erase_if(this->delayedStarts, [&](const DelayedStart& start) {
             if (start.due <= this->now)
-                (void)this->startOn(start.call, start.work);
+                (void)this->startOn(start.start);
             return start.due <= this->now;
         });
         for (const std::string& name : names) {
-            if (!this->isDisconnectedFromStore[name]) {
-                this->send(name, this->store.changesAfter(this->followed[name]));
-                this->followed[name] = this->store.version();
-            }
+            if (!this->isDisconnectedFromStore[name])
+                this->deliverChanges(name);
             if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
-                this->send(name, WorkersListed { {}, {}, false, this->store.version() });
+                this->deliverList(name);
             this->send(name, SchedulerTick { wallTimeAt(this->now) });
         }
         std::vector<std::pair<std::string, TaskCallEnded>> over;
@@ -90,6 +91,35 @@
     }
 }
 
+RowVersion SchedulerFixture::storeVersionAt(Instant time) const
+{
+    const auto next = std::upper_bound(this->storeVersions.begin(), this->storeVersions.end(), time, [](Instant bound, const auto& entry) { return bound < entry.first; });
+    return next == this->storeVersions.begin() ? 0 : std::prev(next)->second;
+}
+
+void SchedulerFixture::deliverChanges(const std::string& name)
+{
+    const RowVersion version = this->storeVersionAt(this->now - this->feedLag[name]);
+    if (version < this->followed[name])
+        return;
+    this->send(name, this->store.changesAfter(this->followed[name], version));
+    this->followed[name] = version;
+}
+
+void SchedulerFixture::deliverList(const std::string& name)
+{
+    const Instant time = this->now - this->listLag[name];
+    if (time < this->listedUntil[name])
+        return;
+    WorkersListed list { {}, {}, false, this->storeVersionAt(time) };
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.isChangedIn(this->listedUntil[name], time))
+            list.changed.push_back(worker.entryAt(time));
+    }
+    this->listedUntil[name] = time;
+    this->send(name, list);
+}
+
 ReplyStatus SchedulerFixture::submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
 {
     SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = prefix + id, .job = {} };
@@ -106,6 +136,21 @@
     return this->workers.try_emplace(entry.id, entry, this->now).first->second;
 }
 
+void SchedulerFixture::restartHost(const std::string& name)
+{
+    this->hosts.erase(name);
+    this->followed.erase(name);
+    this->listedUntil.erase(name);
+    std::erase_if(this->delayedReports, [&](const DelayedReport& report) { return report.host == name; });
+    std::erase_if(this->timeouts, [&](const auto& call) { return call.second.first == name; });
+}
+
+std::string SchedulerFixture::leader() const
+{
+    const StoredRowChange* row = this->store.find({ StoredRowKind::CellLease, "whole" });
+    return row ? std::get<CellLease>(*row->value).holder.value() : std::string();
+}
+
 JobPhase SchedulerFixture::phaseOf(const std::string& id) const
 {
     const StoredRowChange* row = this->store.find({ StoredRowKind::Progress, id });
@@ -134,7 +179,9 @@
 {
     if (this->isDisconnectedFromStore[name])
         return this->send(name, RowsWriteEnded { effect.write, TransactionStatus::Unavailable, 0, {} });
-    this->send(name, this->store.apply(effect));
+    const RowsWriteEnded end = this->store.apply(effect);
+    this->storeVersions.emplace_back(this->now, this->store.version());
+    this->send(name, end);
 }
 
 void SchedulerFixture::execute(const std::string& name, const ReadJobRows& effect)
@@ -152,9 +199,14 @@
     this->delayedReports.push_back({ name, std::move(end), this->now + tickInterval });
 }
 
-WorkerCallStatus SchedulerFixture::startOn(const StartTask& call, const SimulatedRun& work)
+WorkerCallStatus SchedulerFixture::startOn(const SentStart& start)
 {
-    const WorkerCallStatus status = this->workers.at(call.to.worker).start(call, work, this->now);
+    const StartTask& call = start.call;
+    SimulatedWorker& worker = this->workers.at(call.to.worker);
+    const std::size_t runsBefore = worker.running().count(call.run);
+    const WorkerCallStatus status = worker.start(call, start.work, this->now);
+    if (status == WorkerCallStatus::Ok && runsBefore == 0)
+        this->begunRuns.push_back({ start, this->now });
     std::size_t runs = 0;
     for (const TaskRunId& run : this->runningOf(call.run.task.job.value()))
         runs += run.task == call.run.task ? 1 : 0;
@@ -173,13 +225,14 @@
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
     SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
+    const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
     WorkerCallStatus status = WorkerCallStatus::Unclear;
     if (this->startsToDelay > 0) {
         --this->startsToDelay;
-        this->delayedStarts.push_back({ effect, work, this->now + std::chrono::milliseconds(2000) });
+        this->delayedStarts.push_back({ start, this->now + std::chrono::milliseconds(2000) });
         return this->endWithoutAnswer(name, { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
     }
-    status = this->startOn(effect, work);
+    status = this->startOn(start);
     this->send(name, TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
 }
 
@@ -208,12 +261,13 @@
 {
     if (!effect.shouldFollow)
         return;
-    WorkersListed list { {}, {}, true };
+    const Instant time = this->now - this->listLag[name];
+    WorkersListed list { {}, {}, true, this->storeVersionAt(time) };
     for (const auto& [id, worker] : this->workers) {
         if (!this->unlisted.contains(id))
-            list.changed.push_back(worker.entry());
+            list.changed.push_back(worker.entryAt(time));
     }
-    list.revision = this->store.version();
+    this->listedUntil[name] = time;
     this->send(name, list);
 }
 
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -35,6 +35,12 @@
     // addWorker() adds a worker with that many cores. Leaders that read the list earlier don't know it.
     SimulatedWorker& addWorker(const std::string& id, std::int64_t cores);
 
+    // restartHost() replaces the process of a host. What was in flight to the former one is lost.
+    void restartHost(const std::string& name);
+
+    // leader() returns the holder of the lease in the store; empty: none.
+    std::string leader() const;
+
     // phaseOf() returns the phase of a job in the store.
     JobPhase phaseOf(const std::string& id) const;
 
@@ -42,6 +48,21 @@
     std::vector<TaskRunId> runningOf(const std::string& id) const;
 
 protected:
+    // SentStart is a start that a host has sent to a worker.
+    struct SentStart {
+        std::string host;
+        StartTask call;
+        SimulatedRun work;
+        Instant sentAt;
+        bool isFromLeader { false }; // the host held the lease in the store
+    };
+
+    // BegunRun is a run that its worker has begun.
+    struct BegunRun {
+        SentStart start;
+        Instant at;
+    };
+
     void carryOut(const std::string& name, const SchedulerEffect& effect);
     void execute(const std::string& name, const WriteStoredRows& effect);
     void execute(const std::string& name, const ReadJobRows& effect);
@@ -52,7 +73,10 @@
     void execute(const std::string& name, const ReplyToClient& effect);
     void execute(const std::string& name, const FollowWorkers& effect);
     void execute(const std::string& name, const LogDecision& effect);
-    WorkerCallStatus startOn(const StartTask& call, const SimulatedRun& work);
+    void deliverChanges(const std::string& name);
+    void deliverList(const std::string& name);
+    RowVersion storeVersionAt(Instant time) const;
+    WorkerCallStatus startOn(const SentStart& start);
     void endWithoutAnswer(const std::string& name, TaskCallEnded end);
     StepDefinition stepOf(const TaskRunId& run) const;
 
@@ -68,6 +92,10 @@
     std::map<std::string, std::unique_ptr<Scheduler>> hosts;
     std::map<std::string, RowVersion> followed;
     std::map<std::string, bool> isDisconnectedFromStore;
+    std::map<std::string, Duration> feedLag; // by which a host receives changes of the store late; reads and writes are answered at once
+    std::map<std::string, Duration> listLag; // by which a host receives changes of the list of workers late
+    std::vector<std::pair<Instant, RowVersion>> storeVersions; // after each transaction
+    std::map<std::string, Instant> listedUntil; // time up to which a host has received changes of the list
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> unresponsive; // workers that do not answer polls
     bool shouldTasksFail { false };
@@ -77,8 +105,7 @@
     std::vector<DelayedReport> delayedReports;
     // DelayedStart is a start that its worker carries out after the call has timed out.
     struct DelayedStart {
-        StartTask call;
-        SimulatedRun work;
+        SentStart start;
         Instant due;
     };
     std::vector<DelayedStart> delayedStarts;
@@ -88,6 +115,7 @@
     int stopsToLose { 0 }; // number of next stops that get no answer and have no effect
     std::vector<ReplyToClient> replies;
     std::vector<StartTask> starts;
+    std::vector<BegunRun> begunRuns; // in the order of time
     std::vector<LogDecision> log;
     Duration taskDuration { std::chrono::seconds(1) };
     SchedulingConfiguration configuration;
--- a/packages/scheduling/simulation/simulated_store.cc
+++ b/packages/scheduling/simulation/simulated_store.cc
@@ -1,6 +1,7 @@
 #include "scheduling/simulation/simulated_store.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dragonflytray {
 
@@ -25,20 +26,24 @@
         return end;
     end.revision = ++this->lastVersion;
     for (const StoredRowPut& put : write.puts)
-        this->rows[put.key] = { put.key, this->lastVersion, put.value };
+        this->changes.push_back({ put.key, this->lastVersion, put.value });
     for (const StoredRowKey& key : write.removals)
-        this->rows[key] = { key, this->lastVersion, std::nullopt };
+        this->changes.push_back({ key, this->lastVersion, std::nullopt });
+    for (auto change = this->changes.end() - static_cast<std::ptrdiff_t>(write.puts.size() + write.removals.size()); change != this->changes.end(); ++change)
+        this->rows[change->key] = *change;
     return end;
 }
 
-StoredRowsRead SimulatedStore::changesAfter(RowVersion version) const
+StoredRowsRead SimulatedStore::changesAfter(RowVersion version, RowVersion last) const
 {
-    StoredRowsRead read { {}, this->lastVersion, false };
-    for (const auto& [key, row] : this->rows) {
-        if (row.version > version)
-            read.rows.push_back(row);
-    }
-    std::sort(read.rows.begin(), read.rows.end(), [](const auto& a, const auto& b) { return a.version < b.version; });
+    StoredRowsRead read { {}, last, false };
+    const auto isBefore = [](RowVersion bound, const StoredRowChange& change) { return bound < change.version; };
+    const auto begin = std::upper_bound(this->changes.begin(), this->changes.end(), version, isBefore);
+    const auto end = std::upper_bound(begin, this->changes.end(), std::max(version, last), isBefore);
+    std::map<StoredRowKey, RowVersion> lastVersions;
+    for (auto change = begin; change != end; ++change)
+        lastVersions[change->key] = change->version;
+    std::copy_if(begin, end, std::back_inserter(read.rows), [&](const StoredRowChange& change) { return lastVersions.at(change.key) == change.version; });
     return read;
 }
 
--- a/packages/scheduling/simulation/simulated_store.h
+++ b/packages/scheduling/simulation/simulated_store.h
@@ -20,8 +20,10 @@
     // conditions failed.
     RowsWriteEnded apply(const WriteStoredRows& write);
 
-    // changesAfter() is the last change of every row that was written after `version`, in the order of versions.
-    StoredRowsRead changesAfter(RowVersion version) const;
+    // changesAfter() is the last change of every row that was written after `version` and not after `last`, in the order of
+    // versions. Linear in these changes.
+    StoredRowsRead changesAfter(RowVersion version, RowVersion last) const;
+    StoredRowsRead changesAfter(RowVersion version) const { return this->changesAfter(version, this->lastVersion); }
 
     // rowsOf() is the present rows of one job.
     JobRowsRead rowsOf(const JobId& job) const;
@@ -34,6 +36,7 @@
 
 private:
     std::map<StoredRowKey, StoredRowChange> rows; // a removed row stays, without a value
+    std::vector<StoredRowChange> changes; // all of them, in the order of versions
     RowVersion lastVersion { 0 };
 };
 
--- a/packages/scheduling/simulation/simulated_worker.cc
+++ b/packages/scheduling/simulation/simulated_worker.cc
@@ -13,6 +13,13 @@
     return toMilliseconds(now - this->startedAt);
 }
 
+ListedWorker SimulatedWorker::entryAt(Instant time) const
+{
+    ListedWorker entry = this->listed;
+    entry.isDraining = entry.isDraining || (this->drainingSince && *this->drainingSince <= time);
+    return entry;
+}
+
 bool SimulatedWorker::isFenced(Epoch epoch)
 {
     if (epoch < this->highestEpoch)
--- a/packages/scheduling/simulation/simulated_worker.h
+++ b/packages/scheduling/simulation/simulated_worker.h
@@ -39,11 +39,20 @@
     // restart() begins a new incarnation under the same id. Runs and unacknowledged ends are lost.
     void restart(Instant now);
 
+    // drain() lists the worker as draining from `now` on. It goes on accepting starts.
+    void drain(Instant now) { this->drainingSince = now; }
+
     // running() is the runs that have not ended.
     const std::map<TaskRunId, SimulatedRun>& running() const { return this->runs; }
     // entry() is the worker as it lists itself.
     const ListedWorker& entry() const { return this->listed; }
 
+    // entryAt() is the worker as it was listed at that time.
+    ListedWorker entryAt(Instant time) const;
+
+    // isChangedIn() says whether its entry has changed after `begin` and not after `end`.
+    bool isChangedIn(Instant begin, Instant end) const { return this->drainingSince && *this->drainingSince > begin && *this->drainingSince <= end; }
+
     // doneRuns() is every run that has ended as done in this incarnation, and whether its end was acknowledged.
     const std::map<TaskRunId, bool>& doneRuns() const { return this->done; }
 
@@ -54,6 +63,7 @@
 
     ListedWorker listed;
     Instant startedAt;
+    std::optional<Instant> drainingSince;
     Epoch highestEpoch { 0 };
     std::int64_t leaseEnd { 0 }; // ms on the worker's clock
     std::map<TaskRunId, SimulatedRun> runs;
