scheduling: a leader starts tasks only while its view of the store is recent

Cause: the leader decides on what its change feed has delivered, however old that is. The feed gives about 500 rows a page and its pages took up to 1.75 s on a busy host, while about 700 rows a second were written, nearly all of them the leader's own progress. Writes were answered in 15 ms meanwhile, so the lease was renewed, and nothing told the leader that it was seconds behind.

A placement pass now needs a view that is younger than the promised limit less one second for the delivery of a start, for the job rows and for the list of workers. A change that the view lacks was acknowledged after the view's time, so that no start is decided later than the limit after it. While reads of the feed fail and nothing at all has been answered for 1.5 s the leader goes on as before. Evacuations wait for the same condition.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -12,6 +12,10 @@
     // longer ones outlast a change of leaders.
     constexpr double leasePart = 0.75;
 
+    // From the decision to start a task to its arrival at the worker: the wait for a connection, its set-up, and the network.
+    constexpr Duration startDelivery = std::chrono::seconds(1);
+    constexpr NumberRule changeLimitBounds { .minimum = 2000, .maximum = 3.6e6 }; // leaves the view of the store a second
+
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
         std::vector<DataCentrePlace> places;
@@ -34,6 +38,8 @@
         settings.connections = static_cast<std::size_t>(map.number("connections", { .minimum = 1, .maximum = 1e6, .fallback = static_cast<double>(settings.connections), .isWhole = true }));
         settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", millisecondBounds, settings.leaseLimit);
         settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", millisecondBounds, settings.stopTimeout);
+        settings.cancellationLimit = readMilliseconds(map, "cancellationLimitMilliseconds", changeLimitBounds, settings.cancellationLimit);
+        settings.drainingLimit = readMilliseconds(map, "drainingLimitMilliseconds", changeLimitBounds, settings.drainingLimit);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -74,6 +80,8 @@
     };
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
     options.dispatcher.stopTimeout = settings.stopTimeout;
+    options.dispatcher.maxJobsViewAge = settings.cancellationLimit - startDelivery;
+    options.dispatcher.maxWorkersViewAge = settings.drainingLimit - startDelivery;
     return options;
 }
 
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -28,6 +28,8 @@
     std::size_t connections { 2000 }; // from callers at a time
     Duration leaseLimit { std::chrono::seconds(6) }; // a worker shortens longer leases to it
     Duration stopTimeout { std::chrono::milliseconds(400) }; // of a worker's stop
+    Duration cancellationLimit { std::chrono::seconds(3) }; // from the answer to a cancellation to the last start of a task of the job
+    Duration drainingLimit { std::chrono::seconds(3) }; // from the entry of a draining worker to the last start on it
     Duration shutdownLimit { std::chrono::seconds(6) }; // between SIGTERM and SIGKILL
     LogOptions log;
 };
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -9,7 +9,7 @@
 void Scheduler::storedRowsRead(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& read = std::get<StoredRowsRead>(command);
-    this->lastStoreAnswer = context.now;
+    this->noteStoreAnswer(context.now);
     if (!this->hasReadStore)
         this->dispatcher.storeRegained(context.now);
     this->hasReadStore = true;
@@ -21,6 +21,12 @@
     this->dispatcher.tick(context);
 }
 
+void Scheduler::noteStoreAnswer(Instant now)
+{
+    this->lastStoreAnswer = now;
+    this->dispatcher.storeAnswered(now);
+}
+
 void Scheduler::applyRow(const StoredRowChange& change, CommandContext& context)
 {
     if (change.key.kind == StoredRowKind::CellLease)
@@ -44,6 +50,8 @@
 void Scheduler::rowsWriteEnded(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& end = std::get<RowsWriteEnded>(command);
+    if (end.status == TransactionStatus::Committed || end.status == TransactionStatus::Conflict)
+        this->dispatcher.storeAnswered(context.now);
     if (const auto sent = this->writesInFlight.extract(end.write); sent && end.status == TransactionStatus::Committed)
         this->dispatcher.writeCommitted(end.revision, sent.mapped());
     if (this->clientRequests.owns(end.write)) {
@@ -87,13 +95,15 @@
 {
     const bool isAnswering = std::get<StoreContact>(command).isAnswering;
     if (isAnswering)
-        this->lastStoreAnswer = context.now;
+        this->noteStoreAnswer(context.now);
     if (isAnswering == this->isStoreAnswering)
         return;
     this->isStoreAnswering = isAnswering;
     this->clientRequests.setStoreAnswering(isAnswering);
     if (isAnswering)
         this->storeRegained(context);
+    else
+        this->dispatcher.storeLost();
     context.add(LogDecision { isAnswering ? DecisionEvent::StoreRegained : DecisionEvent::StoreLost, "store", {}, {}, this->appliedVersion, toMilliseconds(context.now - this->lastStoreAnswer) });
 }
 
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -195,9 +195,18 @@
 
 void Dispatcher::storeRegained(Instant now)
 {
+    this->isStoreLost = false;
     this->workerListCompleteAt = now + this->options.workerRelistDelay;
 }
 
+bool Dispatcher::mayStartTasks(Instant now) const
+{
+    const bool isStoreSilent = this->isStoreLost && now >= this->lastStoreAnswer + this->options.storeSilenceTimeout;
+    const bool areJobsRecent = now < this->jobsView.asOf() + this->options.maxJobsViewAge;
+    const bool areWorkersRecent = now < this->workersView.asOf() + this->options.maxWorkersViewAge;
+    return isStoreSilent || (areJobsRecent && areWorkersRecent);
+}
+
 void Dispatcher::configurationChanged(const SchedulingConfiguration& configuration)
 {
     for (const QueueRule& queue : configuration.queues)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -43,6 +43,9 @@
         Recorder::Options recorder {};
         BestEffortControl::Options bestEffort {};
         Duration formerLeaderTimeout { std::chrono::seconds(5) }; // for which a former leader may act after its lease; equals CellLeadership::Options::storeOutageTimeout
+        Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
+        Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
+        Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration workerRelistDelay { std::chrono::milliseconds(2500) }; // after the store returns, until live workers are listed again: 2 s and one read of the list
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -103,6 +106,12 @@
     // workersListed() applies changes of the list of workers.
     void workersListed(const WorkersListed& change);
 
+    // storeAnswered() reports an answer of the store to any call.
+    void storeAnswered(Instant now) { this->lastStoreAnswer = now; }
+
+    // storeLost() reports that a read of the store's change feed has failed.
+    void storeLost() { this->isStoreLost = true; }
+
     // storeRegained() reports that the store answers again, or for the first time. Workers may be missing from the list
     // for Options::workerRelistDelay.
     void storeRegained(Instant now);
@@ -159,6 +168,10 @@
     // the default value if there is none yet.
     Instant viewedAt() const { return std::min(this->jobsView.asOf(), this->workersView.asOf()); }
 
+    // mayStartTasks() says whether tasks may be started: what is known of jobs and workers is recent, or the store does not
+    // answer. Then hosts without it can't accept changes, and one that reaches it soon fences this host.
+    bool mayStartTasks(Instant now) const;
+
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
 
@@ -235,10 +248,12 @@
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool areWorkersFenced(const CellName& name) const;
 
-    // Placement. placeTasks() makes a pass over the waiting tasks unless the last one was too recent. A waiting
+    // Placement. placeTasks() makes a pass over the waiting tasks unless the last one was too recent or !mayStartTasks().
+    // A waiting
     // long-running task yields free room to short tasks while mayYield(), for Options::longRunningYieldDelay after room was
     // found (isYielding()).
     struct PlacementPass;
+    void logPause(bool isPaused, CommandContext& context);
     // PlacementOutcome is the result for one task in a pass.
     enum class PlacementOutcome {
         Started,
@@ -276,6 +291,9 @@
     std::optional<Epoch> lastFencedEpoch; // own epoch that a worker rejected
     std::set<WorkerId> workersWithUnacknowledgedEnds; // ends handled but not yet recorded
     std::map<TaskRunId, WorkerId> orphanedRuns; // runs on workers that belong to no open task
+    Instant lastStoreAnswer; // to any call
+    bool isStoreLost { false }; // the last read of the change feed failed
+    bool areStartsPaused { false }; // !mayStartTasks() at the last placement pass
     bool needsPass { false }; // something has changed since the last placement pass
     // FailedEvictionSearch is a search for runs to evict that could not free enough.
     struct FailedEvictionSearch {
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -14,7 +14,7 @@
                 removedWorkers.push_back(id);
             continue;
         }
-        if (worker.entry.isDraining)
+        if (worker.entry.isDraining && this->mayStartTasks(context.now))
             this->evacuate(worker, context);
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
         if (isLeaseExpired && !worker.runs.empty())
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -87,6 +87,9 @@
 {
     if (context.now < this->lastPass + (this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval))
         return;
+    this->logPause(!this->mayStartTasks(context.now), context);
+    if (this->areStartsPaused)
+        return;
     this->needsPass = false;
     this->lastPass = context.now;
     PlacementPass pass;
@@ -100,6 +103,14 @@
     }
 }
 
+void Dispatcher::logPause(bool isPaused, CommandContext& context)
+{
+    if (isPaused == this->areStartsPaused)
+        return;
+    this->areStartsPaused = isPaused;
+    context.add(LogDecision { isPaused ? DecisionEvent::StartsPaused : DecisionEvent::StartsResumed, "store", {}, {}, this->followedVersion, 0, toMilliseconds(context.now - this->viewedAt()) });
+}
+
 void Dispatcher::placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[stepExecution.step];
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -108,6 +108,9 @@
     };
     std::optional<JobAddress> resolve(ReplyToken token, const std::string& host, const std::string& path, CommandContext& context);
 
+    // noteStoreAnswer() records that a read of the store was answered.
+    void noteStoreAnswer(Instant now);
+
     // applyRow() applies one change of the store to the job cache, the dispatcher or the leadership of a cell.
     void applyRow(const StoredRowChange& change, CommandContext& context);
     void observeLease(const StoredRowChange& change, CommandContext& context);
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -165,6 +165,8 @@
     StoreLost,
     StoreRegained,
     WriteRetried,
+    StartsPaused, // what the leader knows of the store is too old to start tasks
+    StartsResumed,
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -188,8 +190,10 @@
     { DecisionEvent::StoreLost, "store-lost" },
     { DecisionEvent::StoreRegained, "store-regained" },
     { DecisionEvent::WriteRetried, "write-retried" },
+    { DecisionEvent::StartsPaused, "starts-paused" },
+    { DecisionEvent::StartsResumed, "starts-resumed" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::WriteRetried));
+static_assert(decisionEventNames.isWhole(DecisionEvent::StartsResumed));
 
 // LogDecision writes one line to the decision log.
 struct LogDecision {
