scheduling: tests of takeover, of a silent feed, and of random lags

At a new leader whose feed falls behind starts tasks of a job 4.7 s after the answer to its cancellation; a leader whose feed is silent starts tasks for as long as it renews its lease (19.8 s, the end of the test). The seeded test plays jobs, cancellations, lags, cuts, changes of the leader, a draining worker, late starts and lost stops.

--- a/packages/scheduling/stale_view_test.cc
+++ b/packages/scheduling/stale_view_test.cc
@@ -4,13 +4,16 @@
 #include "scheduling/scheduler_fixture.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <random>
 
 namespace dragonflytray {
 
 namespace {
 
     const std::string job = "00000000000000a1";
+    const std::string otherJob = "00000000000000a2";
     constexpr Duration takeoverTime = std::chrono::seconds(3);
     constexpr Duration cancellationLimit = std::chrono::seconds(3); // from the answer to a cancellation to the last start, as callers are promised
     constexpr Duration drainLimit = std::chrono::seconds(3); // from the entry of a draining worker to the last start on it
@@ -36,6 +39,18 @@
             REQUIRE(this->submit(host, id, { stepOfTasks(8, 4), second }) == ReplyStatus::Accepted);
         }
 
+        // submitChain() submits a job of which two tasks run at once and the next ones become due when these end.
+        void submitChain(const std::string& host, const std::string& id)
+        {
+            std::vector<StepDefinition> steps { stepOfTasks(2, 4) };
+            while (steps.size() < 100) {
+                const auto before = static_cast<std::uint32_t>(steps.size() - 1);
+                steps.push_back(stepOfTasks(2, 4));
+                steps.back().after = { before };
+            }
+            REQUIRE(this->submit(host, id, steps) == ReplyStatus::Accepted);
+        }
+
         bool cancel(const std::string& host, const std::string& id)
         {
             this->replies.clear();
@@ -191,4 +206,224 @@
     CHECK(this->runningOf(job).empty());
 }
 
+TEST_CASE_METHOD(StaleViewFixture, "Scheduler_cancellationBehindNewLeadersLaggingFeed_startsNoTaskAfterLimit")
+{
+    this->submitManyTasks("a", job);
+    this->run({ "a", "b", "c" }, std::chrono::seconds(1));
+    while (this->leader() == "a")
+        this->run({ "b", "c" }, tickInterval);
+    const std::string newLeader = this->leader();
+    const std::string other = newLeader == "b" ? "c" : "b";
+    this->run({ "b", "c" }, std::chrono::milliseconds(100)); // until the new leader has read its own lease
+    this->feedLag[newLeader] = lag;
+    this->submitManyTasks(other, otherJob); // accepted after the lease was acquired, so no former leader can have started it
+    this->run({ "b", "c" }, std::chrono::seconds(1));
+    REQUIRE(this->cancel(other, job));
+    REQUIRE(this->cancel(other, otherJob));
+    this->run({ "b", "c" }, std::chrono::seconds(15));
+    CHECK(this->lastStartOf(job) <= toMilliseconds(cancellationLimit));
+    CHECK(this->lastStartOf(otherJob) <= toMilliseconds(cancellationLimit));
+    CHECK(this->phaseOf(job) == JobPhase::Cancelled);
+    CHECK(this->phaseOf(otherJob) == JobPhase::Cancelled);
+}
+
+TEST_CASE_METHOD(StaleViewFixture, "Scheduler_feedSilentWhileLeaseIsRenewed_startsNothingAndKeepsRuns")
+{
+    StepDefinition longRunning = stepOfTasks(2, 4);
+    longRunning.isLongRunning = true;
+    REQUIRE(this->submit("a", job, { longRunning }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::seconds(1));
+    const std::vector<TaskRunId> runs = this->runningOf(job);
+    REQUIRE(runs.size() == 2);
+    this->submitChain("a", otherJob); // leaves room, so that no run is evicted
+    this->run({ "a", "b" }, std::chrono::seconds(1));
+    this->feedLag["a"] = std::chrono::hours(1);
+    const Instant silentSince = this->now;
+    this->run({ "a", "b" }, std::chrono::seconds(20));
+    CHECK(this->lastBegunAfter(silentSince, [](const BegunRun& run) { return run.start.host == "a"; }) <= toMilliseconds(cancellationLimit));
+    CHECK(this->runningOf(job) == runs);
+}
+
+namespace {
+
+    // StaleViewPlay plays random jobs, cancellations and faults of three hosts, which a seed determines.
+    struct StaleViewPlay : StaleViewFixture {
+        const std::vector<std::string> names { "a", "b", "c" };
+        std::mt19937_64 random;
+        std::vector<std::string> accepted; // ids of jobs
+        std::vector<std::string> longRunning; // those that end only by cancellation
+        std::map<std::string, Instant> cutUntil; // of hosts without the store
+        std::map<std::string, Instant> lastCutAt; // last time at which a host had no store
+        WorkerId draining; // empty: none is draining
+        Instant drainedAt;
+        std::size_t checkedRuns { 0 }; // of begunRuns
+
+        StaleViewPlay()
+        {
+            this->addWorker("w2", 16);
+            this->send("a", WorkersListed { { this->workers.at(WorkerId("w2")).entry() }, {}, false });
+            this->run(this->names, std::chrono::seconds(1));
+        }
+
+        std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
+        bool chance(std::uint64_t oneIn) { return this->below(oneIn) == 0; }
+        Duration randomDuration(std::uint64_t minMilliseconds, std::uint64_t maxMilliseconds) { return std::chrono::milliseconds(minMilliseconds + this->below(maxMilliseconds - minMilliseconds + 1)); }
+        const std::string& randomHost() { return this->names[this->below(this->names.size())]; }
+
+        void submitRandomJob()
+        {
+            std::vector<StepDefinition> steps;
+            for (std::uint64_t count = 1 + this->below(3); steps.size() < count;) {
+                StepDefinition step = stepOfTasks(static_cast<std::uint32_t>(1 + this->below(16)), static_cast<std::int64_t>(2 + this->below(6)));
+                if (!steps.empty())
+                    step.after = { static_cast<std::uint32_t>(steps.size() - 1) };
+                steps.push_back(step);
+            }
+            const bool isLongRunning = this->chance(4);
+            if (isLongRunning)
+                steps.back() = { .count = 2, .need = { 2000, 1000, 0 }, .estimate = std::chrono::seconds(1), .after = steps.back().after, .isLongRunning = true };
+            std::string id = std::to_string(1000000000000000 + this->accepted.size() + 1);
+            if (this->submit(this->randomHost(), id, std::move(steps)) != ReplyStatus::Accepted)
+                return;
+            if (isLongRunning)
+                this->longRunning.push_back(id);
+            this->accepted.push_back(std::move(id));
+        }
+
+        void cancelRandomJob()
+        {
+            std::vector<std::string> active;
+            std::copy_if(this->accepted.begin(), this->accepted.end(), std::back_inserter(active), [this](const std::string& id) { return !isFinal(this->phaseOf(id)) && !this->cancelledAt.contains(id); });
+            if (!active.empty())
+                this->cancel(this->randomHost(), active[this->below(active.size())]);
+        }
+
+        void changeLag()
+        {
+            std::map<std::string, Duration>& lags = this->chance(3) ? this->listLag : this->feedLag;
+            lags[this->randomHost()] = this->chance(2) ? Duration(0) : this->randomDuration(0, 6000);
+        }
+
+        void cutRandomHost()
+        {
+            const std::string& name = this->randomHost();
+            if (!this->cutUntil.empty())
+                return;
+            this->cutUntil[name] = this->now + this->randomDuration(500, 6000);
+            this->setStoreContact(name, false);
+        }
+
+        void drainWorker()
+        {
+            this->draining = WorkerId("w2");
+            this->drainedAt = this->now;
+            this->workers.at(this->draining).drain(this->now);
+        }
+
+        void endCuts(Instant time)
+        {
+            std::erase_if(this->cutUntil, [&](const auto& cut) {
+                this->lastCutAt[cut.first] = this->now;
+                if (cut.second <= time)
+                    this->setStoreContact(cut.first, true);
+                return cut.second <= time;
+            });
+        }
+
+        // act() makes at random what callers, hosts, the store and the network do in one tick.
+        void act()
+        {
+            if (this->chance(30))
+                this->submitRandomJob();
+            if (this->chance(40))
+                this->cancelRandomJob();
+            if (this->chance(100))
+                this->changeLag();
+            if (this->chance(600))
+                this->cutRandomHost();
+            if (this->chance(900) && !this->leader().empty())
+                this->restartHost(this->leader());
+            if (this->chance(800) && this->draining.isEmpty())
+                this->drainWorker();
+            this->startsToDelay += this->chance(40) ? 1 : 0;
+            this->stopsToLose += this->chance(40) ? 1 : 0;
+            this->taskDuration = this->randomDuration(200, 1500);
+            this->endCuts(this->now);
+        }
+
+        // isInTouch() says whether the host held the lease when it sent the start and had had the store for some time.
+        bool isInTouch(const SentStart& start) const
+        {
+            constexpr Duration contactTime = std::chrono::seconds(3); // after which the limits hold for a host that was cut off
+            const auto cut = this->lastCutAt.find(start.host);
+            return start.isFromLeader && (cut == this->lastCutAt.end() || cut->second + contactTime <= start.sentAt);
+        }
+
+        void check(const BegunRun& run) const
+        {
+            if (!this->isInTouch(run.start))
+                return;
+            const TaskRunId& id = run.start.call.run;
+            CAPTURE(run.start.host, run.start.call.to.worker.value(), formatRun(id), toMilliseconds(run.at - run.start.sentAt));
+            if (const auto cancelled = this->cancelledAt.find(id.task.job.value()); cancelled != this->cancelledAt.end())
+                CHECK(toMilliseconds(run.at - cancelled->second) <= toMilliseconds(cancellationLimit));
+            if (run.start.call.to.worker == this->draining)
+                CHECK(toMilliseconds(run.at - this->drainedAt) <= toMilliseconds(drainLimit));
+        }
+
+        void checkNewRuns()
+        {
+            for (; this->checkedRuns < this->begunRuns.size(); ++this->checkedRuns)
+                this->check(this->begunRuns[this->checkedRuns]);
+            CHECK(this->maxConcurrentRuns <= 1);
+        }
+
+        void runTick()
+        {
+            this->run(this->names, tickInterval);
+            this->checkNewRuns();
+        }
+
+        bool areJobsOver() const
+        {
+            return std::all_of(this->accepted.begin(), this->accepted.end(), [this](const std::string& id) { return isFinal(this->phaseOf(id)) && this->runningOf(id).empty(); });
+        }
+
+        // settle() ends the faults and runs until all jobs are over, or for `time`.
+        void settle(Duration time)
+        {
+            this->feedLag.clear();
+            this->listLag.clear();
+            this->taskDuration = std::chrono::milliseconds(300);
+            this->startsToDelay = 0;
+            this->stopsToLose = 0;
+            this->endCuts(Instant::max());
+            for (const std::string& id : this->longRunning)
+                this->cancel("a", id);
+            for (const Instant end = this->now + time; this->now < end && !this->areJobsOver();)
+                this->runTick();
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(StaleViewPlay, "Scheduler_randomLagsAndFaults_keepLimitAndCompleteJobs")
+{
+    const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 51 }));
+    CAPTURE(seed);
+    this->random.seed(seed);
+    for (const Instant end = this->now + std::chrono::seconds(30); this->now < end;) {
+        this->act();
+        this->runTick();
+    }
+    this->settle(std::chrono::seconds(60));
+    for (const std::string& id : this->accepted) {
+        CAPTURE(id);
+        CHECK(isFinal(this->phaseOf(id)));
+        CHECK(this->runningOf(id).empty());
+        if (!this->cancelledAt.contains(id))
+            CHECK(this->phaseOf(id) == JobPhase::Completed);
+    }
+}
+
 } // namespace dragonflytray
