scheduling: a start expires one second after it was decided

A worker carried out starts seconds after they were sent, for jobs that had been cancelled meanwhile.

Cause: a start carried the end of the worker's lease (4.5 s, 7.5 s where leases are longer) as its deadline, and nothing else bounds its way: it waits in the ring, in the lane of its worker behind up to four calls of 900 ms each, for a connection and in the network.

A start now has its own validity of a second, which the age of the view counts with: the worker rejects it afterwards, and the host ends it as Expired instead of sending it. The run's lease is the worker's, which polls extend; so a task is placed only on a worker that has answered a poll with a lease of which two thirds have not passed, and the first such poll is not held. The clock of a worker is dated by the arrival of its answer instead of its handling, which would shorten the validity.

Tests changed: Scheduler_delayedStartAndLostStop_neverRunTaskTwiceAtOnce sets a validity of 3 s, or the start that it delays by 2 s would be rejected and the test would guard nothing; Scheduler_pollNotSentAfterStart_keepsTheLeaseOfTheStart cuts the worker off one poll later, since the first poll no longer leads to a start. Their checks are the same.

--- a/packages/entry/duties/worker_call_duty.cc
+++ b/packages/entry/duties/worker_call_duty.cc
@@ -28,23 +28,24 @@
         end.worker = to.worker;
         end.epoch = to.epoch;
         end.sentAt = sentAt;
+        end.receivedAt = BootClock::now();
         this->outbox.send(std::move(end));
     });
 }
 
 void WorkerCallDuty::perform(const StartTask& call)
 {
-    this->enqueue({ { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call) });
+    this->enqueue({ { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call), call.expiresAt });
 }
 
 void WorkerCallDuty::perform(const StopTask& call)
 {
-    this->enqueue({ { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call) });
+    this->enqueue({ { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call), {} });
 }
 
 void WorkerCallDuty::perform(const SetTaskSpeed& call)
 {
-    this->enqueue({ { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call) });
+    this->enqueue({ { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call), {} });
 }
 
 void WorkerCallDuty::enqueue(TaskCall call)
@@ -59,6 +60,11 @@
     while (lane.inFlight < callsInFlight && !lane.waiting.empty()) {
         TaskCall call = std::move(lane.waiting.front());
         lane.waiting.pop_front();
+        if (call.expiresAt && BootClock::now() >= *call.expiresAt) {
+            call.end.status = WorkerCallStatus::Expired;
+            this->outbox.send(std::move(call.end));
+            continue;
+        }
         ++lane.inFlight;
         this->client.send(call.endpoint, std::move(call.request), callTimeout, [this, &lane, end = call.end](HttpOutcome outcome) mutable {
             end.status = this->protocol.decodeCall(outcome);
--- a/packages/entry/duties/worker_call_duty.h
+++ b/packages/entry/duties/worker_call_duty.h
@@ -4,6 +4,7 @@
 
 #include "entry/outbox.h"
 #include <deque>
+#include <optional>
 
 namespace dragonflytray {
 
@@ -21,6 +22,7 @@
         TaskCallEnded end; // as it will be reported
         Endpoint endpoint;
         HttpRequest request;
+        std::optional<Instant> expiresAt; // the call is not sent after this
     };
     // Lane holds the task calls to one endpoint.
     struct Lane {
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -12,9 +12,7 @@
     // longer ones outlast a change of leaders.
     constexpr double leasePart = 0.75;
 
-    // From the decision to start a task to its arrival at the worker: the wait for a connection, its set-up, and the network.
-    constexpr Duration startDelivery = std::chrono::seconds(1);
-    constexpr NumberRule changeLimitBounds { .minimum = 2000, .maximum = 3.6e6 }; // leaves the view of the store a second
+    constexpr NumberRule changeLimitBounds { .minimum = 2000, .maximum = 3.6e6 }; // leaves a second beside the validity of a start
 
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
@@ -80,8 +78,8 @@
     };
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
     options.dispatcher.stopTimeout = settings.stopTimeout;
-    options.dispatcher.maxJobsViewAge = settings.cancellationLimit - startDelivery;
-    options.dispatcher.maxWorkersViewAge = settings.drainingLimit - startDelivery;
+    options.dispatcher.maxJobsViewAge = settings.cancellationLimit - options.dispatcher.startValidity;
+    options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
     return options;
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -52,6 +52,7 @@
         Duration unrecordedPollInterval { std::chrono::milliseconds(120) }; // between polls of a worker while its ends wait to be recorded
         Duration renewalTimeout { std::chrono::milliseconds(1500) }; // for which leases of a worker that does not answer are still renewed
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
+        Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
         Duration unhealthyCooldown { std::chrono::milliseconds(1500) }; // of a worker that reported itself unhealthy, rejected a start or could not be reached
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -43,11 +43,13 @@
     const bool mayRenew = !worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout;
     if (mayRenew && worker.isFenced)
         call.deadline = worker.deadlineAt(context.now, this->fleet.lease());
+    worker.acceptsUntilAfterPoll = {};
     if (call.deadline)
         this->fleet.recordPollLease(worker, context.now);
     else
         worker.leaseEndBeforePoll = worker.leaseEnd;
-    if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline)
+    const bool isLeased = context.now < worker.acceptsUntil; // tasks can be placed only after the answer to a poll with a lease
+    if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline && isLeased)
         call.wait = this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
     worker.isPollInFlight = true;
     context.add(std::move(call));
@@ -120,7 +122,7 @@
     context.add(LogDecision { DecisionEvent::TaskLost, formatRun(end.run), worker.entry.id.value(), std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - taskExecution->since) });
     if (end.status == WorkerCallStatus::NoRoom || end.status == WorkerCallStatus::TooLate)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.noRoomCooldown);
-    if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Rejected)
+    if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Expired || end.status == WorkerCallStatus::Rejected)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.unhealthyCooldown);
     this->fleet.release(worker, end.run);
     job->setStage(end.run.task, TaskStage::Waiting, context.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -266,7 +266,7 @@
     this->fleet.allocate(worker, id, this->allocationFor(job, step));
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
-    context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->fleet.lease()).value_or(0) });
+    context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
     context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, toMilliseconds(context.now - this->viewedAt()) });
 }
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -41,6 +41,7 @@
 {
     if (end.startedAt != 0 && worker.entry.startedAt != 0 && end.startedAt != worker.entry.startedAt) {
         this->markRunsLost(worker, "worker-restarted", context);
+        worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
         worker.unacknowledgedEnds.clear();
@@ -54,7 +55,8 @@
         this->fleet.recordLease(worker, context.now);
     worker.isFenced = true;
     worker.clock = end.clock;
-    worker.clockReadAt = context.now;
+    worker.clockReadAt = end.receivedAt;
+    Fleet::pollAnswered(worker);
     worker.lastAnswer = context.now;
     this->needsPass = true;
 }
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -13,7 +13,7 @@
 
 bool FleetWorker::acceptsTasks(Instant now) const
 {
-    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil;
+    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil;
 }
 
 std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
@@ -112,6 +112,12 @@
 {
     worker.leaseEndBeforePoll = worker.leaseEnd;
     worker.leaseEnd = std::max(worker.leaseEnd, this->latestLeaseEnd(now));
+    worker.acceptsUntilAfterPoll = now + std::chrono::duration_cast<Duration>(this->options.lease * this->options.maxUsedLease);
+}
+
+void Fleet::pollAnswered(FleetWorker& worker)
+{
+    worker.acceptsUntil = std::max(worker.acceptsUntil, worker.acceptsUntilAfterPoll);
 }
 
 void Fleet::remove(const WorkerId& worker)
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -77,6 +77,8 @@
     Instant clockReadAt;
     Instant leaseEnd; // by which every granted lease has expired on the worker
     Instant leaseEndBeforePoll; // leaseEnd without the lease that the poll in flight grants
+    Instant acceptsUntil; // by then the lease that an answered poll granted is too short for new runs
+    Instant acceptsUntilAfterPoll; // acceptsUntil once the poll in flight is answered; zero: it grants no lease
     Instant lastAnswer;
     bool isSuspect { false }; // the last poll had no answer
     Instant cooldownUntil; // no task is placed on the worker before
@@ -99,7 +101,7 @@
     // availableResources() is the capacity that no run occupies.
     TaskResources availableResources() const;
 
-    // acceptsTasks() says whether new tasks may be placed on the worker.
+    // acceptsTasks() says whether new tasks may be placed on the worker. Their lease is that of the worker, which polls extend.
     bool acceptsTasks(Instant now) const;
 
     // deadlineAt() is the end of a lease granted at `now`, in ms on the worker's clock; nothing while the clock is unknown.
@@ -112,6 +114,7 @@
 public:
     struct Options {
         Duration lease { std::chrono::milliseconds(4500) }; // granted with each poll and each start
+        double maxUsedLease { 2.0 / 3 }; // share of a worker's lease that may have passed when a task is started; the rest has to cover a lost poll
         Duration clockMargin { std::chrono::milliseconds(300) }; // added to a lease on top of the drift
         double maxClockDrift { 0.02 }; // share by which a worker's clock may run slow, as the platform states
     };
@@ -138,6 +141,9 @@
     // flight.
     void recordLease(FleetWorker& worker, Instant now);
 
+    // pollAnswered() records that the worker has granted the lease of the poll in flight, if it carried one.
+    static void pollAnswered(FleetWorker& worker);
+
     // recordPollLease() records a lease granted at `now` that takes effect unless the poll that carries it is never sent.
     void recordPollLease(FleetWorker& worker, Instant now);
 
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -262,6 +262,7 @@
 
 TEST_CASE_METHOD(SchedulerFixture, "Scheduler_delayedStartAndLostStop_neverRunTaskTwiceAtOnce")
 {
+    this->dispatcherOptions.startValidity = std::chrono::seconds(3); // longer than the delay of the start
     this->addWorker("w1", 8);
     this->run({ "a" }, takeoverTime);
     this->taskDuration = std::chrono::seconds(20);
@@ -328,6 +329,7 @@
     this->run({ "a" }, std::chrono::milliseconds(20));
     while (this->delayedReports.empty())
         this->run({ "a" }, std::chrono::milliseconds(20));
+    this->run({ "a" }, std::chrono::milliseconds(20)); // the first poll fences the worker, the second grants a lease
     this->unreachable.insert(WorkerId("w1")); // from the next poll on, which is in flight when the task starts
     this->taskDuration = std::chrono::seconds(20);
     this->submit("a", job, { stepOfTasks(1, 4) });
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -72,6 +72,7 @@
     WorkerId worker;
     Epoch epoch { 0 }; // under which the poll was sent
     Instant sentAt;
+    Instant receivedAt {}; // when the answer arrived
     WorkerCallStatus status { WorkerCallStatus::Unclear };
     std::int64_t clock { 0 }; // ms on the worker's steady clock
     WallTime startedAt { 0 }; // start of the worker's process, which identifies its incarnation; 0: not reported
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -62,7 +62,8 @@
     TaskRunId run;
     std::string spec; // of the job
     std::string checkpoint; // from which the run continues; empty: from the beginning
-    std::int64_t deadline { 0 }; // end of the lease in ms on the worker's clock; the worker rejects a later start
+    std::int64_t deadline { 0 }; // in ms on the worker's clock: it rejects a later start, and the run ends then unless a poll extends its lease
+    Instant expiresAt {}; // the call must not be sent after this; it ends as Expired instead
 };
 
 // StopTask ends one run, and prevents its start if it arrives first. Answered by TaskCallEnded.
--- a/packages/scheduling/simulation/simulated_worker.cc
+++ b/packages/scheduling/simulation/simulated_worker.cc
@@ -65,7 +65,7 @@
 PollEnded SimulatedWorker::poll(const PollWorker& call, Instant now)
 {
     this->advance(now);
-    PollEnded end { .worker = this->listed.id, .epoch = call.to.epoch, .sentAt = now, .status = WorkerCallStatus::Ok, .clock = this->clockAt(now), .startedAt = this->listed.startedAt };
+    PollEnded end { .worker = this->listed.id, .epoch = call.to.epoch, .sentAt = now, .receivedAt = now, .status = WorkerCallStatus::Ok, .clock = this->clockAt(now), .startedAt = this->listed.startedAt };
     if (this->isFenced(call.to.epoch)) {
         end.status = WorkerCallStatus::Fenced;
         return end;
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -54,6 +54,7 @@
     Unhealthy, // the worker refused the call and did nothing
     OtherIncarnation, // another incarnation of the worker answered
     NotSent, // not sent, so not executed
+    Expired, // not sent, since it waited too long for earlier calls to the worker
     Unclear, // no usable answer: it may have been executed, or may still be
 };
 
@@ -68,6 +69,7 @@
     { WorkerCallStatus::Unhealthy, "unhealthy" },
     { WorkerCallStatus::OtherIncarnation, "other-life" },
     { WorkerCallStatus::NotSent, "not-sent" },
+    { WorkerCallStatus::Expired, "expired" },
     { WorkerCallStatus::Unclear, "unclear" },
 }) };
 static_assert(workerCallStatusNames.isWhole(WorkerCallStatus::Unclear));
