transport: the client reads answers in pieces of up to 64 KB

Beast reads 512 bytes at a time into a flat_buffer without capacity, and each read is a turn of the loop. A page of the change feed (130 KB) took up to 298 reads while its bytes lay in the socket's receive buffer; beside a busy scheduling thread that was up to 1.3 s, and the leader fell behind.

The connection's buffer now has room for 64 KB while an answer is read. It is released when the connection goes idle.

--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -17,6 +17,10 @@
 
 namespace {
 
+    // Maximum size of one read. Each read takes a turn of the event loop, and Beast reads only 512 bytes at a time into
+    // a buffer without reserved capacity.
+    constexpr std::size_t readSize = 64 << 10;
+
     struct Connection {
         explicit Connection(boost::asio::io_context& context)
             : stream(context)
@@ -153,6 +157,7 @@
         {
             if (error)
                 return this->dropAfterSend(error);
+            this->connection->buffer.reserve(readSize);
             this->parser.emplace();
             this->parser->body_limit(this->plan.onPart ? std::numeric_limits<std::uint64_t>::max() : this->state->options.bodyLimit);
             if (this->plan.onPart)
@@ -247,6 +252,7 @@
                 return;
             }
             this->connection->stream.expires_never();
+            this->connection->buffer.shrink_to_fit(); // idle connections hold no memory
             this->connection->idleSince = BootClock::now();
             pool.idle.push_back(std::move(this->connection));
         }
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -95,17 +95,74 @@
             return results;
         }
 
+        // onServer() runs `action` on the server's thread and waits for it.
+        void onServer(const std::function<void()>& action)
+        {
+            auto done = std::make_shared<BoundedRing<int>>(BoundedRing<int>::Options { .capacity = 1 }); // outlives the push
+            this->loop.post([done, &action] {
+                action();
+                (void)done->tryPush(1);
+            });
+            REQUIRE(done->popWithin(std::chrono::seconds(10)));
+        }
+
         void silenceConnections()
         {
-            BoundedRing<int> done({ .capacity = 1 });
-            this->loop.post([&] {
-                this->server.silenceConnections();
-                (void)done.tryPush(1);
+            this->onServer([this] { this->server.silenceConnections(); });
+        }
+
+        // runUntilRequested() sends a request and runs the client's loop until the server holds it.
+        std::shared_ptr<HttpReply> runUntilRequested(HttpClient::Completion completion)
+        {
+            std::shared_ptr<HttpReply> held;
+            this->handler = [this, &held](HttpRequest, std::shared_ptr<HttpReply> reply) {
+                held = std::move(reply);
+                this->clientLoop.stop();
+            };
+            this->client.send(this->endpoint, { .method = HttpMethod::Get, .target = "/", .headers = {}, .body = {} }, std::chrono::seconds(30), std::move(completion));
+            this->clientLoop.run();
+            this->clientLoop.restart();
+            return held;
+        }
+
+        // answerWhole() sends an answer and returns once all of it has been handed to the kernel.
+        void answerWhole(const std::shared_ptr<HttpReply>& reply, const std::string& body)
+        {
+            std::size_t open = 0;
+            this->onServer([&] { reply->send({ .status = 200, .headers = {}, .body = body }); });
+            do
+                this->onServer([&] { open = this->server.openRequests(); });
+            while (open > 0);
+        }
+
+        // takeTurns() posts an action that counts its turns on the client's loop and posts itself again.
+        void takeTurns(std::size_t& turns)
+        {
+            this->clientLoop.post([this, &turns] {
+                ++turns;
+                this->takeTurns(turns);
             });
-            REQUIRE(done.popWithin(std::chrono::seconds(10)));
         }
     };
 
+    TEST_CASE_METHOD(PooledClientFixture, "HttpClient_longAnswerReceived_isReadInPiecesOfAPageOrMore")
+    {
+        const std::string body(48 << 10, 'x');
+        std::string received;
+        std::size_t turns = 0;
+        auto reply = this->runUntilRequested([&](tl::expected<HttpResponse, SendFailure> result) {
+            received = result ? result->body : result.error().detail;
+            this->clientLoop.stop();
+        });
+        this->answerWhole(reply, body);
+
+        this->takeTurns(turns);
+        this->clientLoop.run();
+
+        CHECK(received == body);
+        CHECK(turns <= body.size() / 4096);
+    }
+
     TEST_CASE_METHOD(PooledClientFixture, "HttpClient_pooledConnectionClosedByServer_opensAFreshOne")
     {
         HttpServer closing(this->clientLoop, { .endpoint = { "127.0.0.1", 0 }, .idleTimeout = std::chrono::milliseconds(50) }, this->handler);
