--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -199,6 +199,11 @@
     this->workerListCompleteAt = now + this->options.workerRelistDelay;
 }
 
+std::optional<std::int64_t> Dispatcher::viewAge(Instant now) const
+{
+    return this->viewedAt() == Instant() ? std::nullopt : std::optional(toMilliseconds(now - this->viewedAt()));
+}
+
 bool Dispatcher::mayStartTasks(Instant now) const
 {
     const bool isStoreSilent = this->isStoreLost && now >= this->lastStoreAnswer + this->options.storeSilenceTimeout;
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -108,7 +108,7 @@
     if (isPaused == this->areStartsPaused)
         return;
     this->areStartsPaused = isPaused;
-    context.add(LogDecision { isPaused ? DecisionEvent::StartsPaused : DecisionEvent::StartsResumed, "store", {}, {}, this->followedVersion, 0, toMilliseconds(context.now - this->viewedAt()) });
+    context.add(LogDecision { isPaused ? DecisionEvent::StartsPaused : DecisionEvent::StartsResumed, "store", {}, {}, this->followedVersion, 0, this->viewAge(context.now) });
 }
 
 void Dispatcher::placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
@@ -267,7 +267,7 @@
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
     context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
-    context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, toMilliseconds(context.now - this->viewedAt()) });
+    context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, this->viewAge(context.now) });
 }
 
 bool Dispatcher::mayEvictFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now)
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -33,8 +33,8 @@
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
-    if (this->dispatcher.leadsAny() && this->dispatcher.viewedAt() != Instant())
-        summary.viewAgeMilliseconds = toMilliseconds(now - this->dispatcher.viewedAt());
+    if (this->dispatcher.leadsAny())
+        summary.viewAgeMilliseconds = this->dispatcher.viewAge(now);
     for (const auto& [cell, leadership] : this->leaderships) {
         summary.ledCells += leadership.epoch() != 0 ? 1 : 0;
         summary.highestEpoch = std::max(summary.highestEpoch, leadership.row().epoch);
