scheduling: the number of pending jobs is refused while the stored jobs are not known

Cause: a host that has a configuration, but has not finished its first read of the stored jobs, counted its empty copy. Such a host is not ready, but is asked directly.

Such a question is now refused at once with 503, Retry-After and the reason jobs-not-read, counted in dragonflytray_refusals_total and logged like other refusals. QueueView carries a status and a reason instead of an optional number, so that no front end can take an unknown number for 0. The query stays free of side effects: a view without a number is answered by the command RefuseQueueQuery, which counts, logs and replies. Unknown queues (404) and a missing configuration (503, now with Retry-After) are counted and logged the same way.

A host that knew the jobs but has received nothing from the change feed for 2 s, the age that callers are promised, refuses for the same reason. It can't tell an outage of the store from the loss of its own path. In the latter, other hosts go on accepting jobs, its number is too low, and nothing in the answer would say so; a refusal sends the caller to another host. The time of the last delivery counts, not that of the last answer: a host that scans the table again hears from the store all the time while its copy stays as it was. Idle polls are answered after 1 s and repeated after 250 ms, so that a calm host stays within the limit.

LookUpJob and RequestCancellation were right already: a job that is not in the copy is read from the store by its id, and the call is refused with Retry-After if that read fails, and answered 410 only if the store has answered. Two tests hold that.

Not covered: a change feed that answers in time but lags behind. A follower can't measure that lag.

The step from the view to the command in SchedulingDuty has no unit test.

--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -42,6 +42,8 @@
     }
     const auto& question = std::get<AskQueue>(message);
     const auto view = std::get<QueueView>(this->scheduler.ask(question.query, BootClock::now()));
+    if (view.status != ReplyStatus::QueueFound)
+        return this->decide(RefuseQueueQuery { question.token, question.query.path, view.status, view.reason });
     (void)this->rings.front.tryPush(QueueAnswered { question.token, view }, RingRoom::Reserved);
 }
 
--- a/packages/scheduling/commands/client_calls.cc
+++ b/packages/scheduling/commands/client_calls.cc
@@ -1,4 +1,4 @@
-// Handlers of the commands of callers: submit, cancel, look up.
+// Handlers of the commands of callers: submit, cancel, look up, and refusals of queue queries.
 
 #include "scheduling/scheduler.h"
 
@@ -78,4 +78,10 @@
         this->clientRequests.lookUp(request.token, address->job, this->jobCache, context);
 }
 
+void Scheduler::refuseQueueQuery(const SchedulerCommand& command, CommandContext& context)
+{
+    const auto& query = std::get<RefuseQueueQuery>(command);
+    this->clientRequests.refuse(query.token, query.path, query.status, query.reason, context);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -13,6 +13,7 @@
     if (!this->hasReadStore)
         this->dispatcher.storeRegained(context.now);
     this->hasReadStore = true;
+    this->lastJobsRead = context.now;
     for (const StoredRowChange& change : read.rows)
         this->applyRow(change, context);
     this->appliedVersion = std::max(this->appliedVersion, read.revision);
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -4,13 +4,17 @@
 
 namespace dragonflytray {
 
-SchedulerView Scheduler::queueView(const SchedulerQuery& query, Instant) const
+SchedulerView Scheduler::queueView(const SchedulerQuery& query, Instant now) const
 {
     const auto& queueQuery = std::get<QueueQuery>(query);
-    QueueView view { .isConfigured = this->configuration.version > 0, .pending = {} };
-    if (const QueueRule* queue = this->configuration.findQueue(queueQuery.host, queueQuery.path))
-        view.pending = this->jobCache.countPending(queue->host, queue->pathPrefix);
-    return view;
+    if (this->configuration.version == 0)
+        return QueueView { ReplyStatus::Refused, ReplyReason::NoConfiguration };
+    const QueueRule* queue = this->configuration.findQueue(queueQuery.host, queueQuery.path);
+    if (!queue)
+        return QueueView { ReplyStatus::NoSuchQueue, ReplyReason::UnknownRoute };
+    if (!this->hasReadStore || now >= this->lastJobsRead + this->options.maxCountAge)
+        return QueueView { ReplyStatus::Refused, ReplyReason::JobsNotRead };
+    return QueueView { ReplyStatus::QueueFound, ReplyReason::None, this->jobCache.countPending(queue->host, queue->pathPrefix) };
 }
 
 SchedulerView Scheduler::readinessView(const SchedulerQuery&, Instant now) const
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -22,6 +22,7 @@
     &Scheduler::submitJob,
     &Scheduler::requestCancellation,
     &Scheduler::lookUpJob,
+    &Scheduler::refuseQueueQuery,
     &Scheduler::storedRowsRead,
     &Scheduler::rowsWriteEnded,
     &Scheduler::jobRowsRead,
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -60,6 +60,7 @@
         Duration maxSizeDelay { std::chrono::milliseconds(300) }; // acquisition delay of the smallest host; covers differences in start time
         Duration maxNameDelay { std::chrono::milliseconds(80) }; // spreads hosts of equal size; a write takes less than a tenth of it
         Duration storeTimeout { std::chrono::milliseconds(2500) }; // a host without an answer of the store for this long is not ready
+        Duration maxCountAge { std::chrono::seconds(2) }; // of a number of pending jobs, as callers are promised
         Duration endedJobRetention { std::chrono::minutes(5) }; // before the rows of an ended job are removed
         Duration removalInterval { std::chrono::seconds(10) }; // between two removals of ended jobs
         std::size_t maxJobsPerRemovalWrite { 30 }; // of three rows each; the platform accepts at most 100 entries per transaction
@@ -86,6 +87,7 @@
     void submitJob(const SchedulerCommand& command, CommandContext& context);
     void requestCancellation(const SchedulerCommand& command, CommandContext& context);
     void lookUpJob(const SchedulerCommand& command, CommandContext& context);
+    void refuseQueueQuery(const SchedulerCommand& command, CommandContext& context);
     void storedRowsRead(const SchedulerCommand& command, CommandContext& context);
     void rowsWriteEnded(const SchedulerCommand& command, CommandContext& context);
     void jobRowsRead(const SchedulerCommand& command, CommandContext& context);
@@ -144,6 +146,7 @@
     SchedulingConfiguration configuration;
     RowVersion appliedVersion { 0 }; // of the store, up to which all changes have been applied
     bool hasReadStore { false }; // since the start of the process
+    Instant lastJobsRead; // when changes of the stored jobs, or none, were last delivered
     Instant lastStoreAnswer;
     bool isStoreAnswering { true };
     WallTime wallTime { 0 }; // as of the last tick
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -37,6 +37,14 @@
     std::string path;
 };
 
+// RefuseQueueQuery answers a caller whose QueueQuery could not be answered with a number, and counts and logs the reason.
+struct RefuseQueueQuery {
+    ReplyToken token {};
+    std::string path;
+    ReplyStatus status { ReplyStatus::Refused };
+    ReplyReason reason { ReplyReason::None };
+};
+
 // StoredRowsRead delivers changed rows from the store's change feed, in the order of their versions.
 struct StoredRowsRead {
     std::vector<StoredRowChange> rows;
@@ -122,13 +130,14 @@
     WallTime wallTime { 0 };
 };
 
-using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, ConfigurationFollowed, StoreContact, BeginHandover, SchedulerTick>;
+using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, ConfigurationFollowed, StoreContact, BeginHandover, SchedulerTick>;
 
 // SchedulerCommandKind enumerates the alternatives of SchedulerCommand in the same order.
 enum class SchedulerCommandKind {
     SubmitJobSteps,
     RequestCancellation,
     LookUpJob,
+    RefuseQueueQuery,
     StoredRowsRead,
     RowsWriteEnded,
     JobRowsRead,
@@ -145,6 +154,7 @@
     { SchedulerCommandKind::SubmitJobSteps, "submit-job-steps" },
     { SchedulerCommandKind::RequestCancellation, "request-cancellation" },
     { SchedulerCommandKind::LookUpJob, "look-up-job" },
+    { SchedulerCommandKind::RefuseQueueQuery, "refuse-queue-query" },
     { SchedulerCommandKind::StoredRowsRead, "stored-rows-read" },
     { SchedulerCommandKind::RowsWriteEnded, "rows-write-ended" },
     { SchedulerCommandKind::JobRowsRead, "job-rows-read" },
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -109,6 +109,7 @@
 enum class ReplyReason {
     None,
     NoConfiguration, // no configuration has been received yet
+    JobsNotRead, // the stored jobs have not been read yet, or not recently enough to be counted
     StoreUnavailable,
     StoreUnclear, // the store may or may not have executed a write
     TooManyPending, // too many calls wait for the store
@@ -120,6 +121,7 @@
 inline constexpr NameTable replyReasonNames { std::to_array<NameEntry<ReplyReason>>({
     { ReplyReason::None, "none" },
     { ReplyReason::NoConfiguration, "no-configuration" },
+    { ReplyReason::JobsNotRead, "jobs-not-read" },
     { ReplyReason::StoreUnavailable, "store-unavailable" },
     { ReplyReason::StoreUnclear, "store-unclear" },
     { ReplyReason::TooManyPending, "too-many-pending" },
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -19,8 +19,9 @@
 
 // QueueView answers QueueQuery.
 struct QueueView {
-    bool isConfigured { false }; // a configuration has been received
-    std::optional<std::uint64_t> pending; // accepted jobs of which no task has started; nothing: no such queue
+    ReplyStatus status { ReplyStatus::Refused }; // QueueFound, NoSuchQueue or Refused
+    ReplyReason reason { ReplyReason::None }; // why the number is missing
+    std::uint64_t pending { 0 }; // of QueueFound: accepted jobs of which no task has started
 };
 
 // ReadinessQuery asks whether this host should receive new connections.
