scheduling: a write of progress counts only for the execution that composed it

A task whose end as done had been acknowledged to its worker could run again (TWICE).

Cause: a host loses a cell and acquires it again, under a higher epoch, while a write of progress of its earlier term is in flight. The job is then executed by a new JobExecution that counts generations from the same recorded one. When the write was answered, Recorder marked that many generations of the new execution as recorded, and took over the version of the row. Ends that only the new execution knew counted as stored, were acknowledged and forgotten by their workers, although no row contained them; and its next write replaced the row without merging the ends that the earlier term had stored.

Each job of a write in flight now carries the epoch of its execution, and the answer is applied only to an execution of that epoch. For a later one the row is as if another leader had written it: either the change feed delivers it or the next write conflicts with it, and both merge it. That way exists already and needs no knowledge of what the write contained.

Reproduced with a Recorder over SimulatedStore, and end to end with a Scheduler whose write the store executes late: two tasks on two workers; the first end is in the late write, the second is reported to the next term; then another host leads.

--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -138,7 +138,7 @@
     std::map<std::uint32_t, StepExecution>& openSteps() { return this->stepExecutions; }
     std::uint32_t waiting() const { return this->waitingTasks; }
 
-    // generation() is incremented with each change of the progress; recorded() is the generation that the store contains.
+    // generation() is incremented with each change of the progress by this execution; recorded() is the generation that the store contains.
     // The job is dirty, and has to be recorded, while they differ.
     std::uint64_t generation() const { return this->currentProgress.generation; }
     std::uint64_t recorded() const { return this->recordedGeneration; }
--- a/packages/scheduling/recorder.cc
+++ b/packages/scheduling/recorder.cc
@@ -54,7 +54,7 @@
     Partition& partition = this->partitions[number];
     WriteStoredRows result { .write = write, .partition = number, .conditions = {}, .puts = {}, .removals = {} };
     Pending pending { number, {} };
-    while (!partition.dirty.empty() && pending.generations.size() < this->options.maxJobsPerWrite) {
+    while (!partition.dirty.empty() && pending.jobs.size() < this->options.maxJobsPerWrite) {
         const JobId job = *partition.dirty.begin();
         partition.dirty.erase(partition.dirty.begin());
         const auto found = jobExecutions.find(job);
@@ -63,7 +63,7 @@
         const JobExecution& execution = *found->second;
         result.conditions.push_back({ progressKey(job), execution.version() });
         result.puts.push_back({ progressKey(job), execution.progress() });
-        pending.generations.emplace_back(job, execution.generation());
+        pending.jobs.push_back({ job, execution.progress().epoch, execution.generation() });
     }
     if (result.puts.empty())
         return std::nullopt;
@@ -74,22 +74,22 @@
 std::vector<JobId> Recorder::writeEnded(const RowsWriteEnded& end, JobExecutions& jobExecutions, Instant now)
 {
     std::vector<JobId> lost;
-    const auto found = this->inFlight.find(end.write);
-    const Pending pending = std::move(found->second);
-    this->inFlight.erase(found);
+    const Pending pending = std::move(this->inFlight.extract(end.write).mapped());
     Partition& partition = this->partitions[pending.partition];
     partition.write = 0;
     const bool isCommitted = end.status == TransactionStatus::Committed;
     for (const StoredRowChange& conflict : end.conflicts)
         this->resolveConflict(conflict, jobExecutions, now, lost);
-    for (const auto& [job, generation] : pending.generations) {
-        const auto execution = jobExecutions.find(job);
-        if (execution == jobExecutions.end())
+    for (const PendingJob& written : pending.jobs) {
+        const auto found = jobExecutions.find(written.job);
+        if (found == jobExecutions.end())
             continue;
-        if (isCommitted)
-            execution->second->markRecorded(generation, end.revision);
-        if (execution->second->isDirty())
-            this->add(job, isFinal(execution->second->progress().phase));
+        JobExecution& execution = *found->second;
+        // The next write of a later execution conflicts with the row of an earlier one, and the row is merged then.
+        if (isCommitted && execution.progress().epoch == written.epoch)
+            execution.markRecorded(written.generation, end.revision);
+        if (execution.isDirty())
+            this->add(written.job, isFinal(execution.progress().phase));
     }
     if (end.status == TransactionStatus::Unavailable || end.status == TransactionStatus::Ambiguous)
         partition.notBefore = now + this->options.retryDelay;
@@ -119,7 +119,7 @@
     for (const Partition& partition : this->partitions)
         unrecorded += partition.dirty.size();
     for (const auto& [write, pending] : this->inFlight)
-        unrecorded += pending.generations.size();
+        unrecorded += pending.jobs.size();
     return unrecorded;
 }
 
--- a/packages/scheduling/recorder.h
+++ b/packages/scheduling/recorder.h
@@ -57,10 +57,16 @@
         Instant lastWrite;
         Instant notBefore; // end of the delay after a failed write
     };
-    // Pending is a write in flight, with the generation that it contains of each job.
+    // PendingJob is the progress of one job in a write in flight. The epoch identifies the execution that it belongs to: if
+    // this host loses a cell and acquires it again meanwhile, the job's next execution counts generations of its own.
+    struct PendingJob {
+        JobId job;
+        Epoch epoch { 0 };
+        std::uint64_t generation { 0 };
+    };
     struct Pending {
         std::uint32_t partition { 0 };
-        std::vector<std::pair<JobId, std::uint64_t>> generations;
+        std::vector<PendingJob> jobs;
     };
 
     bool isDue(const Partition& partition, Instant now) const;
