scheduling: a renewal found after a lost answer is dated by its first send

The holder of a cell's lease believed in it up to 1.2 s after another host could acquire it.

Cause: when the answer of a renewal is lost, the holder sends the row again after the write timeout (1 s) and the retry delay (0.2 s). The retry conflicts with the row that the first send has stored, which proves the renewal, but the lease was measured from the retry. Other hosts measure from the first send, when the row changed. Each further lost answer added as much.

The holder now keeps the time of the first write over the known row whose result is unknown, and measures a row found in a conflict from it. A retry that is committed itself is still measured from its own send, since the condition on the version shows that no earlier one has taken effect. The next renewal is due at once if the one that was found is old.

--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -15,6 +15,7 @@
     this->lastRow = row;
     this->lastVersion = version;
     this->lastChangedAt = now;
+    this->unclearSentAt.reset();
     const bool isForeign = row.holder != this->options.self || row.epoch != this->ownEpoch;
     if (this->ownEpoch != 0 && row.epoch >= this->ownEpoch && isForeign)
         return this->loseLeadership();
@@ -68,7 +69,9 @@
 {
     this->inFlight = 0;
     if (end.status == TransactionStatus::Committed)
-        return this->applyCommitted(end);
+        return this->applyCommitted(end.revision, this->sentAt);
+    if (end.status == TransactionStatus::Ambiguous && !this->unclearSentAt)
+        this->unclearSentAt = this->sentAt;
     this->nextAttempt = now + this->options.retryDelay;
     for (const StoredRowChange& conflict : end.conflicts) {
         const auto* row = conflict.value ? std::get_if<CellLease>(&*conflict.value) : nullptr;
@@ -76,26 +79,27 @@
             continue;
         // The row is the one that this host sent: an earlier write whose answer was lost has taken effect.
         if (*row == this->sentRow)
-            return this->applyCommitted({ end.write, TransactionStatus::Committed, conflict.version, {} });
+            return this->applyCommitted(conflict.version, this->unclearSentAt.value_or(this->sentAt));
         return this->observe(*row, conflict.version, now);
     }
     return LeadershipChange::None;
 }
 
-LeadershipChange CellLeadership::applyCommitted(const RowsWriteEnded& end)
+LeadershipChange CellLeadership::applyCommitted(RowVersion version, Instant writeSentAt)
 {
     this->lastRow = this->sentRow;
-    this->lastVersion = end.revision;
-    this->lastChangedAt = this->sentAt;
+    this->lastVersion = version;
+    this->lastChangedAt = writeSentAt;
+    this->unclearSentAt.reset();
     this->hasObserved = true;
-    this->nextAttempt = this->sentAt + this->options.renewInterval;
+    this->nextAttempt = writeSentAt + this->options.renewInterval;
     if (this->sentRow.holder.isEmpty())
         return this->loseLeadership();
-    this->leaseEnd = this->sentAt + this->options.lease;
+    this->leaseEnd = writeSentAt + this->options.lease;
     if (this->ownEpoch == this->sentRow.epoch)
         return LeadershipChange::None;
     this->ownEpoch = this->sentRow.epoch;
-    this->acquiredVersion = end.revision;
+    this->acquiredVersion = version;
     return LeadershipChange::Acquired;
 }
 
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -4,7 +4,8 @@
 //
 // The lease is a row of the store that its holder renews by conditional writes. Another host acquires it once the row has
 // not changed for the duration of the lease, measured on its own clock. The holder measures from the time at which it sent
-// its last successful renewal, so that its lease always expires before another host can acquire it.
+// its last successful renewal, so that its lease always expires before another host can acquire it. If a renewal was sent
+// several times because its result was unknown, the first time counts.
 //
 // Without the store, a leader continues for a limited time after its lease, or until a worker rejects a call because it
 // knows a higher epoch. Its successor has to expect runs that were started in that time.
@@ -104,7 +105,7 @@
 private:
     bool mayAcquire(Instant now) const;
     LeadershipChange loseLeadership();
-    LeadershipChange applyCommitted(const RowsWriteEnded& end);
+    LeadershipChange applyCommitted(RowVersion version, Instant writeSentAt);
 
     Options options;
     CellLease lastRow; // as last read or written
@@ -114,6 +115,7 @@
     CellLease sentRow; // content of the last write
     std::uint64_t inFlight { 0 }; // number of the write in flight; 0: none
     Instant sentAt; // of the last write
+    std::optional<Instant> unclearSentAt; // of the first write over lastRow whose result is unknown
     Instant leaseEnd; // of the own lease
     Instant nextAttempt; // no write before this
     Epoch ownEpoch { 0 }; // 0: this host does not lead
