entry: a scan of the store goes on at the page that failed

Hosts far from the store that started together never finished reading the table of jobs. They stayed without jobs and not ready, and refused callers.

Cause: a page had 700 ms, and one page that was late or failed threw away all pages before it; the scan began again 150 ms later. Hosts that shared a slow link kept it full with pages that nobody used.

- A page that fails is requested again, at the same partition and key, and what has been read is kept.
A scan starts over only when FollowWorkers asks for it or the history is gone.
- Of a page that times out, all bytes have been carried for nothing, so each timeout doubles the limit of the following pages of the scan, up to 2.8 s (1 MB at 3 Mbit/s).
The first attempt keeps 700 ms, since a silent connection shows no other sign: it costs one attempt, and the client then drops the idle connections to the store.
- A scan that takes longer than the store's history ended with HistoryGone and began again without end.
Once a second the scan of the jobs now also reads the changes since its revision, which moves on with them.
A poll that fails doesn't hold the scan up.
- FollowWorkers during a scan delivered the scan in flight as the new leader's list.
It now starts over at the first page.

The link between regions itself was not tried.

--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -10,6 +10,8 @@
     constexpr Duration readTimeout = std::chrono::milliseconds(700);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
     constexpr Duration feedWait = std::chrono::milliseconds(1000); // bounds how long a silent connection goes unnoticed
+    constexpr Duration maxPageTimeout = 4 * readTimeout;
+    constexpr Duration scanPollInterval = std::chrono::milliseconds(1000); // the store keeps its history for seconds only
     constexpr Duration retryDelay = std::chrono::milliseconds(150);
     constexpr Duration idleLimit = std::chrono::seconds(5);
     constexpr std::size_t connectionLimit = 24;
@@ -80,6 +82,7 @@
     Feed& feed = this->feeds[indexOf(FeedKind::Workers)];
     feed.isWanted = call.shouldFollow;
     feed.isScanned = false; // a new leader needs the whole list
+    feed.scan.reset();
     if (feed.isWanted && !feed.isBusy)
         this->follow(feed);
 }
@@ -92,14 +95,29 @@
     feed.isBusy = true;
     if (feed.isScanned)
         return this->poll(feed);
-    feed.partition = 0;
-    feed.scanned = {};
-    this->scanPage(feed, {});
+    if (!feed.scan)
+        feed.scan = Scan { .pageTimeout = readTimeout };
+    this->continueScan(feed);
 }
 
-void StoreDuty::scanPage(Feed& feed, const std::string& startKey)
+void StoreDuty::continueScan(Feed& feed)
 {
-    this->client.send(this->endpoint, this->protocol.encodeScan(feed.kind, feed.partition, startKey), readTimeout, [this, &feed](HttpOutcome outcome) {
+    // Reading the changes along the way keeps a scan that takes longer than the store's history from starting over for
+    // ever. The other tables have few pages, and a whole list of workers has no place for removals.
+    const Scan& scan = *feed.scan;
+    if (feed.kind == FeedKind::Jobs && scan.read.revision > 0 && BootClock::now() >= scan.polledAt + scanPollInterval)
+        return this->pollDuringScan(feed);
+    this->scanPage(feed);
+}
+
+void StoreDuty::scanPage(Feed& feed)
+{
+    const Scan& scan = *feed.scan;
+    this->client.send(this->endpoint, this->protocol.encodeScan(feed.kind, scan.partition, scan.startKey), scan.pageTimeout, [this, &feed](HttpOutcome outcome) {
+        // A page that is cut off has used the link for nothing. A silent connection should be noticed soon nevertheless, so
+        // that only pages after a timeout get more time.
+        if (feed.scan && !outcome && outcome.error().kind == SendFailureKind::AnswerTimeout)
+            feed.scan->pageTimeout = std::min(2 * feed.scan->pageTimeout, maxPageTimeout);
         this->pageScanned(feed, this->protocol.decodePage(feed.kind, outcome));
     });
 }
@@ -109,20 +127,59 @@
     this->noteContact(feed, page.status == FeedStatus::Read);
     if (page.status != FeedStatus::Read)
         return this->again(feed, retryDelay);
-    if (feed.partition == 0 && feed.scanned.revision == 0)
-        feed.scanned.revision = page.revision; // changes after the first page are read again
-    append(feed.scanned.jobs, page.jobs);
-    append(feed.scanned.workers, page.workers);
+    if (!feed.scan) // a new scan was asked for meanwhile
+        return this->follow(feed);
+    Scan& scan = *feed.scan;
+    if (scan.read.revision == 0) {
+        scan.read.revision = page.revision; // changes after the first page are read again
+        scan.polledAt = BootClock::now();
+    }
+    append(scan.read.jobs, page.jobs);
+    append(scan.read.workers, page.workers);
     if (page.configuration)
-        feed.scanned.configuration = std::move(page.configuration);
-    if (!page.nextKey.empty())
-        return this->scanPage(feed, page.nextKey);
-    if (++feed.partition < partitionsOf(feed.kind))
-        return this->scanPage(feed, {});
+        scan.read.configuration = std::move(page.configuration);
+    scan.startKey = std::move(page.nextKey);
+    if (scan.startKey.empty() && ++scan.partition == partitionsOf(feed.kind))
+        this->finishScan(feed);
+    this->follow(feed);
+}
+
+void StoreDuty::pollDuringScan(Feed& feed)
+{
+    Scan& scan = *feed.scan;
+    scan.polledAt = BootClock::now();
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, scan.read.revision, Duration(0)), scan.pageTimeout, [this, &feed](HttpOutcome outcome) {
+        this->polledDuringScan(feed, this->protocol.decodePage(feed.kind, outcome));
+    });
+}
+
+void StoreDuty::polledDuringScan(Feed& feed, FeedPage page)
+{
+    this->noteContact(feed, page.status != FeedStatus::Failed);
+    if (page.status == FeedStatus::HistoryGone)
+        return this->startOver(feed);
+    if (page.status == FeedStatus::Failed)
+        return this->again(feed, retryDelay); // with the next page
+    if (!feed.scan)
+        return this->follow(feed);
+    append(feed.scan->read.jobs, page.jobs);
+    feed.scan->read.revision = std::max(feed.scan->read.revision, page.revision);
+    this->scanPage(feed);
+}
+
+void StoreDuty::finishScan(Feed& feed)
+{
     feed.isScanned = true;
-    feed.revision = feed.scanned.revision;
-    this->deliver(feed, std::move(feed.scanned), true);
-    feed.scanned = {};
+    feed.revision = feed.scan->read.revision;
+    this->deliver(feed, std::move(feed.scan->read), true);
+    feed.scan.reset();
+}
+
+void StoreDuty::startOver(Feed& feed)
+{
+    logInfo(LogPart::Store, "History is gone; the feed " + std::string(feedKindNames.nameOf(feed.kind)) + " is read anew.");
+    feed.isScanned = false;
+    feed.scan.reset();
     this->follow(feed);
 }
 
@@ -136,11 +193,8 @@
 void StoreDuty::pagePolled(Feed& feed, FeedPage page)
 {
     this->noteContact(feed, page.status != FeedStatus::Failed);
-    if (page.status == FeedStatus::HistoryGone) {
-        logInfo(LogPart::Store, "History is gone; the feed " + std::string(feedKindNames.nameOf(feed.kind)) + " is read anew.");
-        feed.isScanned = false;
-        return this->follow(feed);
-    }
+    if (page.status == FeedStatus::HistoryGone)
+        return this->startOver(feed);
     if (page.status == FeedStatus::Failed)
         return this->again(feed, retryDelay);
     if (!feed.isScanned) // a new scan was asked for meanwhile
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -17,27 +17,39 @@
     void stop() { this->loop.stop(); }
 
 private:
+    // Scan is the progress of reading a whole table. A page that fails is requested again; what has been read is kept.
+    struct Scan {
+        std::uint32_t partition { 0 }; // of the next page
+        std::string startKey {}; // of the next page
+        FeedPage read {}; // all rows so far; every change up to its revision has been read
+        Instant polledAt {}; // when the changes after the revision were last asked for
+        Duration pageTimeout { 0 };
+    };
     // Feed is one stream of changes: scanned as a whole first, then followed.
     struct Feed {
         FeedKind kind { FeedKind::Jobs };
         bool isWanted { false };
-        bool isBusy { false };
+        bool isBusy { false }; // a request is in flight, or the next one is scheduled
         bool isScanned { false };
         RowVersion revision { 0 };
-        std::uint32_t partition { 0 }; // of the scan
-        FeedPage scanned; // what the scan has brought so far
+        std::optional<Scan> scan; // nothing: the next scan starts at the first page
     };
 
     void perform(WriteStoredRows call);
     void perform(ReadJobRows call);
     void perform(FollowWorkers call);
     void follow(Feed& feed);
-    void scanPage(Feed& feed, const std::string& startKey);
+    void continueScan(Feed& feed);
+    void scanPage(Feed& feed);
     void pageScanned(Feed& feed, FeedPage page);
+    void pollDuringScan(Feed& feed);
+    void polledDuringScan(Feed& feed, FeedPage page);
+    void finishScan(Feed& feed);
     void poll(Feed& feed);
     void pagePolled(Feed& feed, FeedPage page);
     void deliver(const Feed& feed, FeedPage page, bool isWhole);
     void again(Feed& feed, Duration delay);
+    void startOver(Feed& feed);
     void noteContact(const Feed& feed, bool isAnswering);
 
     const StoreProtocol& protocol;
