entry: a leader polls the list of workers more often

A leader starts tasks only while its list of workers is recent.

The wait is now part of the table of paces beside the pause. The list of workers, which only a leader reads, is polled with a wait of 250 ms and a pause of 100 ms. 400 ms and 100 ms would not do: with a renewal interval of 500 ms the age would reach 1 s before any time on the way. A poll of the list also times out sooner, after 950 ms instead of 1700 ms.

Failing before, passing now: StoreDuty_leading_readsListOfWorkersOftenEnough: CHECK( toMilliseconds(shortest) < toMilliseconds(maxListAge - renewInterval) ) with expansion: 1200 (0x4b0) < 500 (0x1f4) StoreDuty_leadershipLost_stopsReadingListOfWorkers passes before and now.

--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -16,17 +16,28 @@
     constexpr Duration idleLimit = std::chrono::seconds(5);
     constexpr std::size_t connectionLimit = 24;
 
-    // FeedPace is the pause between an answer and the next poll, so that changes gather.
+    // FeedPace is how often a feed is polled.
     struct FeedPace {
-        Duration leading;
-        Duration following;
+        Duration wait; // of the store for a change
+        Duration pause; // between an answer and the next poll, so that changes gather
     };
-    constexpr std::array<FeedPace, feedKindNames.size()> paces { {
-        { std::chrono::milliseconds(30), std::chrono::milliseconds(250) }, // a new job starts as soon as its leader knows it
-        { std::chrono::milliseconds(0), std::chrono::milliseconds(0) },
-        { std::chrono::milliseconds(200), std::chrono::milliseconds(200) }, // heartbeats come at any time
+    struct FeedPaces {
+        FeedPace leading;
+        FeedPace following;
+    };
+    constexpr FeedPace workersPace { std::chrono::milliseconds(250), std::chrono::milliseconds(100) }; // each answer, also an empty one, makes the list recent
+    constexpr std::array<FeedPaces, feedKindNames.size()> paces { {
+        { { feedWait, std::chrono::milliseconds(30) }, { feedWait, std::chrono::milliseconds(250) } }, // a new job starts as soon as its leader knows it
+        { { feedWait, std::chrono::milliseconds(0) }, { feedWait, std::chrono::milliseconds(0) } },
+        { workersPace, workersPace }, // only a leader reads it
     } };
 
+    const FeedPace& paceOf(FeedKind feed, bool isLeading)
+    {
+        const FeedPaces& ofKind = paces[indexOf(feed)];
+        return isLeading ? ofKind.leading : ofKind.following;
+    }
+
     std::uint32_t partitionsOf(FeedKind feed)
     {
         return feed == FeedKind::Jobs ? leasePartition + 1 : 1;
@@ -185,7 +196,8 @@
 
 void StoreDuty::poll(Feed& feed)
 {
-    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, feedWait), feedWait + readTimeout, [this, &feed](HttpOutcome outcome) {
+    const Duration wait = paceOf(feed.kind, this->isLeading).wait;
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, wait), wait + readTimeout, [this, &feed](HttpOutcome outcome) {
         this->pagePolled(feed, this->protocol.decodePage(feed.kind, outcome));
     });
 }
@@ -201,8 +213,7 @@
         return this->follow(feed);
     feed.revision = std::max(feed.revision, page.revision);
     this->deliver(feed, std::move(page), false);
-    const FeedPace& pace = paces[indexOf(feed.kind)];
-    this->again(feed, this->isLeading ? pace.leading : pace.following);
+    this->again(feed, paceOf(feed.kind, this->isLeading).pause);
 }
 
 void StoreDuty::again(Feed& feed, Duration delay)
--- a/packages/entry/store_duty_test.cc
+++ b/packages/entry/store_duty_test.cc
@@ -237,4 +237,36 @@
     CHECK(this->isRequestedAfter("/scan/workers/0/", "/scan/workers/0/b"));
 }
 
+TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_leading_readsListOfWorkersOftenEnough")
+{
+    constexpr Duration maxListAge = std::chrono::seconds(1);
+    constexpr Duration renewInterval = std::chrono::milliseconds(500); // of the lease; the list is as old as the last renewal that it follows
+    this->run();
+    this->follow(true);
+
+    // A busy machine makes intervals longer, so that the shortest of some shows the duty's own.
+    Duration shortest = std::chrono::hours(1);
+    const auto isChange = [](const WorkersListed& list) { return !list.isWhole; };
+    REQUIRE(takeCommand<WorkersListed>(this->rings, isChange));
+    for (int i = 0; i < 8; ++i) {
+        const Instant last = BootClock::now();
+        REQUIRE(takeCommand<WorkersListed>(this->rings, isChange));
+        shortest = std::min(shortest, BootClock::now() - last);
+    }
+    CHECK(toMilliseconds(shortest) < toMilliseconds(maxListAge - renewInterval));
+}
+
+TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_leadershipLost_stopsReadingListOfWorkers")
+{
+    const auto countOf = [](const StandinPeer::Calls& calls, const std::string& start) { return std::count_if(calls.begin(), calls.end(), [&start](const std::string& target) { return target.starts_with(start); }); };
+    this->run();
+    this->follow(true);
+    REQUIRE(this->takeWorkers() == bothRows);
+    this->follow(false);
+    const auto before = this->store.calls();
+
+    REQUIRE(this->store.waitFor([&](const auto& calls) { return countOf(calls, "/feed/jobs") >= countOf(before, "/feed/jobs") + 4; }));
+    CHECK(countOf(this->store.calls(), "/feed/workers") <= countOf(before, "/feed/workers") + 1);
+}
+
 } // namespace dragonflytray
