scheduling: a renewal in flight does not bring a lost leadership back

A host that was fenced while a renewal of its lease was in flight became leader again under the epoch that it had just lost.

Cause: a committed write of the lease by a host that does not lead counted as an acquisition, also if the write was a renewal that had been sent before the leadership ended. Runs, calls and writes of two terms can be told apart only by the epoch: run numbers of the earlier term were given again, calls in flight counted for the new term, and so did writes of progress, which the recorder assigns to executions by epoch.

Such a commit now only updates what is known of the row. The lease is then acquired as from any former holder, under the next epoch.

--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -95,6 +95,8 @@
     this->nextAttempt = writeSentAt + this->options.renewInterval;
     if (this->sentRow.holder.isEmpty())
         return this->loseLeadership();
+    if (this->sentRow.epoch <= this->lastLostEpoch) // a renewal that was in flight when the leadership ended
+        return LeadershipChange::None;
     this->leaseEnd = writeSentAt + this->options.lease;
     if (this->ownEpoch == this->sentRow.epoch)
         return LeadershipChange::None;
@@ -110,6 +112,7 @@
 
 LeadershipChange CellLeadership::loseLeadership()
 {
+    this->lastLostEpoch = std::max(this->lastLostEpoch, this->ownEpoch);
     this->ownEpoch = 0;
     this->leaseEnd = {};
     return LeadershipChange::Lost;
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -119,6 +119,7 @@
     Instant leaseEnd; // of the own lease
     Instant nextAttempt; // no write before this
     Epoch ownEpoch { 0 }; // 0: this host does not lead
+    Epoch lastLostEpoch { 0 }; // of the last leadership of this host that ended; 0: none
     RowVersion acquiredVersion { 0 };
     bool isReleasing { false }; // release() was called
 };
--- a/packages/scheduling/cell_leadership_test.cc
+++ b/packages/scheduling/cell_leadership_test.cc
@@ -43,7 +43,7 @@
         RowsWriteEnded execute(const WriteStoredRows& write)
         {
             this->now += roundTrip;
-            const RowsWriteEnded end = this->store.apply(write);
+            RowsWriteEnded end = this->store.apply(write);
             if (end.status == TransactionStatus::Committed)
                 this->other.observe(std::get<CellLease>(write.puts.front().value), end.revision, this->now);
             return end;
@@ -146,6 +146,19 @@
     CHECK_FALSE(this->haveBothTheLease());
 }
 
+// Runs and writes of two terms can be told apart only by their epochs.
+TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_fencedWhileRenewalIsInFlight_acquiresTheLeaseUnderAHigherEpoch")
+{
+    const Epoch earlier = this->holder.epoch();
+    const WriteStoredRows renewal = this->send();
+    REQUIRE(this->holder.fence() == LeadershipChange::Lost);
+    CHECK(this->holder.writeEnded(this->execute(renewal), this->now) == LeadershipChange::None);
+    CHECK(this->holder.epoch() == 0);
+    this->advanceUntilDue();
+    this->deliver(this->send());
+    CHECK(this->holder.epoch() == earlier + 1);
+}
+
 TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_renewalFoundLate_nextRenewalIsDueAtOnce")
 {
     this->loseAnswer(this->send());
