scheduling: an outage of the store does not make an old view good

A leader that had paused because its view was old started its waiting tasks again as soon as the store was silent for 1.5 s, also those of jobs that had been cancelled before. One renewal whose answer was lost is silence enough (0.5 s between renewals, 1 s timeout, 0.2 s delay) while reads of the feed fail.

The exception for outages now stands for what can't be learned during the outage: it compares the view with the last answer of the store instead of with the present.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -207,9 +207,8 @@
 bool Dispatcher::mayStartTasks(Instant now) const
 {
     const bool isStoreSilent = this->isStoreLost && now >= this->lastStoreAnswer + this->options.storeSilenceTimeout;
-    const bool areJobsRecent = now < this->jobsView.asOf() + this->options.maxJobsViewAge;
-    const bool areWorkersRecent = now < this->workersView.asOf() + this->options.maxWorkersViewAge;
-    return isStoreSilent || (areJobsRecent && areWorkersRecent);
+    const Instant comparedAt = isStoreSilent ? this->lastStoreAnswer : now;
+    return comparedAt < this->jobsView.asOf() + this->options.maxJobsViewAge && comparedAt < this->workersView.asOf() + this->options.maxWorkersViewAge;
 }
 
 void Dispatcher::configurationChanged(const SchedulingConfiguration& configuration)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -172,8 +172,8 @@
     // viewAge() is the time since viewedAt() in ms; nothing if there is none yet.
     std::optional<std::int64_t> viewAge(Instant now) const;
 
-    // mayStartTasks() says whether tasks may be started: what is known of jobs and workers is recent, or the store does not
-    // answer. Then hosts without it can't accept changes, and one that reaches it soon fences this host.
+    // mayStartTasks() says whether tasks may be started: what is known of jobs and workers is recent, or was when the store
+    // last answered. While it does not, hosts without it can't accept changes, and one that reaches it soon fences this host.
     bool mayStartTasks(Instant now) const;
 
     // activeJobs() is the number of jobs in execution.
