scheduling: a leader acts at once on a cancellation that it has stored itself

A leader that took a cancellation from a caller answered it, but let the job's tasks run and start until its change feed brought the row back. New jobs have to wait for the feed, since a newer lease comes first there; a cancellation does not: to end a job of a cell that is lost is harmless, since progress is written under conditions.

--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -56,10 +56,13 @@
     if (const auto sent = this->writesInFlight.extract(end.write); sent && end.status == TransactionStatus::Committed)
         this->dispatcher.writeCommitted(end.revision, sent.mapped());
     if (this->clientRequests.owns(end.write)) {
-        // Callers see the change at once. The dispatcher receives it from the change feed, after any newer lease, so that a
-        // host that has lost a cell does not start the job.
-        if (const auto change = this->clientRequests.writeEnded(end, context))
-            this->jobCache.apply(*change);
+        // Callers see the change at once. The dispatcher receives a new job from the change feed, after any newer lease, so
+        // that a host that has lost a cell does not start it. A cancellation can't come too early.
+        if (const auto change = this->clientRequests.writeEnded(end, context)) {
+            const JobRecord* record = this->jobCache.apply(*change);
+            if (record && record->isDefined() && change->key.kind == StoredRowKind::Cancellation)
+                this->dispatcher.cancellationStored(*record, context);
+        }
     } else if (this->dispatcher.owns(end.write)) {
         for (const CellName& cell : this->dispatcher.writeEnded(end, context))
             this->applyLeadershipChange(cell, this->leaderships.at(cell).fence(), {}, context);
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -93,6 +93,13 @@
         this->finish(*job, JobPhase::Cancelled, context);
 }
 
+void Dispatcher::cancellationStored(const JobRecord& record, CommandContext& context)
+{
+    JobExecution* job = this->findJobExecution(record.definition.id);
+    if (job && !isFinal(job->progress().phase))
+        this->finish(*job, JobPhase::Cancelled, context);
+}
+
 void Dispatcher::jobRemoved(const JobId& job)
 {
     this->jobExecutions.erase(job);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -101,6 +101,10 @@
     // recorded, or a cancellation. The record must outlive its execution here.
     void jobChanged(const JobRecord& record, CommandContext& context);
 
+    // cancellationStored() ends a job whose cancellation this host has stored itself. It has no effect on a job that is not
+    // in execution.
+    void cancellationStored(const JobRecord& record, CommandContext& context);
+
     // jobRemoved() drops the execution of a job that was removed from the store.
     void jobRemoved(const JobId& job);
 
