scheduling: a view remembers recent writes when its feed is silent for long

A host that had written more than 1024 rows as a follower did not count the write that acquired its lease: a follower does not read the list of workers, so its writes filled the view of the list. The new leader started nothing until its next renewal.

When the view is full, every second write is dropped instead of the newest.

--- a/packages/scheduling/store_view.cc
+++ b/packages/scheduling/store_view.cc
@@ -12,10 +12,19 @@
 
 void StoreView::writeCommitted(RowVersion version, Instant sentAt)
 {
-    if (version <= this->followedVersion)
+    if (version <= this->followedVersion) {
         this->asOfTime = std::max(this->asOfTime, sentAt);
-    else if (this->unfollowedWrites.size() < maxUnfollowedWrites)
-        this->unfollowedWrites.emplace(version, sentAt);
+        return;
+    }
+    this->unfollowedWrites.emplace(version, sentAt);
+    if (this->unfollowedWrites.size() > maxUnfollowedWrites)
+        this->thinOut();
+}
+
+void StoreView::thinOut()
+{
+    for (auto write = this->unfollowedWrites.begin(); write != this->unfollowedWrites.end() && std::next(write) != this->unfollowedWrites.end(); ++write)
+        write = this->unfollowedWrites.erase(write);
 }
 
 void StoreView::followed(RowVersion version)
--- a/packages/scheduling/store_view.h
+++ b/packages/scheduling/store_view.h
@@ -33,6 +33,9 @@
     Instant asOf() const { return this->asOfTime; }
 
 private:
+    // thinOut() drops every second write, but not the last: the times of the others differ little from theirs.
+    void thinOut();
+
     std::map<RowVersion, Instant> unfollowedWrites; // committed, but not reached by the feed yet; when they were sent
     RowVersion followedVersion { 0 };
     Instant asOfTime;
