scheduling: a restart of a worker is noticed also when the list shows it first

Tasks that were done on a worker after it had restarted under its id were run again, up to three times, and their ends were acknowledged to the worker without being recorded.

Cause: the start of the incarnation that had answered and that of the incarnation in the list were one field. When the list brought the new one first, the next answer looked like that of the known incarnation: ends up to the former numbers were taken for handled, polls acknowledged them unseen, and clock and lease of the former incarnation went on to count.

The incarnation that last answered is now kept apart from the entry of the list. While the list shows a later one, polls acknowledge nothing and grant no lease by the old clock, and nothing is placed on the worker.

A restart that neither list nor answer has shown yet can still have a poll with the former number in flight.

--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -38,10 +38,10 @@
 
 void Dispatcher::poll(FleetWorker& worker, CommandContext& context)
 {
-    PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.acknowledged, .wait = Duration(0) };
+    PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.isRestartListed() ? 0 : worker.acknowledged, .wait = Duration(0) };
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
     const bool mayRenew = !worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout;
-    if (mayRenew && worker.isFenced)
+    if (mayRenew && worker.isFenced && !worker.isRestartListed())
         call.deadline = worker.deadlineAt(context.now, this->fleet.lease());
     worker.acceptsUntilAfterPoll = {};
     if (call.deadline)
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -39,7 +39,7 @@
 
 void Dispatcher::adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
-    if (end.startedAt != 0 && worker.entry.startedAt != 0 && end.startedAt != worker.entry.startedAt) {
+    if (end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt) {
         this->markRunsLost(worker, "worker-restarted", context);
         worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
@@ -47,7 +47,7 @@
         worker.unacknowledgedEnds.clear();
     }
     if (end.startedAt != 0)
-        worker.entry.startedAt = end.startedAt;
+        worker.answeredStartedAt = end.startedAt;
     if (worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     worker.isSuspect = false;
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -11,9 +11,14 @@
     return room;
 }
 
+bool FleetWorker::isRestartListed() const
+{
+    return this->answeredStartedAt != 0 && this->entry.startedAt > this->answeredStartedAt;
+}
+
 bool FleetWorker::acceptsTasks(Instant now) const
 {
-    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil;
+    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
 }
 
 std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -71,6 +71,7 @@
     CellName cell;
     bool isListed { false };
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
+    WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
     Instant nextPollAt;
     std::optional<std::int64_t> clock; // ms on the worker's steady clock at clockReadAt; nothing before the first answer
@@ -101,6 +102,10 @@
     // availableResources() is the capacity that no run occupies.
     TaskResources availableResources() const;
 
+    // isRestartListed() says whether the list shows a later incarnation than the one that last answered. What is known of
+    // the runs, the ends and the clock of the worker does not hold for it.
+    bool isRestartListed() const;
+
     // acceptsTasks() says whether new tasks may be placed on the worker. Their lease is that of the worker, which polls extend.
     bool acceptsTasks(Instant now) const;
 
