scheduling: a test of a lagging feed beside writes of progress, which fails

The leader writes the progress of a cancelled job with success, so that nothing tells it of the cancellation.

--- a/packages/scheduling/stale_view_review_test.cc
+++ b/packages/scheduling/stale_view_review_test.cc
@@ -125,6 +125,20 @@
     CHECK(this->runningOf(job).empty());
 }
 
+// The leader goes on writing the progress of the job.
+TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_cancellationOfJobWithEndsBehindLaggingFeed_stopsRunsAfterLimit")
+{
+    this->lead();
+    this->taskDuration = std::chrono::milliseconds(2900);
+    REQUIRE(this->submit("a", job, { stepOfTasks(40, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::milliseconds(1500));
+    this->feedLag["a"] = lag;
+    this->cancel("b");
+    this->taskDuration = std::chrono::seconds(20);
+    this->run({ "a", "b" }, cancellationLimit + stopTimeout + tickInterval);
+    CHECK(this->runningOf(job).empty());
+}
+
 TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_leaderAnswersCancellationBehindLaggingFeed_stopsRunsAfterLimit")
 {
     this->lead();
