entry: limits of changes below 3 s are rejected

With a limit of 2 s, as the settings accepted it, a leader that was up to date paused its starts again and again: a list of workers that does not change is answered after the wait of a poll only, and the view may be 1 s old then.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -12,7 +12,7 @@
     // longer ones outlast a change of leaders.
     constexpr double leasePart = 0.75;
 
-    constexpr NumberRule changeLimitBounds { .minimum = 2000, .maximum = 3.6e6 }; // leaves a second beside the validity of a start
+    constexpr NumberRule changeLimitBounds { .minimum = 3000, .maximum = 3.6e6 }; // less the validity of a start: twice the age of a view in calm
 
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -32,6 +32,20 @@
     CHECK(settings.error().all().size() >= 3);
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_limitsOfChanges_boundTheAgeOfViews")
+{
+    const std::string entry = "entry:\n";
+    std::string text = this->text;
+    text.insert(text.find(entry) + entry.size(), "  cancellationLimitMilliseconds: 4000\n  drainingLimitMilliseconds: 3000\n");
+    const auto settings = parseEntrySettings(text, "entry.yaml");
+    REQUIRE(settings);
+    const Dispatcher::Options options = schedulerOptions(*settings).dispatcher;
+    CHECK(options.maxJobsViewAge + options.startValidity == std::chrono::milliseconds(4000));
+    CHECK(options.maxWorkersViewAge + options.startValidity == std::chrono::milliseconds(3000));
+    text.replace(text.find("3000"), 4, "2999");
+    CHECK_FALSE(parseEntrySettings(text, "entry.yaml"));
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
