peers: after stop() has begun, no operation starts on the completion queue

A daemon aborted after SIGTERM instead of ending: "alarm.cc:61 assertion failed: grpc_cq_begin_op".

Cause: Daemon::stop() stops the peer duty before the threads of membership and shares are joined. A message that these push into the empty ring towards the peers calls PeerExchange::post(), which sets an alarm. gRPC aborts the process when an operation starts on a queue that is shut down and has none pending. send() starts a call the same way on the thread of run(), so an action that was posted in time but runs late can abort, too: the busy test below shows call.cc:1732 beside alarm.cc:61.

Every start of an operation on the queue now passes State::begin(): the alarm of post(), the call and the Finish of send(), the request for the next incoming message and the Finish of its answer. begin() holds a mutex and refuses once stop() has set isStopped under the same mutex, before it shuts down the server and the queue. So what started has started before the shutdown, and nothing starts after it. No callback runs under the mutex, and nobody waits for a queue under it. What is refused is dropped like a message to an unreachable peer: a failure to send is silence already. A repeated stop() does nothing.

Places that rest on the same assumption, all behind begin() now: - The alarm of post(); the call and the Finish of send(). The server is shut down before the queue, as gRPC asks; that order is unchanged. run() returns after outgoing calls have ended, at most Options::timeout (1 s) each.

--- a/packages/peers/peer_exchange.cc
+++ b/packages/peers/peer_exchange.cc
@@ -3,6 +3,8 @@
 #include "peers.grpc.pb.h"
 #include "peers/peer_encoding.h"
 #include <map>
+#include <mutex>
+#include <utility>
 
 #include <grpcpp/alarm.h>
 #include <grpcpp/grpcpp.h>
@@ -58,6 +60,25 @@
     std::unique_ptr<grpc::Server> server;
     std::map<Endpoint, std::unique_ptr<wire::Peers::Stub>> stubs;
     PeerHeartbeat own;
+    std::mutex mutex; // guards isStopped, and the start of every operation on the queue
+    bool isStopped { false };
+
+    // begin() runs `start`, which starts one operation on the queue, unless stop() has been called: gRPC aborts the
+    // process when an operation starts on a queue that is shut down.
+    template <typename Start>
+    void begin(const Start& start)
+    {
+        std::lock_guard lock(this->mutex);
+        if (!this->isStopped)
+            start();
+    }
+
+    // refuseOperations() makes begin() refuse from now on. Returns false if it did already.
+    bool refuseOperations()
+    {
+        std::lock_guard lock(this->mutex);
+        return !std::exchange(this->isStopped, true);
+    }
 
     // await() takes the next message of one kind and the one after it, for ever. `request` is the service's
     // member for this kind.
@@ -65,13 +86,14 @@
     void await(Member request, std::function<Answer()> answer)
     {
         auto call = std::make_shared<IncomingCall<Request, Answer>>();
-        (this->service.*request)(&call->context, &call->request, &call->writer, this->queue.get(), this->queue.get(), makeEvent([this, call, request, answer](bool isOk) {
+        const auto onRequest = [this, call, request, answer](bool isOk) {
             if (!isOk)
                 return;
             this->await<Request, Answer>(request, answer);
             this->heard(decode(call->request));
-            call->writer.Finish(answer(), grpc::Status::OK, makeEvent([call](bool) {}));
-        }));
+            this->begin([&] { call->writer.Finish(answer(), grpc::Status::OK, makeEvent([call](bool) {})); });
+        };
+        this->begin([&] { (this->service.*request)(&call->context, &call->request, &call->writer, this->queue.get(), this->queue.get(), makeEvent(onRequest)); });
     }
 
     void awaitAll()
@@ -89,11 +111,14 @@
     {
         auto call = std::make_shared<OutgoingCall<Answer>>();
         call->context.set_deadline(std::chrono::system_clock::now() + this->options.timeout);
-        call->reader = (this->stubOf(endpoint).*member)(&call->context, message, this->queue.get());
-        call->reader->Finish(&call->answer, &call->status, makeEvent([call, onAnswer = std::move(onAnswer)](bool) {
+        const auto onFinish = [call, onAnswer = std::move(onAnswer)](bool) {
             if (call->status.ok())
                 onAnswer(call->answer);
-        }));
+        };
+        this->begin([&] {
+            call->reader = (this->stubOf(endpoint).*member)(&call->context, message, this->queue.get());
+            call->reader->Finish(&call->answer, &call->status, makeEvent(onFinish));
+        });
     }
 
     wire::Peers::Stub& stubOf(const Endpoint& endpoint)
@@ -146,14 +171,18 @@
 
 void PeerExchange::stop()
 {
+    if (!this->state->refuseOperations())
+        return;
     this->state->server->Shutdown(std::chrono::system_clock::now());
     this->state->queue->Shutdown();
 }
 
 void PeerExchange::post(std::function<void()> action)
 {
-    auto alarm = std::make_shared<grpc::Alarm>();
-    alarm->Set(this->state->queue.get(), gpr_now(GPR_CLOCK_MONOTONIC), makeEvent([alarm, action = std::move(action)](bool) { action(); }));
+    this->state->begin([&] {
+        auto alarm = std::make_shared<grpc::Alarm>();
+        alarm->Set(this->state->queue.get(), gpr_now(GPR_CLOCK_MONOTONIC), makeEvent([alarm, action = std::move(action)](bool) { action(); }));
+    });
 }
 
 void PeerExchange::send(const SendHeartbeat& message)
--- a/packages/peers/peer_exchange.h
+++ b/packages/peers/peer_exchange.h
@@ -41,7 +41,8 @@
     // run() serves events until stop() is called.
     void run();
 
-    // stop() ends run() once calls in progress are cancelled.
+    // stop() ends run() once incoming calls are cancelled and outgoing ones have ended. What is posted or sent
+    // after it is dropped, like a message to an unreachable peer.
     void stop();
 
     // post() runs `action` on the thread of run().
--- a/packages/peers/peer_exchange_test.cc
+++ b/packages/peers/peer_exchange_test.cc
@@ -1,6 +1,8 @@
 #include "peers/peers.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
 
 namespace dragonflytray {
 namespace {
@@ -10,7 +12,11 @@
         BoundedRing<PeerMessage> heard { { .capacity = 16 } };
         PeerExchange exchange { { .endpoint = { "127.0.0.1", 0 } }, [this](PeerMessage message) { (void)this->heard.tryPush(std::move(message)); } };
         Endpoint endpoint { this->exchange.start().value() };
-        DutyThread thread { { .name = "peers" }, [this] { this->exchange.run(); } };
+        BoundedRing<int> ended { { .capacity = 1 } };
+        DutyThread thread { { .name = "peers" }, [this] {
+                               this->exchange.run();
+                               (void)this->ended.tryPush(1);
+                           } };
 
         ~RunningExchange() { this->exchange.stop(); }
 
@@ -73,6 +79,101 @@
         CHECK(grant.epoch == 5);
         CHECK(grant.shares == sent.grant.shares);
     }
+    // stopAndAwait() stops the exchange and returns whether run() returned in time.
+    bool stopAndAwait(RunningExchange& running)
+    {
+        running.exchange.stop();
+        return running.ended.popWithin(std::chrono::seconds(10)).has_value();
+    }
+
+    TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange_postAfterStop_isDropped")
+    {
+        REQUIRE(stopAndAwait(this->first));
+
+        bool hasRun = false;
+        this->first.exchange.post([&hasRun] { hasRun = true; });
+
+        CHECK_FALSE(hasRun);
+    }
+
+    TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange_sendAfterStop_isDropped")
+    {
+        REQUIRE(stopAndAwait(this->first));
+
+        this->first.exchange.send(SendShareReport { HostName("e2"), this->second.endpoint, {} });
+
+        CHECK_FALSE(this->second.heard.popWithin(std::chrono::milliseconds(100)));
+    }
+
+    TEST_CASE_METHOD(PeerExchangeFixture, "PeerExchange_stoppedTwice_endsOnce")
+    {
+        REQUIRE(stopAndAwait(this->first));
+
+        this->first.exchange.stop();
+
+        CHECK_FALSE(this->first.ended.tryPop());
+    }
+
+    // An exchange that holds the first message it hears until the test releases it.
+    struct HeldMessageFixture {
+        RunningExchange sender;
+        BoundedRing<int> held { { .capacity = 1 } };
+        BoundedRing<int> released { { .capacity = 1 } };
+        BoundedRing<int> ended { { .capacity = 1 } };
+        PeerExchange exchange { { .endpoint = { "127.0.0.1", 0 } }, [this](const PeerMessage&) {
+                                   (void)this->held.tryPush(1);
+                                   (void)this->released.popWithin(std::chrono::seconds(10));
+                               } };
+        Endpoint endpoint { this->exchange.start().value() };
+        DutyThread thread { { .name = "peers" }, [this] {
+                               this->exchange.run();
+                               (void)this->ended.tryPush(1);
+                           } };
+
+        ~HeldMessageFixture() { this->exchange.stop(); }
+    };
+
+    TEST_CASE_METHOD(HeldMessageFixture, "PeerExchange_stoppedWhileMessageIsHandled_ends")
+    {
+        this->sender.send("e1", this->endpoint);
+        REQUIRE(this->held.popWithin(std::chrono::seconds(10)));
+
+        DutyThread stopper { { .name = "stopper" }, [this] { this->exchange.stop(); } };
+        CHECK_FALSE(this->ended.popWithin(std::chrono::milliseconds(100)));
+        (void)this->released.tryPush(1);
+
+        CHECK(this->ended.popWithin(std::chrono::seconds(10)));
+    }
+
+    // Two exchanges that send to each other from threads of their own, before, while and after both stop.
+    struct BusyExchanges : PeerExchangeFixture {
+        std::atomic<bool> isOver { false };
+        DutyThread firstSender { { .name = "first-sender" }, [this] { this->sendUntilOver(this->first, this->second); } };
+        DutyThread otherFirstSender { { .name = "first-sender-2" }, [this] { this->sendUntilOver(this->first, this->second); } };
+        DutyThread secondSender { { .name = "second-sender" }, [this] { this->sendUntilOver(this->second, this->first); } };
+
+        ~BusyExchanges() { this->isOver = true; }
+
+        void sendUntilOver(RunningExchange& from, const RunningExchange& to)
+        {
+            while (!this->isOver) {
+                from.send("e1", to.endpoint);
+                std::this_thread::sleep_for(std::chrono::microseconds(100));
+            }
+        }
+    };
+
+    TEST_CASE("PeerExchange_stoppedWhileOthersSend_endsEachTime")
+    {
+        for (int round = 0; round < 50; ++round) {
+            BusyExchanges busy;
+            REQUIRE(busy.second.heard.popWithin(std::chrono::seconds(10)));
+            REQUIRE(busy.first.heard.popWithin(std::chrono::seconds(10)));
+
+            REQUIRE(stopAndAwait(busy.first));
+            REQUIRE(stopAndAwait(busy.second));
+        }
+    }
 
 } // namespace
 } // namespace dragonflytray
