--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -56,7 +56,7 @@
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
         Duration unhealthyCooldown { std::chrono::milliseconds(1500) }; // of a worker that reported itself unhealthy, rejected a start or could not be reached
-        Duration noRoomCooldown { std::chrono::milliseconds(100) }; // of a worker that had no room for a start, or answered that the start came too late
+        Duration noRoomCooldown { std::chrono::milliseconds(100) }; // of a worker that had no room for a start, or that a start could not reach in time
         Duration failureCooldown { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
         std::uint32_t failuresBeforeCooldown { 3 }; // failed runs in a row
         Duration searchCooldown { std::chrono::milliseconds(100) }; // between searches for a worker for one task with placement constraints
@@ -256,12 +256,11 @@
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool areWorkersFenced(const CellName& name) const;
 
-    // Placement. placeTasks() makes a pass over the waiting tasks unless the last one was too recent or !mayStartTasks().
-    // A waiting
-    // long-running task yields free room to short tasks while mayYield(), for Options::longRunningYieldDelay after room was
-    // found (isYielding()).
+    // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
+    // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
+    // Options::longRunningYieldDelay after room was found (isYielding()).
     struct PlacementPass;
-    void logPause(bool isPaused, CommandContext& context);
+    void updatePause(CommandContext& context);
     // PlacementOutcome is the result for one task in a pass.
     enum class PlacementOutcome {
         Started,
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -120,9 +120,9 @@
     if (end.status == WorkerCallStatus::Unclear)
         return job->setStage(end.run.task, TaskStage::Unclear, context.now);
     context.add(LogDecision { DecisionEvent::TaskLost, formatRun(end.run), worker.entry.id.value(), std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - taskExecution->since) });
-    if (end.status == WorkerCallStatus::NoRoom || end.status == WorkerCallStatus::TooLate)
+    if (end.status == WorkerCallStatus::NoRoom || end.status == WorkerCallStatus::TooLate || end.status == WorkerCallStatus::Expired)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.noRoomCooldown);
-    if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Expired || end.status == WorkerCallStatus::Rejected)
+    if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Rejected)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.unhealthyCooldown);
     this->fleet.release(worker, end.run);
     job->setStage(end.run.task, TaskStage::Waiting, context.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -87,7 +87,7 @@
 {
     if (context.now < this->lastPass + (this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval))
         return;
-    this->logPause(!this->mayStartTasks(context.now), context);
+    this->updatePause(context);
     if (this->areStartsPaused)
         return;
     this->needsPass = false;
@@ -103,8 +103,9 @@
     }
 }
 
-void Dispatcher::logPause(bool isPaused, CommandContext& context)
+void Dispatcher::updatePause(CommandContext& context)
 {
+    const bool isPaused = !this->mayStartTasks(context.now);
     if (isPaused == this->areStartsPaused)
         return;
     this->areStartsPaused = isPaused;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -118,7 +118,7 @@
 class Fleet {
 public:
     struct Options {
-        Duration lease { std::chrono::milliseconds(4500) }; // granted with each poll and each start
+        Duration lease { std::chrono::milliseconds(4500) }; // granted with each poll
         double maxUsedLease { 2.0 / 3 }; // share of a worker's lease that may have passed when a task is started; the rest has to cover a lost poll
         Duration clockMargin { std::chrono::milliseconds(300) }; // added to a lease on top of the drift
         double maxClockDrift { 0.02 }; // share by which a worker's clock may run slow, as the platform states
