--- a/packages/scheduling/stale_view_review_test.cc
+++ b/packages/scheduling/outdated_view_test.cc
@@ -18,11 +18,11 @@
     constexpr Duration lag = std::chrono::seconds(10);
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
 
-    // StaleViewReviewFixture has one worker and jobs whose tasks become due all the time. Host "a" is the first leader.
-    struct StaleViewReviewFixture : SchedulerFixture {
+    // OutdatedViewFixture has one worker and jobs whose tasks become due all the time. Host "a" is the first leader.
+    struct OutdatedViewFixture : SchedulerFixture {
         Instant cancelledAt;
 
-        StaleViewReviewFixture()
+        OutdatedViewFixture()
         {
             this->addWorker("w1", 16);
             this->taskDuration = std::chrono::milliseconds(300);
@@ -78,7 +78,7 @@
 } // namespace
 
 // A cancellation that was answered before the outage is not unknown because of it.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_storeLostWhileFeedLags_startsNoTaskOfJobCancelledBefore")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_storeLostWhileFeedLags_startsNoTaskOfJobCancelledBefore")
 {
     this->lead();
     this->submitManyTasks("a");
@@ -96,7 +96,7 @@
 
 // One renewal whose answer is lost leaves the leader without an answer for 1.7 s (0.5 s between renewals, 1 s time-out, 0.2 s
 // until the next attempt), although the store carries it out and answers everything else but the feed.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_renewalAnswerLostWhileFeedIsCut_startsNoTaskAfterLimit")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_renewalAnswerLostWhileFeedIsCut_startsNoTaskAfterLimit")
 {
     this->lead();
     this->submitManyTasks("a");
@@ -113,7 +113,7 @@
     CHECK(this->lastStart() <= toMilliseconds(cancellationLimit));
 }
 
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_cancellationBehindLaggingFeed_stopsRunsAfterLimit")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_cancellationBehindLaggingFeed_stopsRunsAfterLimit")
 {
     this->lead();
     this->submitLongRunning("a");
@@ -126,7 +126,7 @@
 }
 
 // The leader goes on writing the progress of the job.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_cancellationOfJobWithEndsBehindLaggingFeed_stopsRunsAfterLimit")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_cancellationOfJobWithEndsBehindLaggingFeed_stopsRunsAfterLimit")
 {
     this->lead();
     this->taskDuration = std::chrono::milliseconds(2900);
@@ -139,7 +139,7 @@
     CHECK(this->runningOf(job).empty());
 }
 
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_leaderAnswersCancellationBehindLaggingFeed_stopsRunsAfterLimit")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_leaderAnswersCancellationBehindLaggingFeed_stopsRunsAfterLimit")
 {
     this->lead();
     this->submitLongRunning("a");
@@ -152,7 +152,7 @@
 }
 
 // The list of workers shows the new incarnation before the first answer of the worker does.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_restartedWorkerIsListedFirst_completesJobWithoutRepeatingTasks")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_restartedWorkerIsListedFirst_completesJobWithoutRepeatingTasks")
 {
     this->lead();
     REQUIRE(this->submit("a", job, { stepOfTasks(40, 4) }) == ReplyStatus::Accepted);
@@ -173,7 +173,7 @@
 }
 
 // Answers of a quiet list arrive as often as its polls end: 1 s, and 0.2 s between two.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_quietListAndShortestDrainingLimit_startsTasksWithoutPause")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_quietListAndShortestDrainingLimit_startsTasksWithoutPause")
 {
     this->dispatcherOptions.maxWorkersViewAge = std::chrono::seconds(2); // of a limit of 3 s, the least that the settings accept
     this->lead();
@@ -191,7 +191,7 @@
 }
 
 // The same with the limit of 3 s and a job that arrives while nothing but the lease is written.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_quietListOfIdleLeader_doesNotPauseStarts")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_quietListOfIdleLeader_doesNotPauseStarts")
 {
     this->lead();
     this->shouldDeliverLists = false;
@@ -206,7 +206,7 @@
 }
 
 // A follower doesn't follow the list, so none of its writes is reached in it.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_followerWithManyWritesTakesOver_startsTasksBeforeTheNextRenewal")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_followerWithManyWritesTakesOver_startsTasksBeforeTheNextRenewal")
 {
     const bool hasWrites = GENERATE(false, true);
     CAPTURE(hasWrites);
@@ -229,7 +229,7 @@
     CHECK(this->now - acquiredAt < renewInterval); // it needs no further renewal
 }
 
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_feedLagsForLong_keepsLongRunningRuns")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_feedLagsForLong_keepsLongRunningRuns")
 {
     this->addWorker("w2", 16);
     this->lead();
@@ -244,7 +244,7 @@
 }
 
 // Only the partitions of the jobs are unavailable: the list of workers goes on, and workers begin to drain.
-TEST_CASE_METHOD(StaleViewReviewFixture, "Scheduler_drainingBehindLaggingListWhileJobsAreUnavailable_startsNoTaskAfterLimit")
+TEST_CASE_METHOD(OutdatedViewFixture, "Scheduler_drainingBehindLaggingListWhileJobsAreUnavailable_startsNoTaskAfterLimit")
 {
     this->lead();
     this->submitManyTasks("a");
@@ -263,9 +263,9 @@
 
 namespace {
 
-    // StaleViewReviewPlay plays random cancellations and faults of two hosts, which a seed determines. The feed alone is cut,
+    // OutdatedViewPlay plays random cancellations and faults of two hosts, which a seed determines. The feed alone is cut,
     // short times without any answer of the store follow, and workers start again under their ids.
-    struct StaleViewReviewPlay : StaleViewReviewFixture {
+    struct OutdatedViewPlay : OutdatedViewFixture {
         const std::vector<std::string> names { "a", "b" };
         std::mt19937_64 random;
         std::vector<std::string> accepted; // ids of jobs
@@ -342,7 +342,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(StaleViewReviewPlay, "Scheduler_randomFeedCutsAndRestartsOfWorkers_keepLimitAndCompleteJobs")
+TEST_CASE_METHOD(OutdatedViewPlay, "Scheduler_randomFeedCutsAndRestartsOfWorkers_keepLimitAndCompleteJobs")
 {
     const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 41 }));
     CAPTURE(seed);
