--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -12,7 +12,7 @@
     // longer ones outlast a change of leaders.
     constexpr double leasePart = 0.75;
 
-    constexpr NumberRule changeLimitBounds { .minimum = 3000, .maximum = 3.6e6 }; // less the validity of a start: twice the age of a view in calm
+    constexpr NumberRule changeLimitBounds { .minimum = 3000, .maximum = 3.6e6 }; // with less, a leader that is up to date would pause
 
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
