scheduling: log lines of a takeover, of ignored ends and of workers that are gone

On-call engineers could not tell whether a second run of a task came from a worker that the new leader had never heard, from an end that was acknowledged without being counted, or from a worker that had restarted: worker-gone gave an age counted from an answer that never came, and nothing said what a leader took over and on what it began to start tasks again. leadership-begun and cell-reconciled say so with the counts of listed, fenced and unlisted workers and of unconfirmed tasks; worker-gone says whether the worker has answered, since when it is not listed and what is left of its lease; end-ignored names ends of jobs that are not in execution here.

--- a/packages/entry/duties/journal_duty.cc
+++ b/packages/entry/duties/journal_duty.cc
@@ -33,7 +33,10 @@
         return;
     }
     ++allowance.written;
-    logFields(LogPart::Scheduling, decisionEventNames.nameOf(message.event), { { "id", message.subject }, { "worker", message.worker }, { "outcome", message.outcome }, { "version", std::to_string(message.version) }, { "ageMs", std::to_string(message.ageMilliseconds) }, { "viewAgeMs", message.viewAgeMilliseconds ? std::to_string(*message.viewAgeMilliseconds) : "" } });
+    std::vector<LogField> fields { { "id", message.subject }, { "worker", message.worker }, { "outcome", message.outcome }, { "version", std::to_string(message.version) }, { "ageMs", std::to_string(message.ageMilliseconds) }, { "viewAgeMs", message.viewAgeMilliseconds ? std::to_string(*message.viewAgeMilliseconds) : "" } };
+    for (const DecisionInputValue& input : message.inputs)
+        fields.push_back({ decisionInputNames.nameOf(input.input), std::to_string(input.value) });
+    logFields(LogPart::Scheduling, decisionEventNames.nameOf(message.event), fields);
 }
 
 void JournalDuty::writeSums()
--- a/packages/scheduling/commands/worker_answers.cc
+++ b/packages/scheduling/commands/worker_answers.cc
@@ -7,7 +7,7 @@
 void Scheduler::workersListed(const SchedulerCommand& command, CommandContext& context)
 {
     this->dispatcher.storeAnswered(context.now);
-    this->dispatcher.workersListed(std::get<WorkersListed>(command));
+    this->dispatcher.workersListed(std::get<WorkersListed>(command), context.now);
     this->dispatcher.tick(context);
 }
 
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -38,6 +38,10 @@
         if (isFollowed && record.definition.cell == acquired.cell)
             this->openJob(record, ledCell, context);
     }
+    LogDecision begun { DecisionEvent::LeadershipBegun, acquired.cell.value(), {}, "store-followed", ledCell.epoch, 0 };
+    begun.inputs = this->takeoverInputs(acquired.cell, ledCell);
+    begun.inputs.push_back({ DecisionInput::Jobs, static_cast<std::int64_t>(this->jobExecutions.size()) });
+    context.add(std::move(begun));
 }
 
 void Dispatcher::cellLost(const CellName& cell)
@@ -188,9 +192,9 @@
     return found == this->queues.end() ? job.definition().queue : found->second;
 }
 
-void Dispatcher::workersListed(const WorkersListed& change)
+void Dispatcher::workersListed(const WorkersListed& change, Instant now)
 {
-    this->fleet.updateList(change);
+    this->fleet.updateList(change, now);
     this->workersView.followed(change.revision);
     if (change.isWhole) {
         this->hasWorkerList = true;
@@ -348,8 +352,26 @@
     });
 }
 
+std::vector<DecisionInputValue> Dispatcher::takeoverInputs(const CellName& name, const Cell& cell) const
+{
+    std::int64_t listed = 0;
+    std::int64_t fenced = 0;
+    std::int64_t unlisted = 0;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        if (worker.cell != name)
+            continue;
+        listed += worker.isListed ? 1 : 0;
+        unlisted += worker.isListed ? 0 : 1;
+        fenced += worker.isFenced ? 1 : 0;
+    }
+    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.unconfirmed.size()) } };
+}
+
 void Dispatcher::reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context)
 {
+    LogDecision reconciled { DecisionEvent::CellReconciled, name.value(), {}, haveLeasesExpired ? "leases-expired" : "workers-fenced", cell.epoch, toMilliseconds(context.now - cell.leadingSince) };
+    reconciled.inputs = this->takeoverInputs(name, cell);
+    context.add(std::move(reconciled));
     cell.isReconciled = true;
     if (haveLeasesExpired)
         cell.unconfirmed.clear();
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -108,8 +108,8 @@
     // jobRemoved() drops the execution of a job that was removed from the store.
     void jobRemoved(const JobId& job);
 
-    // workersListed() applies changes of the list of workers.
-    void workersListed(const WorkersListed& change);
+    // workersListed() applies changes of the list of workers, received at `now`.
+    void workersListed(const WorkersListed& change, Instant now);
 
     // storeAnswered() reports an answer of the store to any call.
     void storeAnswered(Instant now) { this->lastStoreAnswer = now; }
@@ -233,6 +233,7 @@
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
+    void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
     bool mayPoll(const FleetWorker& worker, Instant now) const;
     void evacuate(FleetWorker& worker, CommandContext& context);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
@@ -255,6 +256,7 @@
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool areWorkersFenced(const CellName& name) const;
+    std::vector<DecisionInputValue> takeoverInputs(const CellName& name, const Cell& cell) const;
 
     // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
     // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -20,7 +20,7 @@
         if (isLeaseExpired && !worker.runs.empty())
             this->markRunsLost(worker, "lease-lapsed", context);
         if (!worker.isListed && worker.runs.empty() && (isLeaseExpired || !worker.clock)) {
-            context.add(LogDecision { DecisionEvent::WorkerGone, id.value(), {}, "not-listed", cell->second.epoch, toMilliseconds(context.now - worker.lastAnswer) });
+            this->logWorkerGone(worker, cell->second, context);
             removedWorkers.push_back(id);
             continue;
         }
@@ -31,6 +31,19 @@
         this->fleet.remove(id);
 }
 
+void Dispatcher::logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context)
+{
+    const bool hasAnswered = worker.lastAnswer != Instant();
+    const Instant lastContact = hasAnswered ? worker.lastAnswer : cell.leadingSince;
+    LogDecision gone { DecisionEvent::WorkerGone, worker.entry.id.value(), {}, "not-listed", cell.epoch, toMilliseconds(context.now - lastContact) };
+    gone.inputs = { { DecisionInput::HasAnswered, hasAnswered ? 1 : 0 } };
+    if (worker.unlistedSince != Instant())
+        gone.inputs.push_back({ DecisionInput::UnlistedMilliseconds, toMilliseconds(context.now - worker.unlistedSince) });
+    if (worker.leaseEnd != Instant())
+        gone.inputs.push_back({ DecisionInput::LeaseMilliseconds, toMilliseconds(worker.leaseEnd - context.now) });
+    context.add(std::move(gone));
+}
+
 bool Dispatcher::mayPoll(const FleetWorker& worker, Instant now) const
 {
     return !worker.isPollInFlight && now >= worker.nextPollAt && this->cells.contains(worker.cell);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -89,6 +89,9 @@
     this->orphanedRuns.erase(end.id);
     JobExecution* job = this->findJobExecution(task.job);
     if (!job || task.step >= job->definition().steps.size() || task.index >= job->definition().steps[task.step].count) {
+        LogDecision ignored { DecisionEvent::EndIgnored, formatRun(end.id), worker.entry.id.value(), std::string(runOutcomeNames.nameOf(end.outcome)), this->followedVersion, 0 };
+        ignored.inputs = { { DecisionInput::EndNumber, static_cast<std::int64_t>(end.number) } };
+        context.add(std::move(ignored));
         worker.unacknowledgedEnds.push_back({ end.number, task.job, 0, context.now });
         this->workersWithUnacknowledgedEnds.insert(worker.entry.id);
         return;
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -34,7 +34,14 @@
 {
 }
 
-void Fleet::updateList(const WorkersListed& change)
+void Fleet::unlist(FleetWorker& worker, Instant now)
+{
+    if (worker.isListed)
+        worker.unlistedSince = now;
+    worker.isListed = false;
+}
+
+void Fleet::updateList(const WorkersListed& change, Instant now)
 {
     this->isRegroupDue = true;
     std::set<WorkerId> listed;
@@ -48,13 +55,13 @@
     }
     for (const WorkerId& id : change.removed) {
         if (FleetWorker* worker = this->find(id))
-            worker->isListed = false;
+            unlist(*worker, now);
     }
     if (!change.isWhole)
         return;
     for (auto& [id, worker] : this->workers) {
         if (!listed.contains(id))
-            worker.isListed = false;
+            unlist(worker, now);
     }
 }
 
@@ -73,6 +80,7 @@
         reset.entry = worker.entry;
         reset.cell = worker.cell;
         reset.isListed = worker.isListed;
+        reset.unlistedSince = worker.unlistedSince;
         reset.isPollInFlight = worker.isPollInFlight;
         reset.nextPollAt = now;
         worker = std::move(reset);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -6,7 +6,7 @@
 // Example:
 //
 //     Fleet fleet({ .lease = std::chrono::milliseconds(4500) }, cellOf);
-//     fleet.updateList(workersListed);
+//     fleet.updateList(workersListed, now);
 //     FleetWorker* worker = fleet.find(WorkerId("i-7f3a91c2"));
 
 #include "scheduling/scheduling_commands.h"
@@ -70,6 +70,7 @@
     ListedWorker entry;
     CellName cell;
     bool isListed { false };
+    Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
@@ -127,8 +128,8 @@
     // `cellOf` maps each data centre to its cell.
     Fleet(Options options, std::map<DataCentreName, CellName> cellOf);
 
-    // updateList() applies changes of the list. A worker that is no longer listed stays until remove().
-    void updateList(const WorkersListed& change);
+    // updateList() applies changes of the list, received at `now`. A worker that is no longer listed stays until remove().
+    void updateList(const WorkersListed& change, Instant now);
 
     // find() is the worker, or null. Logarithmic in the workers.
     FleetWorker* find(const WorkerId& worker);
@@ -167,6 +168,7 @@
 
 private:
     void regroup();
+    static void unlist(FleetWorker& worker, Instant now);
     Instant latestLeaseEnd(Instant now) const;
 
     Options options;
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -170,6 +170,9 @@
     WriteRetried,
     StartsPaused, // what the leader knows of the store is too old to start tasks
     StartsResumed,
+    LeadershipBegun, // the leader has read the jobs of its cell and takes over the runs of its predecessors
+    CellReconciled, // every run of former leaders is accounted for, so that tasks may be started again
+    EndIgnored, // a worker reported the end of a run of a job that is not in execution here
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -195,8 +198,43 @@
     { DecisionEvent::WriteRetried, "write-retried" },
     { DecisionEvent::StartsPaused, "starts-paused" },
     { DecisionEvent::StartsResumed, "starts-resumed" },
+    { DecisionEvent::LeadershipBegun, "leadership-begun" },
+    { DecisionEvent::CellReconciled, "cell-reconciled" },
+    { DecisionEvent::EndIgnored, "end-ignored" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::StartsResumed));
+static_assert(decisionEventNames.isWhole(DecisionEvent::EndIgnored));
+
+// DecisionInput is a quantity on which a decision rests.
+enum class DecisionInput {
+    ListedWorkers,
+    FencedWorkers, // that have answered under the epoch of the leader
+    UnlistedWorkers, // known here but not listed
+    UnconfirmedTasks, // that may run on workers which the former leader could not reach
+    Jobs,
+    UnlistedMilliseconds, // since the worker was last listed
+    LeaseMilliseconds, // left of the lease that was granted to the worker; negative: since its end
+    HasAnswered, // 1: the worker has answered this leader
+    EndNumber,
+};
+
+inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
+    { DecisionInput::ListedWorkers, "listed" },
+    { DecisionInput::FencedWorkers, "fenced" },
+    { DecisionInput::UnlistedWorkers, "unlisted" },
+    { DecisionInput::UnconfirmedTasks, "unconfirmed" },
+    { DecisionInput::Jobs, "jobs" },
+    { DecisionInput::UnlistedMilliseconds, "unlistedMs" },
+    { DecisionInput::LeaseMilliseconds, "leaseMs" },
+    { DecisionInput::HasAnswered, "hasAnswered" },
+    { DecisionInput::EndNumber, "endNumber" },
+}) };
+static_assert(decisionInputNames.isWhole(DecisionInput::EndNumber));
+
+// DecisionInputValue is one input of a decision, as logged.
+struct DecisionInputValue {
+    DecisionInput input { DecisionInput::ListedWorkers };
+    std::int64_t value { 0 };
+};
 
 // LogDecision writes one line to the decision log.
 struct LogDecision {
@@ -207,6 +245,7 @@
     std::uint64_t version { 0 }; // of the input of the decision: epoch, row version or configuration version
     std::int64_t ageMilliseconds { 0 }; // of the job, the run or the input
     std::optional<std::int64_t> viewAgeMilliseconds {}; // age of what the leader knew of the store when it decided
+    std::vector<DecisionInputValue> inputs {};
 };
 
 using SchedulerEffect = std::variant<WriteStoredRows, ReadJobRows, PollWorker, StartTask, StopTask, SetTaskSpeed, ReplyToClient, FollowWorkers, LogDecision>;
--- a/packages/story/job_story.cc
+++ b/packages/story/job_story.cc
@@ -7,7 +7,7 @@
 namespace {
 
     constexpr long waitOfNote = 500; // milliseconds; quick jobs have about as much to spare
-    constexpr std::array<std::string_view, 5> changeEvents { "leadership-taken", "leadership-lost", "store-lost", "store-regained", "write-retried" };
+    constexpr std::array<std::string_view, 7> changeEvents { "leadership-taken", "leadership-begun", "cell-reconciled", "leadership-lost", "store-lost", "store-regained", "write-retried" };
 
     bool isEarlier(const LogLine& a, const LogLine& b)
     {
