scheduling: a renewal without an answer does not cost the lease

While a part of the store's writes got no answer, the leader changed every 2 to 3 s, and with each change callers risked what a takeover risks (TWICE). A renewal is due after 500 ms of a lease of 1500 ms, its answer was waited for 1000 ms and it was repeated 200 ms later: one lost answer cost the lease, also when the renewal had been stored. Now a write without an answer is sent again after 150 ms, with up to six in flight, and the lease row tells which of them was stored: no two writes are equal, and each is conditional on the version that it replaces, so that at most one can take effect. A row in the change feed counts as the answer too. The lease is still dated by the send of the write that was stored. A handover no longer waits for writes that can't be stored any more. Four tests failed before: the retry was not due while the first write was in flight, and the feed did not renew the lease.

--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -1,5 +1,7 @@
 #include "scheduling/cell_leadership.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
 CellLeadership::CellLeadership(Options options)
@@ -11,17 +13,46 @@
 {
     if (this->hasObserved && version <= this->lastVersion)
         return LeadershipChange::None;
+    return this->resolve(row, version, now);
+}
+
+LeadershipChange CellLeadership::resolve(const CellLease& row, RowVersion version, Instant now)
+{
+    const auto sent = std::find_if(this->sentWrites.begin(), this->sentWrites.end(), [&](const SentWrite& write) { return write.row == row; });
+    if (sent != this->sentWrites.end())
+        return this->applyCommitted(*sent, version);
     this->hasObserved = true;
     this->lastRow = row;
     this->lastVersion = version;
     this->lastChangedAt = now;
-    this->unclearSentAt.reset();
+    this->dropObsoleteWrites();
     const bool isForeign = row.holder != this->options.self || row.epoch != this->ownEpoch;
     if (this->ownEpoch != 0 && row.epoch >= this->ownEpoch && isForeign)
         return this->loseLeadership();
     return LeadershipChange::None;
 }
 
+void CellLeadership::dropObsoleteWrites()
+{
+    std::erase_if(this->sentWrites, [this](const SentWrite& write) { return !write.isInFlight && write.replaced < this->lastVersion; });
+}
+
+std::size_t CellLeadership::writesInFlight() const
+{
+    return static_cast<std::size_t>(std::count_if(this->sentWrites.begin(), this->sentWrites.end(), [](const SentWrite& write) { return write.isInFlight; }));
+}
+
+bool CellLeadership::isReleased() const
+{
+    const bool mayAcquireYet = std::any_of(this->sentWrites.begin(), this->sentWrites.end(), [this](const SentWrite& write) { return write.isInFlight && write.replaced >= this->lastVersion; });
+    return this->isReleasing && this->ownEpoch == 0 && !mayAcquireYet;
+}
+
+bool CellLeadership::owns(std::uint64_t write) const
+{
+    return std::any_of(this->sentWrites.begin(), this->sentWrites.end(), [write](const SentWrite& sent) { return sent.number == write && sent.isInFlight; });
+}
+
 bool CellLeadership::mayAcquire(Instant now) const
 {
     if (this->lastRow.holder.isEmpty() || this->lastRow.holder == this->options.self)
@@ -43,7 +74,10 @@
 
 bool CellLeadership::isWriteDue(Instant now) const
 {
-    if (this->inFlight != 0 || now < this->nextAttempt)
+    const std::size_t inFlight = this->writesInFlight();
+    if (inFlight >= this->options.maxWritesInFlight || now < this->nextAttempt)
+        return false;
+    if ((inFlight > 0 || this->hasFailed) && now < this->lastSentAt + this->options.attemptInterval)
         return false;
     return this->ownEpoch != 0 || (!this->isReleasing && this->mayAcquire(now));
 }
@@ -51,56 +85,66 @@
 WriteStoredRows CellLeadership::nextWrite(std::uint64_t number, const CellReport& report, Instant now)
 {
     const bool isHolder = this->ownEpoch != 0;
-    this->sentRow = {
+    this->lastRenewalCount = std::max(this->lastRow.renewalCount, this->lastRenewalCount) + 1; // no two writes are equal
+    const CellLease row {
         .holder = isHolder && this->isReleasing ? HostName() : this->options.self,
         .epoch = isHolder ? this->ownEpoch : this->lastRow.epoch + 1,
-        .renewalCount = this->lastRow.renewalCount + 1,
+        .renewalCount = this->lastRenewalCount,
         .capacityMillicores = isHolder ? report.capacityMillicores : this->lastRow.capacityMillicores,
         .labels = isHolder ? report.labels : this->lastRow.labels,
         .unconfirmed = isHolder ? report.unconfirmed : this->lastRow.unconfirmed,
     };
-    this->inFlight = number;
-    this->sentAt = now;
+    this->sentWrites.push_back({ .number = number, .row = row, .replaced = this->lastVersion, .sentAt = now });
+    this->lastSentAt = now;
     const StoredRowKey key { StoredRowKind::CellLease, this->options.cell.value() };
-    return WriteStoredRows { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, this->sentRow } }, .removals = {} };
+    return WriteStoredRows { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, row } }, .removals = {} };
 }
 
 LeadershipChange CellLeadership::writeEnded(const RowsWriteEnded& end, Instant now)
 {
-    this->inFlight = 0;
+    const auto sent = std::find_if(this->sentWrites.begin(), this->sentWrites.end(), [&](const SentWrite& write) { return write.number == end.write; });
+    if (sent == this->sentWrites.end())
+        return LeadershipChange::None;
+    sent->isInFlight = false;
     if (end.status == TransactionStatus::Committed)
-        return this->applyCommitted(end.revision, this->sentAt);
-    if (end.status == TransactionStatus::Ambiguous && !this->unclearSentAt)
-        this->unclearSentAt = this->sentAt;
-    this->nextAttempt = now + this->options.retryDelay;
+        return this->applyCommitted(*sent, end.revision);
+    if (sent->replaced == this->lastVersion) {
+        this->hasFailed = true;
+        if (end.status != TransactionStatus::Ambiguous)
+            this->nextAttempt = now + this->options.retryDelay;
+    }
+    if (end.status != TransactionStatus::Ambiguous)
+        this->sentWrites.erase(sent);
+    this->dropObsoleteWrites();
     for (const StoredRowChange& conflict : end.conflicts) {
-        const auto* row = conflict.value ? std::get_if<CellLease>(&*conflict.value) : nullptr;
-        if (!row)
-            continue;
-        // The row is the one that this host sent: an earlier write whose answer was lost has taken effect.
-        if (*row == this->sentRow)
-            return this->applyCommitted(conflict.version, this->unclearSentAt.value_or(this->sentAt));
-        return this->observe(*row, conflict.version, now);
+        if (const auto* row = conflict.value ? std::get_if<CellLease>(&*conflict.value) : nullptr)
+            return this->observe(*row, conflict.version, now);
     }
     return LeadershipChange::None;
 }
 
-LeadershipChange CellLeadership::applyCommitted(RowVersion version, Instant writeSentAt)
+LeadershipChange CellLeadership::applyCommitted(SentWrite write, RowVersion version)
 {
-    this->lastRow = this->sentRow;
+    if (this->hasObserved && version <= this->lastVersion) { // the feed has shown it already
+        this->dropObsoleteWrites();
+        return LeadershipChange::None;
+    }
+    this->lastRow = write.row;
     this->lastVersion = version;
-    this->lastChangedAt = writeSentAt;
-    this->unclearSentAt.reset();
+    this->lastChangedAt = write.sentAt;
     this->hasObserved = true;
-    this->nextAttempt = writeSentAt + this->options.renewInterval;
-    if (this->sentRow.holder.isEmpty())
+    this->hasFailed = false;
+    std::erase_if(this->sentWrites, [&](const SentWrite& sent) { return sent.number == write.number && !sent.isInFlight; });
+    this->dropObsoleteWrites();
+    this->nextAttempt = write.sentAt + this->options.renewInterval;
+    if (write.row.holder.isEmpty())
         return this->loseLeadership();
-    if (this->sentRow.epoch <= this->lastLostEpoch) // a renewal that was in flight when the leadership ended
+    if (write.row.epoch <= this->lastLostEpoch) // a renewal that was in flight when the leadership ended
         return LeadershipChange::None;
-    this->leaseEnd = writeSentAt + this->options.lease;
-    if (this->ownEpoch == this->sentRow.epoch)
+    this->leaseEnd = std::max(this->leaseEnd, write.sentAt + this->options.lease);
+    if (this->ownEpoch == write.row.epoch)
         return LeadershipChange::None;
-    this->ownEpoch = this->sentRow.epoch;
+    this->ownEpoch = write.row.epoch;
     this->acquiredVersion = version;
     return LeadershipChange::Acquired;
 }
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -4,8 +4,10 @@
 //
 // The lease is a row of the store that its holder renews by conditional writes. Another host acquires it once the row has
 // not changed for the duration of the lease, measured on its own clock. The holder measures from the time at which it sent
-// its last successful renewal, so that its lease always expires before another host can acquire it. If a renewal was sent
-// several times because its result was unknown, the first time counts.
+// its last successful renewal, so that its lease always expires before another host can acquire it.
+//
+// A write without an answer does not cost the lease: it is sent again soon, and the row shows which of the writes was stored.
+// At most one of them can be, since each is conditional on the version that they replace.
 //
 // Without the store, a leader continues for a limited time after its lease, or until a worker rejects a call because it
 // knows a higher epoch. Its successor has to expect runs that were started in that time.
@@ -45,6 +47,8 @@
         Duration lease { std::chrono::milliseconds(1500) }; // a change of the leader has to fit into the lease of workers
         Duration renewInterval { std::chrono::milliseconds(500) }; // three renewals per lease
         Duration retryDelay { std::chrono::milliseconds(200) }; // after a write that failed
+        Duration attemptInterval { std::chrono::milliseconds(150) }; // without an answer, after which a write is sent again; twice a round trip between regions
+        std::size_t maxWritesInFlight { 6 };
         Duration acquisitionDelay { 0 }; // waited in addition to the lease; shorter on hosts that are preferred as leader
         Duration storeOutageTimeout { std::chrono::seconds(5) }; // for which a leader continues after its lease without the store
     };
@@ -76,8 +80,8 @@
     // fence() ends the leadership of this host, for example because a worker or the store knows a higher epoch.
     LeadershipChange fence();
 
-    // owns() returns true if `write` is the write in flight.
-    bool owns(std::uint64_t write) const { return this->inFlight == write && write != 0; }
+    // owns() returns true if `write` is a write in flight.
+    bool owns(std::uint64_t write) const;
 
     // isLeader() returns true if this host may decide for the cell. This includes the time after the lease for which it
     // continues without the store.
@@ -92,8 +96,8 @@
     // acquiredAt() returns the version of the write that acquired the lease.
     RowVersion acquiredAt() const { return this->acquiredVersion; }
 
-    // isReleased() returns true if the lease is no longer held after release() and no write is in flight.
-    bool isReleased() const { return this->isReleasing && this->ownEpoch == 0 && this->inFlight == 0; }
+    // isReleased() returns true if the lease is no longer held after release() and no write in flight can acquire it.
+    bool isReleased() const;
 
     // row() returns the last known content of the lease, changedAt() the time at which it last changed.
     const CellLease& row() const { return this->lastRow; }
@@ -103,19 +107,35 @@
     void renewImmediately() { this->nextAttempt = {}; }
 
 private:
+    // SentWrite is a write that is in flight, or whose result is unknown.
+    struct SentWrite {
+        std::uint64_t number { 0 };
+        CellLease row;
+        RowVersion replaced { 0 }; // version that the row must have
+        Instant sentAt;
+        bool isInFlight { true };
+    };
+
     bool mayAcquire(Instant now) const;
+    std::size_t writesInFlight() const;
     LeadershipChange loseLeadership();
-    LeadershipChange applyCommitted(RowVersion version, Instant writeSentAt);
+
+    // resolve() applies the row as the store holds it: one of the writes of this host, or another row.
+    LeadershipChange resolve(const CellLease& row, RowVersion version, Instant now);
+    LeadershipChange applyCommitted(SentWrite write, RowVersion version);
+
+    // dropObsoleteWrites() forgets the writes that can't be stored any more, except those in flight.
+    void dropObsoleteWrites();
 
     Options options;
     CellLease lastRow; // as last read or written
     RowVersion lastVersion { 0 }; // of lastRow; 0: the row does not exist
     Instant lastChangedAt; // when this host read or sent lastRow
     bool hasObserved { false }; // whether the row was ever read or written
-    CellLease sentRow; // content of the last write
-    std::uint64_t inFlight { 0 }; // number of the write in flight; 0: none
-    Instant sentAt; // of the last write
-    std::optional<Instant> unclearSentAt; // of the first write over lastRow whose result is unknown
+    std::vector<SentWrite> sentWrites; // in the order in which they were sent
+    std::uint64_t lastRenewalCount { 0 }; // of the last write
+    bool hasFailed { false }; // the last result of a write was not that it is stored
+    Instant lastSentAt; // of any write
     Instant leaseEnd; // of the own lease
     Instant nextAttempt; // no write before this
     Epoch ownEpoch { 0 }; // 0: this host does not lead
--- a/packages/scheduling/cell_leadership_test.cc
+++ b/packages/scheduling/cell_leadership_test.cc
@@ -30,8 +30,10 @@
 
         void advanceUntilDue()
         {
-            while (!this->holder.isWriteDue(this->now))
+            const Instant limit = this->now + 4 * lease;
+            while (!this->holder.isWriteDue(this->now) && this->now < limit)
                 this->now += milliseconds(10);
+            REQUIRE(this->holder.isWriteDue(this->now));
         }
 
         WriteStoredRows send(const CellReport& report = {})
@@ -146,6 +148,54 @@
     CHECK_FALSE(this->haveBothTheLease());
 }
 
+TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_renewalStoredWithoutAnswer_keepsTheLease")
+{
+    const WriteStoredRows renewal = this->send();
+    const Instant end = this->now + lease;
+    (void)this->execute(renewal);
+    this->advanceUntilDue();
+    this->deliver(this->send());
+    this->advanceUntilDue();
+    this->deliver(this->send());
+    CHECK(this->holder.holdsLease(end));
+    CHECK_FALSE(this->haveBothTheLease());
+}
+
+TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_renewalsNeitherStoredNorAnswered_nextOneKeepsTheLease")
+{
+    const Instant end = this->now + lease;
+    (void)this->send();
+    this->advanceUntilDue();
+    (void)this->send();
+    this->advanceUntilDue();
+    this->deliver(this->send());
+    CHECK(this->holder.holdsLease(end));
+    CHECK_FALSE(this->haveBothTheLease());
+}
+
+TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_feedShowsRenewalWithoutAnswer_keepsTheLeaseFromItsSend")
+{
+    const Instant sentAt = this->now;
+    const WriteStoredRows renewal = this->send();
+    const RowsWriteEnded end = this->execute(renewal);
+    (void)this->holder.observe(std::get<CellLease>(renewal.puts.front().value), end.revision, this->now);
+    CHECK(this->holder.holdsLease(sentAt + lease - milliseconds(1)));
+    CHECK_FALSE(this->holder.holdsLease(sentAt + lease));
+    CHECK_FALSE(this->haveBothTheLease());
+}
+
+TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_renewalTakesEffectAfterNewerOne_isNotStored")
+{
+    const WriteStoredRows late = this->send();
+    this->advanceUntilDue();
+    this->deliver(this->send());
+    const Instant end = this->now + lease;
+    CHECK(this->execute(late).status == TransactionStatus::Conflict);
+    (void)this->holder.writeEnded({ late.write, TransactionStatus::Ambiguous, 0, {} }, this->now);
+    CHECK_FALSE(this->holder.holdsLease(end));
+    CHECK_FALSE(this->haveBothTheLease());
+}
+
 // Runs and writes of two terms can be told apart only by their epochs.
 TEST_CASE_METHOD(CellLeadershipFixture, "CellLeadership_fencedWhileRenewalIsInFlight_acquiresTheLeaseUnderAHigherEpoch")
 {
