scheduling: a stored roster says on which workers a former leader may have started tasks

A new leader waited for the workers that it found listed and took all others for idle. It could not know better: a lagging list and the former leader's last report of silent workers were all it had, and over two takeovers not even that.

The leader now starts tasks on a worker only while the stored roster (16 rows, written with the lease in one transaction) contains it, and a worker that does not answer is named as silent before its tasks are the only ones that wait. A successor polls every worker of the roster, listed or not, and starts tasks of former leaders again when all that are not silent have answered and the store has been followed past a report composed after that, or when the longest former lease has lapsed. The delay after the store's return that let entries come back is gone with the list's role. Renewals that were sent before the last worker was fenced no longer count as the point up to which the store has to be followed.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -173,7 +173,10 @@
         Json unconfirmed = Json::array();
         for (const TaskId& task : lease.unconfirmed)
             unconfirmed.push_back({ task.job.value(), task.occurrence, task.step, task.index });
-        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) } };
+        Json silentWorkers = Json::array();
+        for (const WorkerId& worker : lease.silentWorkers)
+            silentWorkers.push_back(worker.value());
+        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete } };
     }
 
     StoredRow decodeLease(const Json& json)
@@ -186,11 +189,30 @@
         lease.labels = json.at("labels").get<std::vector<std::string>>();
         for (const Json& task : json.at("unconfirmed"))
             lease.unconfirmed.push_back({ JobId(task.at(0)), task.at(1), task.at(2), task.at(3) });
+        lease.isRosterComplete = json.value("roster", false);
+        for (const Json& worker : json.value("silent", Json::array()))
+            lease.silentWorkers.emplace_back(worker.get<std::string>());
         return lease;
     }
 
+    Json encode(const WorkerRoster& roster)
+    {
+        Json workers = Json::array();
+        for (const auto& [worker, entry] : roster.workers)
+            workers.push_back({ worker.value(), entry.endpoint.address, entry.endpoint.port, encodeResources(entry.capacity) });
+        return { { "workers", std::move(workers) } };
+    }
+
+    StoredRow decodeRoster(const Json& json)
+    {
+        WorkerRoster roster;
+        for (const Json& worker : json.at("workers"))
+            roster.workers[WorkerId(worker.at(0))] = { .endpoint = { worker.at(1), worker.at(2) }, .capacity = decodeResources(worker.at(3)) };
+        return roster;
+    }
+
     using Decoder = StoredRow (*)(const Json&);
-    constexpr std::array<Decoder, storedRowKindNames.size()> decoders { &decodeDefinition, &decodeProgress, &decodeCancellation, &decodeLease };
+    constexpr std::array<Decoder, storedRowKindNames.size()> decoders { &decodeDefinition, &decodeProgress, &decodeCancellation, &decodeLease, &decodeRoster };
 
 } // namespace
 
--- /dev/null
+++ b/packages/entry/row_encoding_test.cc
@@ -0,0 +1,54 @@
+// What one host writes into the store another one must read back, also when they run different releases.
+
+#include "entry/row_encoding.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace dragonflytray {
+
+namespace {
+
+    // RowEncodingFixture writes a row and reads it back.
+    struct RowEncodingFixture {
+        template <typename Row>
+        static Row readBack(StoredRowKind kind, const Row& row)
+        {
+            const auto read = decodeRow(kind, encodeRow(row));
+            REQUIRE(read);
+            return std::get<Row>(*read);
+        }
+
+        CellLease lease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .isRosterComplete = true };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_lease_isReadBack")
+{
+    CHECK(this->readBack(StoredRowKind::CellLease, this->lease) == this->lease);
+}
+
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_roster_isReadBack")
+{
+    const WorkerRoster roster { { { WorkerId("i-1"), { { "10.1.1.1", 8080 }, { 64000, 256000, 0 } } }, { WorkerId("i-2"), { { "10.1.1.2", 8081 }, { 96000, 256000, 2 } } } } };
+    CHECK(this->readBack(StoredRowKind::WorkerRoster, roster) == roster);
+    CHECK(this->readBack(StoredRowKind::WorkerRoster, WorkerRoster {}) == WorkerRoster {});
+}
+
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseOfReleaseWithoutRoster_rosterIsIncomplete")
+{
+    nlohmann::json json = nlohmann::json::from_cbor(encodeRow(this->lease));
+    json.erase("roster");
+    json.erase("silent");
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const auto read = decodeRow(StoredRowKind::CellLease, bytes);
+    REQUIRE(read);
+    const CellLease& former = std::get<CellLease>(*read);
+    CHECK_FALSE(former.isRosterComplete);
+    CHECK(former.silentWorkers.empty());
+    CHECK(former.epoch == this->lease.epoch);
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -93,11 +93,16 @@
         .capacityMillicores = isHolder ? report.capacityMillicores : this->lastRow.capacityMillicores,
         .labels = isHolder ? report.labels : this->lastRow.labels,
         .unconfirmed = isHolder ? report.unconfirmed : this->lastRow.unconfirmed,
+        .silentWorkers = isHolder ? report.silentWorkers : this->lastRow.silentWorkers,
+        .isRosterComplete = isHolder ? report.isRosterComplete : this->lastRow.isRosterComplete || this->lastRow.epoch == 0,
     };
-    this->sentWrites.push_back({ .number = number, .row = row, .replaced = this->lastVersion, .sentAt = now });
+    this->sentWrites.push_back({ .number = number, .row = row, .report = isHolder ? report.number : 0, .replaced = this->lastVersion, .sentAt = now });
     this->lastSentAt = now;
     const StoredRowKey key { StoredRowKind::CellLease, this->options.cell.value() };
-    return WriteStoredRows { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, row } }, .removals = {} };
+    WriteStoredRows write { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, row } }, .removals = {} };
+    if (isHolder)
+        write.puts.insert(write.puts.end(), report.rosterPuts.begin(), report.rosterPuts.end());
+    return write;
 }
 
 LeadershipChange CellLeadership::writeEnded(const RowsWriteEnded& end, Instant now)
@@ -136,6 +141,8 @@
     this->hasFailed = false;
     std::erase_if(this->sentWrites, [&](const SentWrite& sent) { return sent.number == write.number && !sent.isInFlight; });
     this->dropObsoleteWrites();
+    if (write.report != 0)
+        this->storedReport = { write.report, version };
     this->nextAttempt = write.sentAt + this->options.renewInterval;
     if (write.row.holder.isEmpty())
         return this->loseLeadership();
@@ -149,6 +156,12 @@
     return LeadershipChange::Acquired;
 }
 
+void CellLeadership::renewSoon()
+{
+    if (!this->hasFailed)
+        this->nextAttempt = std::min(this->nextAttempt, this->lastSentAt + this->options.minRenewInterval);
+}
+
 LeadershipChange CellLeadership::fence()
 {
     return this->ownEpoch == 0 ? LeadershipChange::None : this->loseLeadership();
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -20,15 +20,26 @@
 //         effects.push_back(leadership.nextWrite(number, report, now));
 
 #include "scheduling/scheduling_commands.h"
+#include <utility>
 
 namespace dragonflytray {
 
-// CellReport is the information about a cell that its leader writes into the lease for the other hosts. Its members are
-// those of CellLease.
+// CellReport is the information about a cell that its leader writes together with the lease, for the other hosts and for its
+// successor. Members that CellLease has too are described there.
 struct CellReport {
+    std::uint64_t number { 0 }; // counts up from 1 on each host
     std::int64_t capacityMillicores { 0 };
-    std::vector<std::string> labels;
-    std::vector<TaskId> unconfirmed;
+    std::vector<std::string> labels {};
+    std::vector<TaskId> unconfirmed {};
+    std::vector<WorkerId> silentWorkers {};
+    bool isRosterComplete { false };
+    std::vector<StoredRowPut> rosterPuts {}; // changed rows of the roster
+};
+
+// StoredReport names a report that the store holds.
+struct StoredReport {
+    std::uint64_t number { 0 };
+    RowVersion version { 0 };
 };
 
 // LeadershipChange is the effect of an observation or a write on the leadership of this host.
@@ -46,6 +57,7 @@
         CellName cell;
         Duration lease { std::chrono::milliseconds(1500) }; // a change of the leader has to fit into the lease of workers
         Duration renewInterval { std::chrono::milliseconds(500) }; // three renewals per lease
+        Duration minRenewInterval { std::chrono::milliseconds(100) }; // between renewals that carry an urgent report
         Duration retryDelay { std::chrono::milliseconds(200) }; // after a write that failed
         Duration attemptInterval { std::chrono::milliseconds(150) }; // without an answer, after which a write is sent again; twice a round trip between regions
         std::size_t maxWritesInFlight { 6 };
@@ -106,11 +118,18 @@
     // renewImmediately() makes the next write due now, unless one is in flight.
     void renewImmediately() { this->nextAttempt = {}; }
 
+    // renewSoon() makes the next renewal due Options::minRenewInterval after the last one, unless that one failed.
+    void renewSoon();
+
+    // takeStoredReport() returns the newest report that is known to be stored, once.
+    std::optional<StoredReport> takeStoredReport() { return std::exchange(this->storedReport, std::nullopt); }
+
 private:
     // SentWrite is a write that is in flight, or whose result is unknown.
     struct SentWrite {
         std::uint64_t number { 0 };
         CellLease row;
+        std::uint64_t report { 0 }; // number; 0: none
         RowVersion replaced { 0 }; // version that the row must have
         Instant sentAt;
         bool isInFlight { true };
@@ -134,6 +153,7 @@
     bool hasObserved { false }; // whether the row was ever read or written
     std::vector<SentWrite> sentWrites; // in the order in which they were sent
     std::uint64_t lastRenewalCount { 0 }; // of the last write
+    std::optional<StoredReport> storedReport; // not taken yet
     bool hasFailed { false }; // the last result of a write was not that it is stored
     Instant lastSentAt; // of any write
     Instant leaseEnd; // of the own lease
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -10,8 +10,6 @@
 {
     const auto& read = std::get<StoredRowsRead>(command);
     this->noteStoreAnswer(context.now);
-    if (!this->hasReadStore)
-        this->dispatcher.storeRegained(context.now);
     this->hasReadStore = true;
     this->lastJobsRead = context.now;
     for (const StoredRowChange& change : read.rows)
@@ -32,6 +30,8 @@
 {
     if (change.key.kind == StoredRowKind::CellLease)
         return this->observeLease(change, context);
+    if (change.key.kind == StoredRowKind::WorkerRoster)
+        return this->dispatcher.rosterChanged(change);
     if (const JobRecord* record = this->jobCache.apply(change)) {
         if (record->isDefined())
             this->dispatcher.jobChanged(*record, context);
@@ -45,7 +45,14 @@
     const auto* row = change.value ? std::get_if<CellLease>(&*change.value) : nullptr;
     const auto found = this->leaderships.find(CellName(change.key.name));
     if (row && found != this->leaderships.end())
-        this->applyLeadershipChange(found->first, found->second.observe(*row, change.version, context.now), {}, context);
+        this->applyLeaseResult(found->first, found->second.observe(*row, change.version, context.now), context);
+}
+
+void Scheduler::applyLeaseResult(const CellName& cell, LeadershipChange change, CommandContext& context)
+{
+    this->applyLeadershipChange(cell, change, context);
+    if (const auto report = this->leaderships.at(cell).takeStoredReport())
+        this->dispatcher.reportStored(cell, *report);
 }
 
 void Scheduler::rowsWriteEnded(const SchedulerCommand& command, CommandContext& context)
@@ -65,16 +72,12 @@
         }
     } else if (this->dispatcher.owns(end.write)) {
         for (const CellName& cell : this->dispatcher.writeEnded(end, context))
-            this->applyLeadershipChange(cell, this->leaderships.at(cell).fence(), {}, context);
+            this->applyLeadershipChange(cell, this->leaderships.at(cell).fence(), context);
     } else {
         for (auto& [cell, leadership] : this->leaderships) {
             if (!leadership.owns(end.write))
                 continue;
-            const std::vector<TaskId> unconfirmed = leadership.row().unconfirmed;
-            const LeadershipChange change = leadership.writeEnded(end, context.now);
-            this->applyLeadershipChange(cell, change, unconfirmed, context);
-            if (change == LeadershipChange::None && end.status == TransactionStatus::Committed)
-                this->dispatcher.renewalRecorded(cell, end.revision);
+            this->applyLeaseResult(cell, leadership.writeEnded(end, context.now), context);
         }
     }
     this->dispatcher.tick(context);
@@ -90,7 +93,7 @@
 
 void Scheduler::storeRegained(CommandContext& context)
 {
-    this->dispatcher.storeRegained(context.now);
+    this->dispatcher.storeRegained();
     for (auto& [cell, leadership] : this->leaderships)
         leadership.storeRegained(context.now);
 }
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -28,11 +28,13 @@
 void Dispatcher::beginToLead(const CellAcquired& acquired, const JobCache& jobCache, CommandContext& context)
 {
     Cell cell { .epoch = acquired.epoch, .acquiredAt = acquired.acquiredAt, .leadingSince = context.now };
-    cell.unconfirmed.insert(acquired.unconfirmed.begin(), acquired.unconfirmed.end());
+    cell.formerLeaseEnd = context.now + this->options.formerLeaderTimeout + this->fleet.lease() + this->options.fleet.clockMargin;
+    cell.isRosterComplete = acquired.former.isRosterComplete;
+    cell.unconfirmed.insert(acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end());
     this->fleet.beginEpoch(acquired.cell, context.now);
     std::erase_if(this->orphanedRuns, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == acquired.cell; });
     Cell& ledCell = this->cells[acquired.cell] = std::move(cell);
-    ledCell.hasWorkerList = this->hasWorkerList;
+    this->inheritWorkers(acquired, ledCell);
     for (const auto& [id, record] : jobCache.all()) {
         const bool isFollowed = record.definitionVersion <= this->followedVersion;
         if (isFollowed && record.definition.cell == acquired.cell)
@@ -44,12 +46,22 @@
     context.add(std::move(begun));
 }
 
+void Dispatcher::inheritWorkers(const CellAcquired& acquired, const Cell& cell)
+{
+    const std::set<WorkerId> silent(acquired.former.silentWorkers.begin(), acquired.former.silentWorkers.end());
+    CellRoster& roster = this->rosters.try_emplace(acquired.cell, acquired.cell).first->second;
+    roster.beginReporting();
+    for (const auto& [id, entry] : roster.workers()) {
+        FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
+        worker.mayHaveUnknownRuns = !silent.contains(id);
+        worker.enrolment = worker.mayHaveUnknownRuns ? Enrolment::Stored : Enrolment::None;
+    }
+}
+
 void Dispatcher::cellLost(const CellName& cell)
 {
     this->acquiredCells.erase(cell);
     this->cells.erase(cell);
-    if (!this->leadsAny())
-        this->hasWorkerList = false;
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
 
@@ -59,11 +71,69 @@
     this->workersView.writeCommitted(version, sentAt);
 }
 
-void Dispatcher::renewalRecorded(const CellName& cell, RowVersion version)
+CellReport Dispatcher::composeReport(const CellName& name)
 {
-    const auto found = this->cells.find(cell);
-    if (found != this->cells.end() && found->second.areWorkersFenced && found->second.reconciliationVersion == 0)
-        found->second.reconciliationVersion = version;
+    const auto found = this->cells.find(name);
+    if (found == this->cells.end())
+        return {};
+    Cell& cell = found->second;
+    CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .silentWorkers = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
+    std::map<WorkerId, RosterEntry> enrolled;
+    for (auto& [id, worker] : this->fleet.all()) {
+        if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
+            continue;
+        enrolled.emplace(id, RosterEntry { worker.entry.endpoint, worker.entry.capacity });
+        if (worker.isSilent()) {
+            worker.enrolment = Enrolment::None;
+            report.silentWorkers.push_back(id);
+        } else if (worker.enrolment == Enrolment::None) {
+            worker.enrolment = Enrolment::Requested;
+            worker.enrolmentReport = report.number;
+        }
+    }
+    report.unconfirmed = this->unconfirmedOf(name, cell);
+    report.rosterPuts = this->rosters.at(name).compose(report.number, enrolled);
+    if (cell.areWorkersFenced && cell.reconciliationReport == 0)
+        cell.reconciliationReport = report.number;
+    return report;
+}
+
+void Dispatcher::reportStored(const CellName& name, const StoredReport& report)
+{
+    const auto found = this->cells.find(name);
+    if (found == this->cells.end())
+        return;
+    Cell& cell = found->second;
+    this->rosters.at(name).reportStored(report.number, report.version);
+    for (auto& [id, worker] : this->fleet.all()) {
+        if (worker.cell == name && worker.enrolment == Enrolment::Requested && worker.enrolmentReport <= report.number)
+            worker.enrolment = Enrolment::Stored;
+    }
+    if (cell.reconciliationReport != 0 && report.number >= cell.reconciliationReport && cell.reconciliationVersion == 0)
+        cell.reconciliationVersion = report.version;
+    this->needsPass = true;
+}
+
+void Dispatcher::rosterChanged(const StoredRowChange& change)
+{
+    const auto part = parseRosterKey(change.key);
+    if (!part)
+        return;
+    const auto* row = change.value ? std::get_if<WorkerRoster>(&*change.value) : nullptr;
+    this->rosters.try_emplace(part->cell, part->cell).first->second.apply(part->number, row ? *row : WorkerRoster {}, change.version);
+}
+
+bool Dispatcher::isReportDue(const CellName& name) const
+{
+    const auto cell = this->cells.find(name);
+    if (cell == this->cells.end())
+        return false;
+    if (cell->second.areWorkersFenced && cell->second.reconciliationReport == 0)
+        return true;
+    return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
+        const FleetWorker& worker = entry.second;
+        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.isSuspect && worker.isListed;
+    });
 }
 
 void Dispatcher::storeFollowed(RowVersion version, const JobCache& jobCache, CommandContext& context)
@@ -196,20 +266,9 @@
 {
     this->fleet.updateList(change, now);
     this->workersView.followed(change.revision);
-    if (change.isWhole) {
-        this->hasWorkerList = true;
-        for (auto& [name, cell] : this->cells)
-            cell.hasWorkerList = true;
-    }
     this->needsPass = true;
 }
 
-void Dispatcher::storeRegained(Instant now)
-{
-    this->isStoreLost = false;
-    this->workerListCompleteAt = now + this->options.workerRelistDelay;
-}
-
 std::optional<std::int64_t> Dispatcher::viewAge(Instant now) const
 {
     return this->viewedAt() == Instant() ? std::nullopt : std::optional(toMilliseconds(now - this->viewedAt()));
@@ -285,38 +344,35 @@
     });
 }
 
-std::int64_t Dispatcher::capacityOf(const CellName& cell) const
+std::int64_t Dispatcher::capacityOf(const CellName& name) const
 {
     std::int64_t millicores = 0;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell == cell && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
+        if (worker.cell == name && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
             millicores += worker.entry.capacity.millicores;
     }
     return millicores;
 }
 
-std::vector<std::string> Dispatcher::labelsOf(const CellName& cell) const
+std::vector<std::string> Dispatcher::labelsOf(const CellName& name) const
 {
     std::set<std::string> labels;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell == cell && worker.isListed)
+        if (worker.cell == name && worker.isListed)
             labels.insert(worker.entry.labels.begin(), worker.entry.labels.end());
     }
     return { labels.begin(), labels.end() };
 }
 
-std::vector<TaskId> Dispatcher::unconfirmedOf(const CellName& cell) const
+std::vector<TaskId> Dispatcher::unconfirmedOf(const CellName& name, const Cell& cell) const
 {
-    std::vector<TaskId> tasks;
+    std::vector<TaskId> tasks(cell.unconfirmed.begin(), cell.unconfirmed.end());
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell != cell || (worker.isListed && !worker.isSuspect))
+        if (worker.cell != name || worker.enrolment != Enrolment::None)
             continue;
         for (const auto& [run, allocation] : worker.runs)
             tasks.push_back(run.task);
     }
-    const auto found = this->cells.find(cell);
-    if (found != this->cells.end())
-        tasks.insert(tasks.end(), found->second.unconfirmed.begin(), found->second.unconfirmed.end());
     return tasks;
 }
 
@@ -333,9 +389,8 @@
     for (auto& [name, cell] : this->cells) {
         if (cell.isReconciled && cell.unconfirmed.empty())
             continue;
-        const bool haveLeasesExpired = context.now >= cell.leadingSince + this->options.formerLeaderTimeout + this->fleet.lease() + this->options.fleet.clockMargin;
-        const bool isListComplete = cell.hasWorkerList && this->workersView.asOf() >= this->workerListCompleteAt;
-        if (!cell.areWorkersFenced && isListComplete && this->areWorkersFenced(name))
+        const bool haveLeasesExpired = context.now >= cell.formerLeaseEnd;
+        if (!cell.areWorkersFenced && cell.isRosterComplete && !this->hasUnknownRuns(name))
             cell.areWorkersFenced = true;
         const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
         if (haveLeasesExpired || (isFollowed && !cell.isReconciled))
@@ -343,12 +398,10 @@
     }
 }
 
-bool Dispatcher::areWorkersFenced(const CellName& name) const
+bool Dispatcher::hasUnknownRuns(const CellName& name) const
 {
-    const auto& workers = this->fleet.all();
-    return std::all_of(workers.begin(), workers.end(), [&](const auto& entry) {
-        const FleetWorker& worker = entry.second;
-        return worker.cell != name || !worker.isListed || worker.isFenced;
+    return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
+        return entry.second.cell == name && entry.second.mayHaveUnknownRuns;
     });
 }
 
@@ -373,8 +426,11 @@
     reconciled.inputs = this->takeoverInputs(name, cell);
     context.add(std::move(reconciled));
     cell.isReconciled = true;
-    if (haveLeasesExpired)
+    if (haveLeasesExpired) {
         cell.unconfirmed.clear();
+        for (auto& [id, worker] : this->fleet.all())
+            worker.mayHaveUnknownRuns = worker.mayHaveUnknownRuns && worker.cell != name;
+    }
     for (auto& [id, job] : this->jobExecutions) {
         if (job->definition().cell == name)
             job->reconcile(cell.unconfirmed, context.now);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -3,18 +3,21 @@
 // The leader of a cell: it places the tasks of jobs on workers, polls the workers, handles the ends of runs, and
 // acknowledges an end to the worker only after the progress of the job has been recorded in the store.
 //
-// A new leader first reconciles with its predecessors: it fences every listed worker with its own epoch, adopts the
-// runs that the workers report, and starts a task again only when no run of a former leader can be left.
+// A new leader first reconciles with its predecessors: it fences every worker of the stored roster with its own epoch, adopts
+// the runs that the workers report, and starts a task again only when no run of a former leader can be left. That a worker is
+// not listed, does not answer or can't be reached says nothing about its runs.
 //
 // Example:
 //
 //     Dispatcher dispatcher({}, cellOf);
-//     dispatcher.cellAcquired({ .cell = cell, .epoch = 3, .acquiredAt = version, .unconfirmed = {} }, context);
+//     dispatcher.cellAcquired({ .cell = cell, .epoch = 3, .acquiredAt = version, .former = leadership.row() }, context);
 //     dispatcher.storeFollowed(version, jobCache, context);
 //     dispatcher.pollEnded(end, context);
 //     dispatcher.tick(context);
 
 #include "scheduling/best_effort_control.h"
+#include "scheduling/cell_leadership.h"
+#include "scheduling/cell_roster.h"
 #include "scheduling/command_context.h"
 #include "scheduling/fleet.h"
 #include "scheduling/job_execution.h"
@@ -31,7 +34,7 @@
     CellName cell;
     Epoch epoch { 0 };
     RowVersion acquiredAt { 0 }; // version of the write that took the lease; jobs accepted later have no runs of a former leader
-    std::vector<TaskId> unconfirmed; // tasks that the former leader last reported on workers it could not reach
+    CellLease former; // the last report of the former leader
 };
 
 // Dispatcher runs the jobs of every cell that this host leads. It is pure: it adds effects to the context of a command
@@ -46,7 +49,6 @@
         Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
         Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
-        Duration workerRelistDelay { std::chrono::milliseconds(2500) }; // after the store returns, until live workers are listed again: 2 s and one read of the list
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
         Duration unrecordedPollInterval { std::chrono::milliseconds(120) }; // between polls of a worker while its ends wait to be recorded
@@ -87,9 +89,17 @@
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
-    // renewalRecorded() reports a renewal of a cell's lease at `version`. The first one after all workers are fenced
-    // sets how far the store has to be followed before the cell is reconciled.
-    void renewalRecorded(const CellName& cell, RowVersion version);
+    // composeReport() returns the report of a cell for the next renewal of its lease. Tasks are started on a worker only once
+    // a report that enrols it is stored, and no more on one that the report says is silent. Requires leads(). Linear in all
+    // workers.
+    CellReport composeReport(const CellName& cell);
+
+    // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
+    // workers were fenced sets how far the store has to be followed before the cell is reconciled.
+    void reportStored(const CellName& cell, const StoredReport& report);
+
+    // rosterChanged() applies a row of a roster as read from the store.
+    void rosterChanged(const StoredRowChange& change);
 
     // writeCommitted() reports that any write of this host that was sent at `sentAt` was committed at `version`.
     void writeCommitted(RowVersion version, Instant sentAt);
@@ -117,9 +127,8 @@
     // storeLost() reports that a read of the store's change feed has failed.
     void storeLost() { this->isStoreLost = true; }
 
-    // storeRegained() reports that the store answers again, or for the first time. Workers may be missing from the list
-    // for Options::workerRelistDelay.
-    void storeRegained(Instant now);
+    // storeRegained() reports that the store answers again.
+    void storeRegained() { this->isStoreLost = false; }
 
     // pollEnded() handles the answer of a worker to a poll, or its absence.
     void pollEnded(const PollEnded& end, CommandContext& context);
@@ -155,16 +164,9 @@
     // since a cell was last acquired.
     std::optional<Epoch> fencedEpoch() const { return this->lastFencedEpoch; }
 
-    // capacityOf() is the capacity in millicores of the workers of a cell that are listed, reachable and not draining. Linear
-    // in all workers.
-    std::int64_t capacityOf(const CellName& cell) const;
-
-    // labelsOf() is the sorted set of labels of the listed workers of a cell. Linear in all workers.
-    std::vector<std::string> labelsOf(const CellName& cell) const;
-
-    // unconfirmedOf() is the tasks with runs on workers of a cell that cannot be reached, which the next leader has to
-    // believe alive. Linear in all workers.
-    std::vector<TaskId> unconfirmedOf(const CellName& cell) const;
+    // isReportDue() says whether a report should be stored soon, since workers wait to be enrolled or the cell to be
+    // reconciled. Linear in all workers.
+    bool isReportDue(const CellName& cell) const;
 
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
     std::size_t unrecordedJobs() const { return this->recorder.unrecordedJobs(); }
@@ -191,15 +193,19 @@
     struct Cell {
         Epoch epoch { 0 };
         RowVersion acquiredAt { 0 };
-        Instant leadingSince;
-        bool hasWorkerList { false }; // the whole list was read at least once
-        bool areWorkersFenced { false }; // every listed worker has answered under this epoch
-        RowVersion reconciliationVersion { 0 }; // up to which the store has to be followed first; 0: not known yet
+        Instant leadingSince {};
+        Instant formerLeaseEnd {}; // by which every lease that a former leader granted has expired
+        bool isRosterComplete { false }; // the former leader's runs are on workers of the roster, or in `unconfirmed`
+        bool areWorkersFenced { false }; // no worker has runs of former leaders that are unknown here
+        std::uint64_t reconciliationReport { 0 }; // first report composed after that; 0: none yet
+        RowVersion reconciliationVersion { 0 }; // of that report, up to which the store has to be followed first; 0: not known yet
         bool isReconciled { false }; // every run of former leaders is accounted for
         std::set<TaskId> unconfirmed {}; // tasks believed alive until the leases of former leaders have expired
     };
 
-    // beginToLead() opens the jobs of a cell that are stored and not ended.
+    // beginToLead() opens the jobs of a cell that are stored and not ended. inheritWorkers() adds the workers on which former
+    // leaders may have started tasks.
+    void inheritWorkers(const CellAcquired& acquired, const Cell& cell);
     void beginToLead(const CellAcquired& acquired, const JobCache& jobCache, CommandContext& context);
 
     // Ends of runs. handleEnd() applies one reported end and keeps it for acknowledgement, which acknowledge() does once
@@ -233,6 +239,9 @@
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
+    std::vector<TaskId> unconfirmedOf(const CellName& name, const Cell& cell) const;
+    std::int64_t capacityOf(const CellName& name) const;
+    std::vector<std::string> labelsOf(const CellName& name) const;
     void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
     bool mayPoll(const FleetWorker& worker, Instant now) const;
     void evacuate(FleetWorker& worker, CommandContext& context);
@@ -251,11 +260,11 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
-    // Runs of former leaders. A cell is reconciled when all listed workers are fenced and the store is followed beyond
+    // Runs of former leaders. A cell is reconciled when all workers of the roster are fenced and the store is followed beyond
     // that, or when the leases of former leaders have expired. Then tasks without a known run may be started.
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
-    bool areWorkersFenced(const CellName& name) const;
+    bool hasUnknownRuns(const CellName& name) const;
     std::vector<DecisionInputValue> takeoverInputs(const CellName& name, const Cell& cell) const;
 
     // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
@@ -292,6 +301,8 @@
     JobExecutions jobExecutions;
     std::map<CellName, CellAcquired> acquiredCells; // until the store is followed up to their acquisition
     std::map<CellName, Cell> cells;
+    std::map<CellName, CellRoster> rosters;
+    std::uint64_t lastReport { 0 }; // number
     std::map<QueueName, QueueRule> queues;
     RowVersion followedVersion { 0 };
     StoreView jobsView;
@@ -314,8 +325,6 @@
     std::vector<FailedEvictionSearch> failedEvictionSearches;
     Instant lastPass;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
-    Instant workerListCompleteAt; // entries that expired during an outage of the store are back by then
-    bool hasWorkerList { false }; // the whole list was read since this host began to lead
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
 };
 
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -19,7 +19,7 @@
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
         if (isLeaseExpired && !worker.runs.empty())
             this->markRunsLost(worker, "lease-lapsed", context);
-        if (!worker.isListed && worker.runs.empty() && (isLeaseExpired || !worker.clock)) {
+        if (worker.isForgettable(context.now)) {
             this->logWorkerGone(worker, cell->second, context);
             removedWorkers.push_back(id);
             continue;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -54,6 +54,7 @@
     if (!worker.isFenced) // a former leader may have granted leases until now
         this->fleet.recordLease(worker, context.now);
     worker.isFenced = true;
+    worker.mayHaveUnknownRuns = false; // the report names all of them
     worker.clock = end.clock;
     worker.clockReadAt = end.receivedAt;
     Fleet::pollAnswered(worker);
@@ -67,6 +68,9 @@
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
         this->markRunsLost(worker, "worker-replaced", context);
         worker.isListed = false;
+        worker.mayHaveUnknownRuns = false;
+        worker.leaseEnd = context.now;
+        worker.formerLeaseEnd = context.now;
         return;
     }
     if (end.status == WorkerCallStatus::NotSent) {
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -16,9 +16,14 @@
     return this->answeredStartedAt != 0 && this->entry.startedAt > this->answeredStartedAt;
 }
 
+bool FleetWorker::isForgettable(Instant now) const
+{
+    return !this->isListed && this->runs.empty() && now >= (this->isFenced ? this->leaseEnd : this->formerLeaseEnd);
+}
+
 bool FleetWorker::acceptsTasks(Instant now) const
 {
-    return this->isListed && this->isFenced && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
+    return this->isListed && this->isFenced && this->enrolment == Enrolment::Stored && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
 }
 
 std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
@@ -65,6 +70,21 @@
     }
 }
 
+FleetWorker& Fleet::addInherited(const CellName& cell, const WorkerId& id, const RosterEntry& entry, Instant formerLeaseEnd)
+{
+    FleetWorker& worker = this->workers[id];
+    if (!worker.isListed) {
+        worker.entry.id = id;
+        worker.entry.endpoint = entry.endpoint;
+        worker.entry.capacity = entry.capacity;
+    }
+    worker.cell = cell;
+    worker.isInherited = true;
+    worker.formerLeaseEnd = formerLeaseEnd;
+    this->isRegroupDue = true;
+    return worker;
+}
+
 FleetWorker* Fleet::find(const WorkerId& worker)
 {
     const auto found = this->workers.find(worker);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -48,6 +48,20 @@
     Instant handledAt;
 };
 
+// Enrolment says whether the stored roster allows tasks to be started on a worker.
+enum class Enrolment {
+    None, // the roster does not contain the worker, or a report said that it is silent
+    Requested, // a report that enrols it was sent
+    Stored,
+};
+
+inline constexpr NameTable enrolmentNames { std::to_array<NameEntry<Enrolment>>({
+    { Enrolment::None, "none" },
+    { Enrolment::Requested, "requested" },
+    { Enrolment::Stored, "stored" },
+}) };
+static_assert(enrolmentNames.isWhole(Enrolment::Stored));
+
 // BestEffortSample is what one report said about serving and best-effort runs. BestEffortControl learns from the
 // difference between two.
 struct BestEffortSample {
@@ -72,6 +86,11 @@
     bool isListed { false };
     Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
+    bool isInherited { false }; // the roster of the former leader contains it
+    bool mayHaveUnknownRuns { false }; // a former leader may have started tasks on it that this leader has not heard of
+    Instant formerLeaseEnd; // by which every lease that a former leader granted has expired; zero: there was none
+    Enrolment enrolment { Enrolment::None };
+    std::uint64_t enrolmentReport { 0 }; // first report that enrols it, if Requested
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
     Instant nextPollAt;
@@ -100,6 +119,12 @@
     std::vector<ServingHeadroom> servingHeadrooms; // as of the last report
     std::map<TaskRunId, RunAllocation> runs;
 
+    // isSilent() says whether the worker is to be reported as silent: no call reaches it, and its runs are known.
+    bool isSilent() const { return !this->mayHaveUnknownRuns && (this->isSuspect || !this->isFenced); }
+
+    // isForgettable() says whether a worker that is not listed can have no runs and no lease any more.
+    bool isForgettable(Instant now) const;
+
     // availableResources() is the capacity that no run occupies.
     TaskResources availableResources() const;
 
@@ -131,6 +156,10 @@
     // updateList() applies changes of the list, received at `now`. A worker that is no longer listed stays until remove().
     void updateList(const WorkersListed& change, Instant now);
 
+    // addInherited() adds a worker from the roster of the former leader, whose leases end by `formerLeaseEnd`. Where the list
+    // shows the worker, its entry is kept.
+    FleetWorker& addInherited(const CellName& cell, const WorkerId& id, const RosterEntry& entry, Instant formerLeaseEnd);
+
     // find() is the worker, or null. Logarithmic in the workers.
     FleetWorker* find(const WorkerId& worker);
 
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -92,12 +92,12 @@
     return std::all_of(this->leaderships.begin(), this->leaderships.end(), [](const auto& entry) { return entry.second.isReleased(); });
 }
 
-void Scheduler::applyLeadershipChange(const CellName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, CommandContext& context)
+void Scheduler::applyLeadershipChange(const CellName& cell, LeadershipChange change, CommandContext& context)
 {
     const CellLeadership& leadership = this->leaderships.at(cell);
     if (change == LeadershipChange::Acquired) {
         context.add(LogDecision { DecisionEvent::LeadershipAcquired, cell.value(), {}, "lease-recorded", leadership.epoch(), 0 });
-        this->dispatcher.cellAcquired({ cell, leadership.epoch(), leadership.acquiredAt(), unconfirmed }, context);
+        this->dispatcher.cellAcquired({ cell, leadership.epoch(), leadership.acquiredAt(), leadership.row() }, context);
     } else if (change == LeadershipChange::Lost) {
         this->loseCell(cell, context);
     }
@@ -128,10 +128,11 @@
         if (!mayWrite)
             continue;
         leadership.beginObserving(context.now);
+        if (this->dispatcher.isReportDue(cell))
+            leadership.renewSoon();
         if (!leadership.isWriteDue(context.now))
             continue;
-        const CellReport report { this->dispatcher.capacityOf(cell), this->dispatcher.labelsOf(cell), this->dispatcher.unconfirmedOf(cell) };
-        context.add(leadership.nextWrite(this->nextWrite++, report, context.now));
+        context.add(leadership.nextWrite(this->nextWrite++, this->dispatcher.composeReport(cell), context.now));
     }
 }
 
@@ -142,7 +143,7 @@
         return;
     for (auto& [cell, leadership] : this->leaderships) {
         if (leadership.epoch() == *epoch)
-            this->applyLeadershipChange(cell, leadership.fence(), {}, context);
+            this->applyLeadershipChange(cell, leadership.fence(), context);
     }
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -117,8 +117,11 @@
     void applyRow(const StoredRowChange& change, CommandContext& context);
     void observeLease(const StoredRowChange& change, CommandContext& context);
 
-    // applyLeadershipChange() starts or ends the scheduling of a cell. `unconfirmed` is from the former leader's last report.
-    void applyLeadershipChange(const CellName& cell, LeadershipChange change, const std::vector<TaskId>& unconfirmed, CommandContext& context);
+    // applyLeadershipChange() starts or ends the scheduling of a cell.
+    void applyLeadershipChange(const CellName& cell, LeadershipChange change, CommandContext& context);
+
+    // applyLeaseResult() does so for the result of a read or write of the lease, which may show that a report is stored.
+    void applyLeaseResult(const CellName& cell, LeadershipChange change, CommandContext& context);
     void loseCell(const CellName& cell, CommandContext& context);
     void storeRegained(CommandContext& context);
 
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -4,7 +4,7 @@
 //
 // A job has up to three rows, all in one partition that depends on the job's id alone: the definition, inserted if
 // absent when the job is accepted; the progress, written by the leader of the job's cell; and a cancellation request,
-// inserted by the entry host that receives it. A cell has one lease row.
+// inserted by the entry host that receives it. A cell has one lease row, and its roster of workers in several rows.
 //
 // Example:
 //
@@ -24,6 +24,7 @@
     Progress,
     Cancellation,
     CellLease,
+    WorkerRoster,
 };
 
 inline constexpr NameTable storedRowKindNames { std::to_array<NameEntry<StoredRowKind>>({
@@ -31,20 +32,21 @@
     { StoredRowKind::Progress, "progress" },
     { StoredRowKind::Cancellation, "cancellation" },
     { StoredRowKind::CellLease, "cell-lease" },
+    { StoredRowKind::WorkerRoster, "worker-roster" },
 }) };
-static_assert(storedRowKindNames.isWhole(StoredRowKind::CellLease));
+static_assert(storedRowKindNames.isWhole(StoredRowKind::WorkerRoster));
 
 // jobPartitions is the number of partitions over which jobs are distributed. One partition takes 200 transactions per
 // second on the users' platform, and each commit contains everything that has accumulated for its partition.
 inline constexpr std::uint32_t jobPartitions = 4;
 
-// leasePartition is the partition of the cell leases, which contains no jobs.
+// leasePartition is the partition of the cell leases and rosters, which contains no jobs.
 inline constexpr std::uint32_t leasePartition = jobPartitions;
 
 // StoredRowKey identifies one row.
 struct StoredRowKey {
     StoredRowKind kind { StoredRowKind::Definition };
-    std::string name; // the job's id, or the cell's name for a lease
+    std::string name; // the job's id, the cell's name for a lease, or rosterKey() for a part of a roster
 
     auto operator<=>(const StoredRowKey&) const = default;
 };
@@ -84,6 +86,39 @@
     bool operator==(const CancellationRequest&) const = default;
 };
 
+// RosterEntry is what a successor has to know of a worker that is not listed.
+struct RosterEntry {
+    Endpoint endpoint;
+    TaskResources capacity;
+
+    bool operator==(const RosterEntry&) const = default;
+};
+
+// WorkerRoster is one part of the roster of a cell: the workers on which its leader may have started tasks. The leader starts
+// tasks on a worker only while the stored roster contains it, so that a successor knows where runs may be alive without the
+// platform's list, from which living workers can be missing.
+struct WorkerRoster {
+    std::map<WorkerId, RosterEntry> workers;
+
+    bool operator==(const WorkerRoster&) const = default;
+};
+
+// rosterParts is the number of rows of a roster. A change rewrites one row, and every host receives it.
+inline constexpr std::uint32_t rosterParts = 16;
+
+// rosterPartOf() returns the part of the roster that a worker belongs to, less than rosterParts.
+std::uint32_t rosterPartOf(const WorkerId& worker);
+
+// RosterPart identifies one row of a roster.
+struct RosterPart {
+    CellName cell;
+    std::uint32_t number { 0 }; // less than rosterParts
+};
+
+// rosterKey() returns the key of one row of a roster. parseRosterKey() reads it; it returns nothing for other names.
+StoredRowKey rosterKey(const RosterPart& part);
+std::optional<RosterPart> parseRosterKey(const StoredRowKey& key);
+
 // CellLease names the leader of a cell and contains the leader's last report about the cell.
 struct CellLease {
     HostName holder; // empty: the lease was released
@@ -91,12 +126,14 @@
     std::uint64_t renewalCount { 0 }; // incremented with each write of the lease
     std::int64_t capacityMillicores { 0 }; // of the workers that accept tasks
     std::vector<std::string> labels {}; // labels that at least one worker of the cell has
-    std::vector<TaskId> unconfirmed {}; // tasks that may run on workers that do not answer or are not listed
+    std::vector<TaskId> unconfirmed {}; // tasks that may run on silent workers, or on workers that are not in the roster
+    std::vector<WorkerId> silentWorkers {}; // of the roster; no task has been started on them that is not in `unconfirmed`
+    bool isRosterComplete { false }; // every other worker with runs is in the roster; leaders that know no roster write false
 
     bool operator==(const CellLease&) const = default;
 };
 
-using StoredRow = std::variant<JobDefinition, JobProgress, CancellationRequest, CellLease>;
+using StoredRow = std::variant<JobDefinition, JobProgress, CancellationRequest, CellLease, WorkerRoster>;
 
 // StoredRowChange is one row as read from the store.
 struct StoredRowChange {
