--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -20,6 +20,7 @@
         {
             this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
             this->taskDuration = std::chrono::seconds(20);
+            this->startedAt = this->now;
             this->addWorker("w1", 16);
             this->run({ "a" }, takeoverTime);
         }
@@ -52,6 +53,8 @@
         {
             return std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch;
         }
+
+        Instant startedAt; // of w1
     };
 
 } // namespace
@@ -93,6 +96,24 @@
     CHECK(this->maxConcurrentRuns == 1);
 }
 
+TEST_CASE_METHOD(LostRunFixture, "Leader_workerAndStoreCutOff_tasksDoNotRunBesideThoseOfSuccessor", "[lost-run]")
+{
+    this->startTasks(4);
+    this->addWorker("w2", 16);
+    this->listWorker("a", "w2");
+    this->run({ "a" }, settlingTime);
+    const Epoch successor = this->epoch() + 1;
+    this->isDisconnectedFromStore["a"] = true;
+    this->send("a", StoreContact { false });
+    this->unreachable.insert(WorkerId("w1")); // but not for the successor, which extends its lease
+    for (const Instant end = this->now + std::chrono::seconds(7); this->now < end;) {
+        this->run({ "a" }, std::chrono::milliseconds(500));
+        if (this->now > end - std::chrono::seconds(5))
+            (void)this->w1().poll({ .to = { WorkerId("w1"), {}, successor }, .deadline = toMilliseconds(this->now - this->startedAt) + 4500, .acknowledged = 0, .wait = Duration(0) }, this->now);
+    }
+    CHECK(this->maxConcurrentRuns == 1);
+}
+
 TEST_CASE_METHOD(LostRunFixture, "Leader_answersReadAfterItsTimeHasExpired_leaseIsNotExtended", "[lost-run]")
 {
     this->startTasks(1);
