scheduling: tasks whose end is read but not stored are reported as unconfirmed

The roster's promise left out ends: a leader that has read an end forgets the run before the progress is stored. When the worker is silent at the next report, the task was neither unconfirmed nor its worker waited for, and a successor started it again, although the worker holds the end, which is acknowledged later (the form of the users' report). The report now names the tasks of ends that are not stored, all members for a gang.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -372,10 +372,25 @@
             continue;
         for (const auto& [run, allocation] : worker.runs)
             tasks.push_back(run.task);
+        for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
+            if (!this->isRecorded(end))
+                this->appendTasksOf(end, tasks);
+        }
     }
     return tasks;
 }
 
+void Dispatcher::appendTasksOf(const UnacknowledgedEnd& end, std::vector<TaskId>& tasks) const
+{
+    const auto job = this->jobExecutions.find(end.task.job);
+    const bool isGang = job != this->jobExecutions.end() && job->second->definition().steps[end.task.step].isGang;
+    TaskId task = end.task;
+    if (!isGang)
+        return tasks.push_back(task);
+    for (task.index = 0; task.index < job->second->definition().steps[task.step].count; ++task.index)
+        tasks.push_back(task);
+}
+
 std::size_t Dispatcher::runningTasks() const
 {
     std::size_t running = 0;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -240,6 +240,7 @@
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
     std::vector<TaskId> unconfirmedOf(const CellName& name, const Cell& cell) const;
+    void appendTasksOf(const UnacknowledgedEnd& end, std::vector<TaskId>& tasks) const; // one end stands for all tasks of a gang
     std::int64_t capacityOf(const CellName& name) const;
     std::vector<std::string> labelsOf(const CellName& name) const;
     void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -96,7 +96,7 @@
         LogDecision ignored { DecisionEvent::EndIgnored, formatRun(end.id), worker.entry.id.value(), std::string(runOutcomeNames.nameOf(end.outcome)), this->followedVersion, 0 };
         ignored.inputs = { { DecisionInput::EndNumber, static_cast<std::int64_t>(end.number) } };
         context.add(std::move(ignored));
-        worker.unacknowledgedEnds.push_back({ end.number, task.job, 0, context.now });
+        worker.unacknowledgedEnds.push_back({ end.number, task, 0, context.now });
         this->workersWithUnacknowledgedEnds.insert(worker.entry.id);
         return;
     }
@@ -114,7 +114,7 @@
     if (job->definition().steps[task.step].isGang && end.outcome != RunOutcome::Done)
         this->stopGang(*job, task, context);
     this->markDirty(*job);
-    worker.unacknowledgedEnds.push_back({ end.number, task.job, job->generation(), context.now });
+    worker.unacknowledgedEnds.push_back({ end.number, task, job->generation(), context.now });
     this->workersWithUnacknowledgedEnds.insert(worker.entry.id);
     if (!isFinal(job->progress().phase))
         this->advance(*job, context);
@@ -192,7 +192,7 @@
 
 bool Dispatcher::isRecorded(const UnacknowledgedEnd& end) const
 {
-    const auto found = this->jobExecutions.find(end.job);
+    const auto found = this->jobExecutions.find(end.task.job);
     return found == this->jobExecutions.end() || found->second->recorded() >= end.generation;
 }
 
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -43,7 +43,7 @@
 // `generation` of the job's progress.
 struct UnacknowledgedEnd {
     std::uint64_t number { 0 }; // EndedRun::number
-    JobId job;
+    TaskId task;
     std::uint64_t generation { 0 };
     Instant handledAt;
 };
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -177,7 +177,8 @@
 
 void SchedulerFixture::execute(const std::string& name, const WriteStoredRows& effect)
 {
-    if (this->isDisconnectedFromStore[name])
+    const bool isProgress = !effect.puts.empty() && effect.puts.front().key.kind == StoredRowKind::Progress;
+    if (this->isDisconnectedFromStore[name] || (isProgress && this->areProgressWritesRefused))
         return this->send(name, RowsWriteEnded { effect.write, TransactionStatus::Unavailable, 0, {} });
     const RowsWriteEnded end = this->store.apply(effect);
     this->storeVersions.emplace_back(this->now, this->store.version());
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -100,6 +100,7 @@
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> unresponsive; // workers that do not answer polls
     bool shouldTasksFail { false };
+    bool areProgressWritesRefused { false };
     bool shouldDeliverLists { true }; // whether hosts receive answers of the feed of workers
     std::set<WorkerId> unlisted; // workers that are missing from the list
     std::set<WorkerId> unreachable; // workers to which polls can't be sent
--- a/packages/scheduling/takeover_test.cc
+++ b/packages/scheduling/takeover_test.cc
@@ -137,6 +137,23 @@
     CHECK(this->phaseOf(job) == JobPhase::Completed);
 }
 
+TEST_CASE_METHOD(TakeoverFixture, "Takeover_silentWorkerHoldsEndThatIsNotRecorded_tasksAreNotStartedAgain", "[takeover]")
+{
+    this->run({ "a" }, std::chrono::milliseconds(4000)); // the runs have 1.5 s left
+    this->areProgressWritesRefused = true;
+    this->runWatched({ "a" }, std::chrono::milliseconds(1800));
+    REQUIRE(this->doneAt.size() == 4);
+    this->unresponsive.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::milliseconds(1200));
+    this->areProgressWritesRefused = false;
+    this->addWorker("w2", 16);
+    this->runWatched({ "b" }, takeoverTime);
+    this->unresponsive.clear();
+    this->runWatched({ "b" }, formerLeaseTime);
+    CHECK_FALSE(this->hasStartAfterEnd());
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
 TEST_CASE_METHOD(TakeoverFixture, "Takeover_unlistedWorkerRunsServingAndBestEffortTasks_reportsAreHandled", "[takeover]")
 {
     StepDefinition serving = stepOfTasks(1, 2);
