scheduling: a restart of a worker is noticed in any answer, and its ends are not acknowledged unread

An end of a restarted worker was acknowledged unread when its number was below the last one acknowledged to the former incarnation, and the task was started again although it had ended as done (the form of the users' report). It happened between two polls, and wherever answers carry no start time. A restart now shows also by a clock that runs back; ends are acknowledged once, to a worker that answers, and not with every poll. A run whose start may still arrive is stopped at the new incarnation before its task is free; the answer of an earlier incarnation, or of a poll that was overtaken, is passed over. Three tests of lost_run_test.cc failed before.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -231,6 +231,7 @@
     void handleMissingRun(FleetWorker& worker, const TaskRunId& run, const PollEnded& end, CommandContext& context);
     void throttleBestEffort(FleetWorker& worker, CommandContext& context);
     void markRunLost(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
+    void markConfirmedRunsLost(FleetWorker& worker, const char* cause, CommandContext& context);
     void markRunsLost(FleetWorker& worker, const char* cause, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -51,7 +51,11 @@
 
 void Dispatcher::poll(FleetWorker& worker, CommandContext& context)
 {
-    PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = worker.isRestartListed() ? 0 : worker.acknowledged, .wait = Duration(0) };
+    // Ends are acknowledged only until a poll that does so is answered, and to a worker that answers: another incarnation
+    // counts its ends anew.
+    const bool mayAcknowledge = !worker.isRestartListed() && !worker.isSuspect && worker.acknowledged > worker.forgottenEnd;
+    PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = mayAcknowledge ? worker.acknowledged : 0, .wait = Duration(0) };
+    worker.polledAcknowledged = call.acknowledged;
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
     const bool mayRenew = !worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout;
     if (mayRenew && worker.isFenced && !worker.isRestartListed())
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -23,6 +23,11 @@
     }
     if (end.status != WorkerCallStatus::Ok)
         return this->handleFailedPoll(*worker, end, context);
+    const bool isOfEarlierIncarnation = end.startedAt != 0 && end.startedAt < worker->answeredStartedAt;
+    if (isOfEarlierIncarnation || end.sentAt < worker->answeredPollSentAt) { // a later answer was handled already
+        worker->nextPollAt = context.now;
+        return;
+    }
     this->adoptIncarnation(*worker, end, context);
     for (const EndedRun& run : end.ended) {
         if (run.number > worker->lastHandledEnd)
@@ -39,13 +44,17 @@
 
 void Dispatcher::adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
-    if (end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt) {
-        this->markRunsLost(worker, "worker-restarted", context);
+    const bool isStartLater = worker.answeredStartedAt != 0 && end.startedAt > worker.answeredStartedAt;
+    const bool isClockReset = worker.clock && end.clock < *worker.clock;
+    if (isStartLater || isClockReset) {
+        this->markConfirmedRunsLost(worker, "worker-restarted", context); // the start of any other may still arrive at the new incarnation
         worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
+        worker.forgottenEnd = 0;
         worker.unacknowledgedEnds.clear();
     }
+    worker.forgottenEnd = std::max(worker.forgottenEnd, std::min(worker.polledAcknowledged, worker.acknowledged));
     if (end.startedAt != 0)
         worker.answeredStartedAt = end.startedAt;
     if (worker.isSuspect)
@@ -59,6 +68,7 @@
     worker.clockReadAt = end.receivedAt;
     Fleet::pollAnswered(worker);
     worker.lastAnswer = context.now;
+    worker.answeredPollSentAt = end.sentAt;
     this->needsPass = true;
 }
 
@@ -350,6 +360,17 @@
     this->needsPass = true;
 }
 
+void Dispatcher::markConfirmedRunsLost(FleetWorker& worker, const char* cause, CommandContext& context)
+{
+    std::vector<TaskRunId> runs;
+    for (const auto& [run, allocation] : worker.runs) {
+        if (allocation.lastConfirmedAt != Instant())
+            runs.push_back(run);
+    }
+    for (const TaskRunId& run : runs)
+        this->markRunLost(worker, run, cause, context);
+}
+
 void Dispatcher::markRunsLost(FleetWorker& worker, const char* cause, CommandContext& context)
 {
     while (!worker.runs.empty())
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -101,12 +101,15 @@
     Instant acceptsUntil; // by then the lease that an answered poll granted is too short for new runs
     Instant acceptsUntilAfterPoll; // acceptsUntil once the poll in flight is answered; zero: it grants no lease
     Instant lastAnswer;
+    Instant answeredPollSentAt; // when the poll of the last answer was sent
     bool isSuspect { false }; // the last poll had no answer
     Instant cooldownUntil; // no task is placed on the worker before
     std::uint32_t consecutiveFailures { 0 }; // failed runs since the last one that succeeded
     std::uint64_t reportCount { 0 }; // reports handled so far
     std::uint64_t lastHandledEnd { 0 }; // ends up to this number are handled
     std::uint64_t acknowledged { 0 }; // ends up to this number are recorded in the store
+    std::uint64_t polledAcknowledged { 0 }; // the number that the last poll acknowledged; 0: none
+    std::uint64_t forgottenEnd { 0 }; // the highest number that an answered poll has acknowledged
     std::deque<UnacknowledgedEnd> unacknowledgedEnds; // handled but not yet recorded, in order
     TaskResources used; // sum of the needs of the runs
     std::int64_t bestEffortMillicores { 0 };
