scheduling: a leadership that has expired ends before any command is handled

A host that was frozen handled the answers of workers that had queued up before its next tick, and extended leases or started tasks after the time on which its successor relies; two runs of one task were possible. The check now comes before each command. Leader_answersReadAfterItsTimeHasExpired_leaseIsNotExtended failed before.

--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -74,6 +74,7 @@
 {
     SchedulerEffects effects;
     CommandContext context { now, this->wallTime, this->nextWrite, effects, this->stageTimes };
+    this->endExpiredLeaderships(context);
     (this->*commandHandlers[command.index()])(command, context);
     for (const SchedulerEffect& effect : effects) {
         if (const auto* write = std::get_if<WriteStoredRows>(&effect))
@@ -113,7 +114,7 @@
         context.add(FollowWorkers { false });
 }
 
-void Scheduler::maintainLeases(CommandContext& context)
+void Scheduler::endExpiredLeaderships(CommandContext& context)
 {
     for (auto& [cell, leadership] : this->leaderships) {
         // A new leader that can renew its lease but does not receive the changes of the store gives the leadership up.
@@ -122,6 +123,12 @@
             leadership.fence();
             this->loseCell(cell, context);
         }
+    }
+}
+
+void Scheduler::maintainLeases(CommandContext& context)
+{
+    for (auto& [cell, leadership] : this->leaderships) {
         // Without answers of the store a host would not know the jobs of a cell that it acquires.
         const bool mayAcquire = leadership.epoch() != 0 || this->isStoreAnswering;
         const bool mayWrite = this->hasReadStore && mayAcquire && !this->dispatcher.isWaitingToLead(cell);
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -125,7 +125,11 @@
     void loseCell(const CellName& cell, CommandContext& context);
     void storeRegained(CommandContext& context);
 
-    // maintainLeases() gives up leaderships that have expired, and acquires, renews and releases leases that are due.
+    // endExpiredLeaderships() gives up leaderships that have expired. It comes before each command, since a host that was
+    // frozen may read answers of workers first.
+    void endExpiredLeaderships(CommandContext& context);
+
+    // maintainLeases() acquires, renews and releases leases that are due.
     void maintainLeases(CommandContext& context);
 
     // checkFencing() gives up leaderships whose calls a worker has rejected because it knows a higher epoch.
