scheduling: a released leader goes on no longer than its successor expects

A host that gives up its lease and gets no answer counted its time from its last renewal, up to 1.5 s longer than its successor, which may acquire the lease at once, waits for it; a task could run twice. The time now counts from the release. CellLeadership_releaseWithoutAnswer_endsWithinOutageTimeoutOfSuccession failed before.

--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -98,6 +98,8 @@
     };
     this->sentWrites.push_back({ .number = number, .row = row, .report = isHolder ? report.number : 0, .replaced = this->lastVersion, .sentAt = now });
     this->lastSentAt = now;
+    if (row.holder.isEmpty() && !this->releaseSentAt)
+        this->releaseSentAt = now;
     const StoredRowKey key { StoredRowKind::CellLease, this->options.cell.value() };
     WriteStoredRows write { .write = number, .partition = leasePartition, .conditions = { { key, this->lastVersion } }, .puts = { { key, row } }, .removals = {} };
     if (isHolder)
@@ -177,7 +179,8 @@
 
 bool CellLeadership::isLeader(Instant now) const
 {
-    return this->ownEpoch != 0 && now < this->leaseEnd + this->options.storeOutageTimeout;
+    const Instant end = this->releaseSentAt ? std::min(this->leaseEnd, *this->releaseSentAt) : this->leaseEnd;
+    return this->ownEpoch != 0 && now < end + this->options.storeOutageTimeout;
 }
 
 bool CellLeadership::holdsLease(Instant now) const
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -162,6 +162,7 @@
     Epoch lastLostEpoch { 0 }; // of the last leadership of this host that ended; 0: none
     RowVersion acquiredVersion { 0 };
     bool isReleasing { false }; // release() was called
+    std::optional<Instant> releaseSentAt; // when the lease was first given up; a successor may acquire it from then on
 };
 
 } // namespace dragonflytray
