scheduling: the list neither hides a worker of the roster nor moves it

An entry with an unknown data centre took a worker out of its cell, and with it out of what a new leader waits for; a worker that was listed at another endpoint got tasks while the stored roster named the former one, where a successor would not find it. Both made two runs of one task possible. Entries of unknown data centres are passed over, and a worker at a new endpoint is enrolled again. Two tests of lost_run_test.cc failed before.

--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -51,11 +51,15 @@
     this->isRegroupDue = true;
     std::set<WorkerId> listed;
     for (const ListedWorker& entry : change.changed) {
+        const auto cell = this->cellOf.find(entry.dataCentre);
+        if (cell == this->cellOf.end())
+            continue; // an entry of another writer; it says nothing about the worker
         FleetWorker& worker = this->workers[entry.id];
+        if (worker.entry.endpoint != entry.endpoint)
+            worker.enrolment = Enrolment::None; // a successor would not find it by the stored roster
         worker.entry = entry;
         worker.isListed = true;
-        const auto cell = this->cellOf.find(entry.dataCentre);
-        worker.cell = cell == this->cellOf.end() ? CellName() : cell->second;
+        worker.cell = cell->second;
         listed.insert(entry.id);
     }
     for (const WorkerId& id : change.removed) {
