scheduling: a draining worker that can't be reached keeps its runs until its lease ends

A worker that drains, is not listed and to which no connection can be made was taken for one that has left, and its tasks were started elsewhere at once. A cut, a connect timeout or too many connections look the same, while the worker runs on: two runs of one task. Leader_drainingWorkerUnlistedAndCutOff_runsAreNotStartedAgainWithinLease failed before.

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -83,11 +83,8 @@
         worker.formerLeaseEnd = context.now;
         return;
     }
-    if (end.status == WorkerCallStatus::NotSent) {
+    if (end.status == WorkerCallStatus::NotSent)
         worker.leaseEnd = worker.leaseEndBeforePoll;
-        if (worker.entry.isDraining && !worker.isListed) // it has left after draining, and no run outlives it
-            this->markRunsLost(worker, "worker-left", context);
-    }
     if (!worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     worker.isSuspect = true;
