scheduling: without its lease a leader starts no task again whose run it gave up unheard

It took the end of the leases that it had granted itself for the end of the runs of a worker that it could not reach, and started them elsewhere, while its successor had fenced that worker and went on extending the lease, or had acknowledged the end: two runs of one task, and a start after an end. A run that was given up without a report of its worker is now started again only while the leader holds the lease; causes of losses are an enumeration. Leader_workerAndStoreCutOff_tasksDoNotRunBesideThoseOfSuccessor failed before.

--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -99,6 +99,9 @@
     // continues without the store.
     bool isLeader(Instant now) const;
 
+    // leaseEndsAt() returns the end of the own lease; it is past if this host has none.
+    Instant leaseEndsAt() const { return this->leaseEnd; }
+
     // holdsLease() returns true if the lease has not expired.
     bool holdsLease(Instant now) const;
 
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -58,6 +58,12 @@
     }
 }
 
+void Dispatcher::leaseExtended(const CellName& cell, Instant leaseEnd)
+{
+    if (const auto found = this->cells.find(cell); found != this->cells.end())
+        found->second.leaseEnd = leaseEnd;
+}
+
 void Dispatcher::cellLost(const CellName& cell)
 {
     this->acquiredCells.erase(cell);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -86,6 +86,10 @@
     // the version at which the lease was acquired.
     void cellAcquired(const CellAcquired& acquired, CommandContext& context);
 
+    // leaseExtended() reports the end of the lease of a cell. Without the lease a leader goes on for a while, but a successor
+    // may lead already.
+    void leaseExtended(const CellName& cell, Instant leaseEnd);
+
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
@@ -194,6 +198,7 @@
         Epoch epoch { 0 };
         RowVersion acquiredAt { 0 };
         Instant leadingSince {};
+        Instant leaseEnd {}; // of the own lease of the cell
         Instant formerLeaseEnd {}; // by which every lease that a former leader granted has expired
         bool isRosterComplete { false }; // the former leader's runs are on workers of the roster, or in `unconfirmed`
         bool areWorkersFenced { false }; // no worker has runs of former leaders that are unknown here
@@ -230,9 +235,9 @@
     void adoptOrphanedRuns(JobExecution& job, CommandContext& context);
     void handleMissingRun(FleetWorker& worker, const TaskRunId& run, const PollEnded& end, CommandContext& context);
     void throttleBestEffort(FleetWorker& worker, CommandContext& context);
-    void markRunLost(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
-    void markConfirmedRunsLost(FleetWorker& worker, const char* cause, CommandContext& context);
-    void markRunsLost(FleetWorker& worker, const char* cause, CommandContext& context);
+    void markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context);
+    void markConfirmedRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
+    void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
     // Calls to workers. evacuate() stops long-running tasks on a draining worker that have room elsewhere.
@@ -292,6 +297,7 @@
     bool mayEvictFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now);
     RunAllocation allocationFor(const JobExecution& job, const StepDefinition& step) const;
     bool hasOrphanedRun(const TaskId& task) const;
+    bool mayStartAgain(const JobExecution& job, const TaskExecution& taskExecution, Instant now) const;
     bool mayYield(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     bool isYielding(const TaskExecution& taskExecution, Instant now) const;
     std::uint32_t countRunsOfStep(const TaskId& task, const WorkerId& worker);
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -18,7 +18,7 @@
             this->evacuate(worker, context);
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
         if (isLeaseExpired && !worker.runs.empty())
-            this->markRunsLost(worker, "lease-lapsed", context);
+            this->markRunsLost(worker, RunLossCause::LeaseLapsed, context);
         if (worker.isForgettable(context.now)) {
             this->logWorkerGone(worker, cell->second, context);
             removedWorkers.push_back(id);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -120,13 +120,18 @@
     for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
         const TaskExecution& taskExecution = stepExecution.tasks[index];
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
-        if (taskExecution.stage != TaskStage::Waiting || this->hasOrphanedRun(task))
+        if (taskExecution.stage != TaskStage::Waiting || this->hasOrphanedRun(task) || !this->mayStartAgain(job, taskExecution, context.now))
             continue;
         if (this->placeTask(job, task, pass, context) == PlacementOutcome::NoRoom)
             return;
     }
 }
 
+bool Dispatcher::mayStartAgain(const JobExecution& job, const TaskExecution& taskExecution, Instant now) const
+{
+    return !taskExecution.isRunGivenUp || now < this->cells.at(job.definition().cell).leaseEnd;
+}
+
 RunAllocation Dispatcher::allocationFor(const JobExecution& job, const StepDefinition& step) const
 {
     RunAllocation allocation = allocationOf(step);
@@ -222,6 +227,9 @@
     const StepDefinition& step = job.definition().steps[stepExecution.step];
     if (stepExecution.waiting < stepExecution.tasks.size() - stepExecution.done)
         return;
+    const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
+    if (!mayStart)
+        return;
     // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
     std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
     std::string rack;
@@ -257,6 +265,7 @@
     context.stageTimes[Stage::Wait].record(context.now - taskExecution.since);
     taskExecution.worker = worker.entry.id;
     taskExecution.run = run;
+    taskExecution.isRunGivenUp = false;
     taskExecution.yieldingSince = {};
     taskExecution.nextSearchAt = {};
     const StepDefinition& step = job.definition().steps[task.step];
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -47,7 +47,7 @@
     const bool isStartLater = worker.answeredStartedAt != 0 && end.startedAt > worker.answeredStartedAt;
     const bool isClockReset = worker.clock && end.clock < *worker.clock;
     if (isStartLater || isClockReset) {
-        this->markConfirmedRunsLost(worker, "worker-restarted", context); // the start of any other may still arrive at the new incarnation
+        this->markConfirmedRunsLost(worker, RunLossCause::WorkerRestarted, context); // the start of any other may still arrive at the new incarnation
         worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
@@ -76,7 +76,7 @@
 {
     if (end.status == WorkerCallStatus::OtherIncarnation) {
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
-        this->markRunsLost(worker, "worker-replaced", context);
+        this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
         worker.isListed = false;
         worker.mayHaveUnknownRuns = false;
         worker.leaseEnd = context.now;
@@ -313,12 +313,12 @@
         // A run that was seen, or whose stop was answered, cannot appear again. The start of any other may still arrive.
         const bool isStopFinal = allocation.isStopConfirmed || allocation.firstConfirmedAt != Instant();
         if (isStopFinal && end.sentAt > allocation.stopRequestedAt + this->options.stopTimeout && end.sentAt > allocation.lastConfirmedAt)
-            this->markRunLost(worker, run, "stopped", context);
+            this->markRunLost(worker, run, RunLossCause::Stopped, context);
         return;
     }
     if (this->orphanedRuns.contains(run)) {
         if (end.sentAt > allocation.lastConfirmedAt)
-            this->markRunLost(worker, run, "not-reported", context);
+            this->markRunLost(worker, run, RunLossCause::NotReported, context);
         return;
     }
     JobExecution* job = this->findJobExecution(run.task.job);
@@ -328,7 +328,7 @@
     if (taskExecution->stage == TaskStage::Unclear && end.sentAt > taskExecution->since)
         return this->stopRun(worker, run, "unclear-start", context);
     if (taskExecution->stage == TaskStage::Running && end.sentAt > allocation.lastConfirmedAt && end.sentAt > taskExecution->since)
-        this->markRunLost(worker, run, "not-reported", context);
+        this->markRunLost(worker, run, RunLossCause::NotReported, context);
 }
 
 void Dispatcher::throttleBestEffort(FleetWorker& worker, CommandContext& context)
@@ -340,7 +340,7 @@
     }
 }
 
-void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context)
+void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context)
 {
     this->fleet.release(worker, run);
     this->orphanedRuns.erase(run);
@@ -348,16 +348,17 @@
     TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
     if (!taskExecution || taskExecution->run != run.run || taskExecution->worker != worker.entry.id || !isOnWorker(taskExecution->stage))
         return;
-    context.add(LogDecision { DecisionEvent::TaskLost, formatRun(run), worker.entry.id.value(), cause, job->version(), toMilliseconds(context.now - taskExecution->since) });
+    context.add(LogDecision { DecisionEvent::TaskLost, formatRun(run), worker.entry.id.value(), std::string(runLossCauseNames.nameOf(cause)), job->version(), toMilliseconds(context.now - taskExecution->since) });
     const std::string checkpoint = taskExecution->checkpoint;
     this->releaseTask(*job, run, checkpoint, context);
+    taskExecution->isRunGivenUp = !isReportedLoss(cause);
     if (job->definition().steps[run.task.step].isGang)
         this->stopGang(*job, run.task, context);
     this->markDirty(*job);
     this->needsPass = true;
 }
 
-void Dispatcher::markConfirmedRunsLost(FleetWorker& worker, const char* cause, CommandContext& context)
+void Dispatcher::markConfirmedRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
 {
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
@@ -368,7 +369,7 @@
         this->markRunLost(worker, run, cause, context);
 }
 
-void Dispatcher::markRunsLost(FleetWorker& worker, const char* cause, CommandContext& context)
+void Dispatcher::markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
 {
     while (!worker.runs.empty())
         this->markRunLost(worker, TaskRunId(worker.runs.begin()->first), cause, context);
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -53,6 +53,7 @@
     Instant roomExpectedAt; // by then the runs that were stopped to make room for this task have ended
     Instant yieldingSince; // since when a long-running task leaves available room to short tasks; default: it does not
     Instant nextSearchAt; // no search for a worker before this, after one whose failure says nothing about other tasks
+    bool isRunGivenUp { false }; // the last run was given up without a report of its worker
     WorkerId lastFailedWorker; // worker of the last failed run; empty: none
     int speedPercent { 0 }; // as last reported by the worker
 };
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -75,6 +75,8 @@
     SchedulerEffects effects;
     CommandContext context { now, this->wallTime, this->nextWrite, effects, this->stageTimes };
     this->endExpiredLeaderships(context);
+    for (const auto& [cell, leadership] : this->leaderships)
+        this->dispatcher.leaseExtended(cell, leadership.leaseEndsAt());
     (this->*commandHandlers[command.index()])(command, context);
     for (const SchedulerEffect& effect : effects) {
         if (const auto* write = std::get_if<WriteStoredRows>(&effect))
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -74,4 +74,29 @@
 }) };
 static_assert(workerCallStatusNames.isWhole(WorkerCallStatus::Unclear));
 
+// RunLossCause is why a leader takes a run for lost.
+enum class RunLossCause {
+    LeaseLapsed,
+    WorkerRestarted, // another incarnation of the worker has answered
+    WorkerReplaced, // another worker has answered at its address
+    NotReported, // the worker has answered and no longer has it
+    Stopped, // the same after a stop
+};
+
+inline constexpr NameTable runLossCauseNames { std::to_array<NameEntry<RunLossCause>>({
+    { RunLossCause::LeaseLapsed, "lease-lapsed" },
+    { RunLossCause::WorkerRestarted, "worker-restarted" },
+    { RunLossCause::WorkerReplaced, "worker-replaced" },
+    { RunLossCause::NotReported, "not-reported" },
+    { RunLossCause::Stopped, "stopped" },
+}) };
+static_assert(runLossCauseNames.isWhole(RunLossCause::Stopped));
+
+// isReportedLoss() returns true if the worker of the run has answered this leader without it. Any other loss may be known
+// better by a successor, which may have read the end of the run, or go on extending its lease.
+constexpr bool isReportedLoss(RunLossCause cause)
+{
+    return cause == RunLossCause::NotReported || cause == RunLossCause::Stopped;
+}
+
 } // namespace dragonflytray
