scheduling: ends that a conflict brings are acted on

A job stayed running for ever after all its tasks had ended, when its last missing end had been stored by a former leader and came back with the conflict of the new leader's write: the progress was merged, but nothing completed the job or opened its next steps, and the feed's later delivery of the row was passed over as known. The recorder now names the jobs whose progress it has merged, and the dispatcher goes on with them.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -296,10 +296,11 @@
 std::vector<CellName> Dispatcher::writeEnded(const RowsWriteEnded& end, CommandContext& context)
 {
     std::vector<CellName> lostCells;
-    for (const JobId& job : this->recorder.writeEnded(end, this->jobExecutions, context.now)) {
-        if (const JobExecution* execution = this->findJobExecution(job))
-            lostCells.push_back(execution->definition().cell);
-    }
+    const Recorder::ForeignWrites foreign = this->recorder.writeEnded(end, this->jobExecutions, context.now);
+    for (const JobId& job : foreign.later)
+        lostCells.push_back(this->findJobExecution(job)->definition().cell);
+    for (const JobId& job : foreign.earlier)
+        this->advance(*this->findJobExecution(job), context); // the merged ends may have completed a step or the job
     if (end.status != TransactionStatus::Committed)
         context.add(LogDecision { DecisionEvent::WriteRetried, std::to_string(end.write), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
     std::erase_if(this->workersWithUnacknowledgedEnds, [&](const WorkerId& id) {
--- a/packages/scheduling/recorder.cc
+++ b/packages/scheduling/recorder.cc
@@ -71,15 +71,15 @@
     return result;
 }
 
-std::vector<JobId> Recorder::writeEnded(const RowsWriteEnded& end, JobExecutions& jobExecutions, Instant now)
+Recorder::ForeignWrites Recorder::writeEnded(const RowsWriteEnded& end, JobExecutions& jobExecutions, Instant now)
 {
-    std::vector<JobId> lost;
+    ForeignWrites foreign;
     const Pending pending = std::move(this->inFlight.extract(end.write).mapped());
     Partition& partition = this->partitions[pending.partition];
     partition.write = 0;
     const bool isCommitted = end.status == TransactionStatus::Committed;
     for (const StoredRowChange& conflict : end.conflicts)
-        this->resolveConflict(conflict, jobExecutions, now, lost);
+        this->resolveConflict(conflict, jobExecutions, now, foreign);
     for (const PendingJob& written : pending.jobs) {
         const auto found = jobExecutions.find(written.job);
         if (found == jobExecutions.end())
@@ -93,10 +93,10 @@
     }
     if (end.status == TransactionStatus::Unavailable || end.status == TransactionStatus::Ambiguous)
         partition.notBefore = now + this->options.retryDelay;
-    return lost;
+    return foreign;
 }
 
-void Recorder::resolveConflict(const StoredRowChange& conflict, JobExecutions& jobExecutions, Instant now, std::vector<JobId>& lost)
+void Recorder::resolveConflict(const StoredRowChange& conflict, JobExecutions& jobExecutions, Instant now, ForeignWrites& foreign)
 {
     const auto found = jobExecutions.find(JobId(conflict.key.name));
     if (found == jobExecutions.end())
@@ -105,12 +105,14 @@
     const auto* progress = conflict.value ? std::get_if<JobProgress>(&*conflict.value) : nullptr;
     if (!progress)
         return execution.markRecorded(0, conflict.version);
-    if (progress->epoch > execution.progress().epoch)
-        lost.push_back(JobId(conflict.key.name));
-    else if (progress->epoch == execution.progress().epoch)
+    if (progress->epoch > execution.progress().epoch) {
+        foreign.later.push_back(execution.definition().id);
+    } else if (progress->epoch == execution.progress().epoch) {
         execution.markRecorded(progress->generation, conflict.version); // an earlier write has taken effect, but its answer was lost
-    else
+    } else {
         execution.mergeProgress(*progress, conflict.version, now);
+        foreign.earlier.push_back(execution.definition().id);
+    }
 }
 
 std::size_t Recorder::unrecordedJobs() const
--- a/packages/scheduling/recorder.h
+++ b/packages/scheduling/recorder.h
@@ -42,9 +42,14 @@
     // owns() returns true if `write` is a write of this recorder that is in flight.
     bool owns(std::uint64_t write) const { return this->inFlight.contains(write); }
 
-    // writeEnded() handles the result of a write. It returns the jobs that a leader with a higher epoch has written
-    // meanwhile, so that this host no longer leads their cells. Requires owns(end.write).
-    std::vector<JobId> writeEnded(const RowsWriteEnded& end, JobExecutions& jobExecutions, Instant now);
+    // ForeignWrites are the jobs of a write that other leaders have written meanwhile.
+    struct ForeignWrites {
+        std::vector<JobId> later; // by a leader with a higher epoch, so that this host no longer leads their cells
+        std::vector<JobId> earlier; // by a former leader; its progress has been merged into the execution
+    };
+
+    // writeEnded() handles the result of a write. Requires owns(end.write).
+    ForeignWrites writeEnded(const RowsWriteEnded& end, JobExecutions& jobExecutions, Instant now);
 
     // unrecordedJobs() returns the number of jobs with progress that is not recorded yet, including writes in flight.
     std::size_t unrecordedJobs() const;
@@ -71,7 +76,7 @@
 
     bool isDue(const Partition& partition, Instant now) const;
     std::optional<WriteStoredRows> compose(std::uint32_t number, const JobExecutions& jobExecutions, std::uint64_t write);
-    void resolveConflict(const StoredRowChange& conflict, JobExecutions& jobExecutions, Instant now, std::vector<JobId>& lost);
+    void resolveConflict(const StoredRowChange& conflict, JobExecutions& jobExecutions, Instant now, ForeignWrites& foreign);
 
     Options options;
     std::array<Partition, jobPartitions> partitions;
