scheduling: a report with as many ends as fit says nothing about runs that it lacks

A worker reports at most 500 ends at a time. A run whose end came after them was taken for lost, and its task was started again, although it may have ended as done and be acknowledged later. Such a report is now known as incomplete: runs that it lacks stay, and after a takeover the worker may have runs that are unknown until a whole report has come.

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -63,7 +63,7 @@
     if (!worker.isFenced) // a former leader may have granted leases until now
         this->fleet.recordLease(worker, context.now);
     worker.isFenced = true;
-    worker.mayHaveUnknownRuns = false; // the report names all of them
+    worker.mayHaveUnknownRuns = worker.mayHaveUnknownRuns && end.hasMoreEnds; // a whole report names all of them
     worker.clock = end.clock;
     worker.clockReadAt = end.receivedAt;
     Fleet::pollAnswered(worker);
@@ -213,6 +213,8 @@
         else
             this->adoptRun(worker, task, context);
     }
+    if (end.hasMoreEnds)
+        return; // a run that is missing may be among them
     std::vector<TaskRunId> missing;
     for (const auto& [run, allocation] : worker.runs) {
         if (allocation.lastReportNumber != worker.reportCount)
--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -44,6 +44,7 @@
         {
             PollEnded report = this->w1().poll({ .to = { WorkerId("w1"), {}, epoch }, .deadline = {}, .acknowledged = 0, .wait = Duration(0) }, this->now);
             report.running.clear();
+            report.hasMoreEnds = true;
             for (std::uint64_t number = 1; number <= reportedEnds; ++number)
                 report.ended.push_back({ .number = number, .id = { { otherJob, 0, 0, static_cast<std::uint32_t>(number) }, 1 }, .outcome = RunOutcome::Done, .checkpoint = {} });
             return report;
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -86,6 +86,7 @@
     WallTime startedAt { 0 }; // start of the worker's process, which identifies its incarnation; 0: not reported
     std::vector<RunningTask> running {}; // all current runs
     std::vector<EndedRun> ended {}; // ends that have not been acknowledged
+    bool hasMoreEnds { false }; // ends beyond those in `ended` are reported once these are acknowledged
 };
 
 // TaskCallKind is the kind of a call about one run.
