scheduling: reports stay small, and lapsed leases count only while the host holds its own

A worker is now reported as silent after 1.5 s, one that answers again waits for the next regular renewal, and at most 1,500 tasks are unconfirmed in a row (the platform's rows hold about 2,800); further silent workers stay in the roster as if they answered, which is as safe.

The lapse of the former leaders' leases is proof only while this host holds the lease: later a successor may have fenced the worker that is missing and extend its leases (Takeover_storeCutOffBeforeFormerLeasesExpire_tasksDoNotRunBesideThoseOfSuccessor failed before).

After a restart of a worker, a run that was confirmed after the poll was sent may be one of the new incarnation and stays; starts that may still arrive are stopped again at the new incarnation.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -77,7 +77,7 @@
     this->workersView.writeCommitted(version, sentAt);
 }
 
-CellReport Dispatcher::composeReport(const CellName& name)
+CellReport Dispatcher::composeReport(const CellName& name, Instant now)
 {
     const auto found = this->cells.find(name);
     if (found == this->cells.end())
@@ -85,12 +85,16 @@
     Cell& cell = found->second;
     CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .silentWorkers = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
     std::map<WorkerId, RosterEntry> enrolled;
+    std::size_t unconfirmed = cell.unconfirmed.size();
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
             continue;
         enrolled.emplace(id, RosterEntry { worker.entry.endpoint, worker.entry.capacity });
-        if (worker.isSilent()) {
+        const std::size_t tasks = worker.runs.size() + worker.unacknowledgedEnds.size();
+        if (worker.isSilent(now, this->options.silenceReportTimeout) && unconfirmed + tasks <= this->options.maxUnconfirmedTasks) {
+            unconfirmed += tasks;
             worker.enrolment = Enrolment::None;
+            worker.wasReportedSilent = true;
             report.silentWorkers.push_back(id);
         } else if (worker.enrolment == Enrolment::None) {
             worker.enrolment = Enrolment::Requested;
@@ -138,7 +142,7 @@
         return true;
     return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
         const FleetWorker& worker = entry.second;
-        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.isSuspect && worker.isListed;
+        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.wasReportedSilent && worker.isListed;
     });
 }
 
@@ -411,7 +415,8 @@
     for (auto& [name, cell] : this->cells) {
         if (cell.isReconciled && cell.unconfirmed.empty())
             continue;
-        const bool haveLeasesExpired = context.now >= cell.formerLeaseEnd;
+        // Without its lease this host may have a successor, which extends leases of workers that this host has not heard of.
+        const bool haveLeasesExpired = context.now >= cell.formerLeaseEnd && context.now < cell.leaseEnd;
         if (!cell.areWorkersFenced && cell.isRosterComplete && !this->hasUnknownRuns(name))
             cell.areWorkersFenced = true;
         const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -53,6 +53,8 @@
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
         Duration unrecordedPollInterval { std::chrono::milliseconds(120) }; // between polls of a worker while its ends wait to be recorded
         Duration renewalTimeout { std::chrono::milliseconds(1500) }; // for which leases of a worker that does not answer are still renewed
+        Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which its tasks are reported as unconfirmed and it gets no more
+        std::size_t maxUnconfirmedTasks { 1500 }; // in a report; further silent workers stay in the roster as if they answered. A row of the store holds about 2,800
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
@@ -96,7 +98,7 @@
     // composeReport() returns the report of a cell for the next renewal of its lease. Tasks are started on a worker only once
     // a report that enrols it is stored, and no more on one that the report says is silent. Requires leads(). Linear in all
     // workers.
-    CellReport composeReport(const CellName& cell);
+    CellReport composeReport(const CellName& cell, Instant now);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
     // workers were fenced sets how far the store has to be followed before the cell is reconciled.
@@ -168,8 +170,9 @@
     // since a cell was last acquired.
     std::optional<Epoch> fencedEpoch() const { return this->lastFencedEpoch; }
 
-    // isReportDue() says whether a report should be stored soon, since workers wait to be enrolled or the cell to be
-    // reconciled. Linear in all workers.
+    // isReportDue() says whether a report should be stored soon, since new workers wait to be enrolled or the cell to be
+    // reconciled. Workers that answer again wait for the next renewal: a report is received by every host. Linear in all
+    // workers.
     bool isReportDue(const CellName& cell) const;
 
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
@@ -236,7 +239,10 @@
     void handleMissingRun(FleetWorker& worker, const TaskRunId& run, const PollEnded& end, CommandContext& context);
     void throttleBestEffort(FleetWorker& worker, CommandContext& context);
     void markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context);
-    void markConfirmedRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
+    // After a restart of a worker, markFormerRunsLost() gives up the runs that were confirmed before the poll was sent.
+    // expectLateStarts() lets the others be stopped again: their starts may still arrive at the new incarnation.
+    void markFormerRunsLost(FleetWorker& worker, const PollEnded& end, CommandContext& context);
+    void expectLateStarts(FleetWorker& worker, CommandContext& context);
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -47,7 +47,8 @@
     const bool isStartLater = worker.answeredStartedAt != 0 && end.startedAt > worker.answeredStartedAt;
     const bool isClockReset = worker.clock && end.clock < *worker.clock;
     if (isStartLater || isClockReset) {
-        this->markConfirmedRunsLost(worker, RunLossCause::WorkerRestarted, context); // the start of any other may still arrive at the new incarnation
+        this->markFormerRunsLost(worker, end, context);
+        this->expectLateStarts(worker, context);
         worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
@@ -360,15 +361,27 @@
     this->needsPass = true;
 }
 
-void Dispatcher::markConfirmedRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
+void Dispatcher::markFormerRunsLost(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
-        if (allocation.lastConfirmedAt != Instant())
+        if (allocation.lastConfirmedAt != Instant() && allocation.lastConfirmedAt <= end.sentAt)
             runs.push_back(run);
     }
     for (const TaskRunId& run : runs)
-        this->markRunLost(worker, run, cause, context);
+        this->markRunLost(worker, run, RunLossCause::WorkerRestarted, context);
+}
+
+void Dispatcher::expectLateStarts(FleetWorker& worker, CommandContext& context)
+{
+    for (auto& [run, allocation] : worker.runs) {
+        allocation.isStopping = false;
+        allocation.isStopConfirmed = false;
+        JobExecution* job = this->findJobExecution(run.task.job);
+        const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
+        if (taskExecution && taskExecution->run == run.run && taskExecution->stage == TaskStage::Stopping)
+            job->setStage(run.task, TaskStage::Unclear, context.now);
+    }
 }
 
 void Dispatcher::markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -16,6 +16,11 @@
     return this->answeredStartedAt != 0 && this->entry.startedAt > this->answeredStartedAt;
 }
 
+bool FleetWorker::isSilent(Instant now, Duration timeout) const
+{
+    return !this->mayHaveUnknownRuns && (!this->isFenced || (this->isSuspect && now >= this->lastAnswer + timeout));
+}
+
 bool FleetWorker::isForgettable(Instant now) const
 {
     return !this->isListed && this->runs.empty() && now >= (this->isFenced ? this->leaseEnd : this->formerLeaseEnd);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -91,6 +91,7 @@
     Instant formerLeaseEnd; // by which every lease that a former leader granted has expired; zero: there was none
     Enrolment enrolment { Enrolment::None };
     std::uint64_t enrolmentReport { 0 }; // first report that enrols it, if Requested
+    bool wasReportedSilent { false }; // by this leader
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
     Instant nextPollAt;
@@ -122,8 +123,9 @@
     std::vector<ServingHeadroom> servingHeadrooms; // as of the last report
     std::map<TaskRunId, RunAllocation> runs;
 
-    // isSilent() says whether the worker is to be reported as silent: no call reaches it, and its runs are known.
-    bool isSilent() const { return !this->mayHaveUnknownRuns && (this->isSuspect || !this->isFenced); }
+    // isSilent() says whether the worker is to be reported as silent: its runs are known, and it has not answered for `timeout`
+    // or, under this epoch, never.
+    bool isSilent(Instant now, Duration timeout) const;
 
     // isForgettable() says whether a worker that is not listed can have no runs and no lease any more.
     bool isForgettable(Instant now) const;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -141,7 +141,7 @@
             leadership.renewSoon();
         if (!leadership.isWriteDue(context.now))
             continue;
-        context.add(leadership.nextWrite(this->nextWrite++, this->dispatcher.composeReport(cell), context.now));
+        context.add(leadership.nextWrite(this->nextWrite++, this->dispatcher.composeReport(cell, context.now), context.now));
     }
 }
 
