--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -58,8 +58,39 @@
         Instant startedAt; // of w1
     };
 
+    // UnrecordedEndFixture has host "a", which has read the end of the only task's run on "w1" and could not record it.
+    struct UnrecordedEndFixture : SchedulerFixture {
+        UnrecordedEndFixture()
+        {
+            this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
+            this->dispatcherOptions.recorder.retryDelay = std::chrono::seconds(60);
+            this->addWorker("w1", 16);
+            this->run({ "a" }, takeoverTime);
+            REQUIRE(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+            this->run({ "a" }, settlingTime);
+            REQUIRE(this->runningOf(job).size() == 1);
+            this->isDisconnectedFromStore["a"] = true;
+            this->run({ "a" }, std::chrono::seconds(1));
+            REQUIRE(this->runningOf(job).empty());
+            this->isDisconnectedFromStore["a"] = false;
+        }
+    };
+
 } // namespace
 
+TEST_CASE_METHOD(UnrecordedEndFixture, "Takeover_workerSilentAfterUnrecordedEnd_taskIsNotStartedAgain", "[lost-run]")
+{
+    this->unresponsive.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->addWorker("w2", 16);
+    this->run({ "b" }, std::chrono::seconds(3));
+    REQUIRE(this->leader() == "b");
+    this->unresponsive.clear();
+    this->run({ "b" }, std::chrono::seconds(2));
+    CHECK(this->starts.size() == 1);
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
 TEST_CASE_METHOD(LostRunFixture, "Leader_reportWithAsManyEndsAsFit_missingRunIsNotStartedAgain", "[lost-run]")
 {
     this->startTasks(1);
