--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -50,6 +50,12 @@
             return report;
         }
 
+        // extendLease() lets a leader that the fixture does not run extend the lease of w1.
+        void extendLease(Epoch epoch)
+        {
+            (void)this->w1().poll({ .to = { WorkerId("w1"), {}, epoch }, .deadline = toMilliseconds(this->now - this->startedAt) + 4500, .acknowledged = 0, .wait = Duration(0) }, this->now);
+        }
+
         Epoch epoch() const
         {
             return std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch;
@@ -141,7 +147,30 @@
     for (const Instant end = this->now + std::chrono::seconds(7); this->now < end;) {
         this->run({ "a" }, std::chrono::milliseconds(500));
         if (this->now > end - std::chrono::seconds(5))
-            (void)this->w1().poll({ .to = { WorkerId("w1"), {}, successor }, .deadline = toMilliseconds(this->now - this->startedAt) + 4500, .acknowledged = 0, .wait = Duration(0) }, this->now);
+            this->extendLease(successor);
+    }
+    CHECK(this->maxConcurrentRuns == 1);
+}
+
+TEST_CASE_METHOD(LostRunFixture, "Takeover_storeCutOffBeforeFormerLeasesExpire_tasksDoNotRunBesideThoseOfSuccessor", "[lost-run]")
+{
+    constexpr Duration interval = std::chrono::milliseconds(500);
+    this->startTasks(4);
+    const Epoch former = this->epoch();
+    this->addWorker("w2", 16);
+    this->unreachable.insert(WorkerId("w1")); // but not for the leaders before and after b
+    while (this->leader() != "b")
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    for (const Instant end = this->now + std::chrono::seconds(4); this->now < end;) {
+        this->extendLease(former);
+        this->run({ "b" }, interval);
+    }
+    this->isDisconnectedFromStore["b"] = true;
+    this->send("b", StoreContact { false });
+    for (const Instant end = this->now + std::chrono::seconds(7); this->now < end;) {
+        this->run({ "b" }, interval);
+        if (this->now > end - std::chrono::seconds(5))
+            this->extendLease(former + 2);
     }
     CHECK(this->maxConcurrentRuns == 1);
 }
