scheduling: runs of cancelled jobs stop in time behind a late feed

Cause: a leader learned of a cancellation answered at another host only from the change feed.

While the view of jobs is older than half of the limit for starts, the leader asks the store for the cancellations of the jobs that have runs, by a transaction that requires up to 100 cancellation rows of a partition to be absent and writes nothing. A conflict brings the rows that exist. No new effect or encoding; nothing is sent while the feed is recent.

Ruled out: conditions in writes of progress (one cancelled job fails the write of 45, and jobs without progress need a read anyway), a read of each job (J a second), a read of whole partitions (more bytes than the feed that is late), a table and feed of its own for cancellations (paid for always).

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -80,6 +80,8 @@
     options.dispatcher.stopTimeout = settings.stopTimeout;
     options.dispatcher.maxJobsViewAge = settings.cancellationLimit - options.dispatcher.startValidity;
     options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
+    // The rest of the limit is for an answer of the store that is lost, and its repetition.
+    options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
 }
 
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -46,6 +46,21 @@
     CHECK_FALSE(parseEntrySettings(text, "entry.yaml"));
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_cancellationLimit_leavesTimeToReadCancellationsTwice")
+{
+    constexpr Duration writeTimeout = std::chrono::seconds(1); // of the store duty
+    for (const auto* limit : { "3000", "4000", "20000" }) {
+        const std::string entry = "entry:\n";
+        std::string text = this->text;
+        text.insert(text.find(entry) + entry.size(), std::string("  cancellationLimitMilliseconds: ") + limit + "\n");
+        const auto settings = parseEntrySettings(text, "entry.yaml");
+        REQUIRE(settings);
+        const CancellationCheck::Options options = schedulerOptions(*settings).cancellationCheck;
+        CHECK(options.maxAge >= std::chrono::seconds(1)); // a leader that is up to date reads none
+        CHECK(options.maxAge + options.interval + options.repeatInterval + options.interval + writeTimeout <= settings->cancellationLimit);
+    }
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -70,6 +70,8 @@
             if (record && record->isDefined() && change->key.kind == StoredRowKind::Cancellation)
                 this->dispatcher.cancellationStored(*record, context);
         }
+    } else if (this->cancellationCheck.owns(end.write)) {
+        this->cancellationsChecked(end, context);
     } else if (this->dispatcher.owns(end.write)) {
         for (const CellName& cell : this->dispatcher.writeEnded(end, context))
             this->applyLeadershipChange(cell, this->leaderships.at(cell).fence(), context);
@@ -83,6 +85,21 @@
     this->dispatcher.tick(context);
 }
 
+void Scheduler::cancellationsChecked(const RowsWriteEnded& end, CommandContext& context)
+{
+    const CancellationCheckResult result = this->cancellationCheck.writeEnded(end, context.now);
+    LogDecision checked { DecisionEvent::CancellationsChecked, std::to_string(end.write), {}, std::string(transactionStatusNames.nameOf(end.status)), this->appliedVersion, toMilliseconds(result.answerTime), this->dispatcher.viewAge(context.now) };
+    checked.inputs = { { DecisionInput::Jobs, static_cast<std::int64_t>(result.jobs) }, { DecisionInput::CancelledJobs, static_cast<std::int64_t>(result.cancellations.size()) } };
+    context.add(std::move(checked));
+    for (const StoredRowChange& change : result.cancellations) {
+        if (!this->jobCache.find(JobId(change.key.name))) // removed meanwhile
+            continue;
+        const JobRecord* record = this->jobCache.apply(change);
+        if (record && record->isDefined())
+            this->dispatcher.cancellationStored(*record, context);
+    }
+}
+
 void Scheduler::jobRowsRead(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& read = std::get<JobRowsRead>(command);
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -37,9 +37,19 @@
     context.wallTime = this->wallTime;
     this->maintainLeases(context);
     this->dispatcher.tick(context);
+    this->checkCancellations(context);
     this->removeEndedJobs(context);
 }
 
+void Scheduler::checkCancellations(CommandContext& context)
+{
+    const Instant viewedAt = this->dispatcher.jobsViewedAt();
+    if (!this->dispatcher.leadsAny() || !this->cancellationCheck.isDue(viewedAt, context.now))
+        return;
+    for (WriteStoredRows& write : this->cancellationCheck.collect(this->dispatcher.runningJobs(), viewedAt, context.nextWrite, context.now))
+        context.add(std::move(write));
+}
+
 void Scheduler::removeEndedJobs(CommandContext& context)
 {
     if (context.now < this->nextRemovalAt)
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -410,6 +410,20 @@
     return running;
 }
 
+std::vector<JobId> Dispatcher::runningJobs() const
+{
+    std::set<JobId> jobs;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        for (const auto& [run, allocation] : worker.runs)
+            jobs.insert(run.task.job);
+    }
+    std::erase_if(jobs, [this](const JobId& job) {
+        const auto execution = this->jobExecutions.find(job);
+        return execution == this->jobExecutions.end() || isFinal(execution->second->progress().phase);
+    });
+    return { jobs.begin(), jobs.end() };
+}
+
 void Dispatcher::reconcileCells(CommandContext& context)
 {
     for (auto& [name, cell] : this->cells) {
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -117,8 +117,8 @@
     // recorded, or a cancellation. The record must outlive its execution here.
     void jobChanged(const JobRecord& record, CommandContext& context);
 
-    // cancellationStored() ends a job whose cancellation this host has stored itself. It has no effect on a job that is not
-    // in execution.
+    // cancellationStored() ends a job whose cancellation is known before the change feed shows it, since this host has stored
+    // or read it. It has no effect on a job that is not in execution.
     void cancellationStored(const JobRecord& record, CommandContext& context);
 
     // jobRemoved() drops the execution of a job that was removed from the store.
@@ -182,6 +182,9 @@
     // the default value if there is none yet.
     Instant viewedAt() const { return std::min(this->jobsView.asOf(), this->workersView.asOf()); }
 
+    // jobsViewedAt() is the same of jobs alone.
+    Instant jobsViewedAt() const { return this->jobsView.asOf(); }
+
     // viewAge() is the time since viewedAt() in ms; nothing if there is none yet.
     std::optional<std::int64_t> viewAge(Instant now) const;
 
@@ -195,6 +198,9 @@
     // runningTasks() is the number of runs on all workers. Linear in all workers.
     std::size_t runningTasks() const;
 
+    // runningJobs() returns the jobs in execution that have not ended and have runs on workers. Linear in all runs.
+    std::vector<JobId> runningJobs() const;
+
 private:
     // Cell is one cell that this host leads.
     struct Cell {
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -58,6 +58,7 @@
 Scheduler::Scheduler(Options options)
     : options(std::move(options))
     , clientRequests(this->options.clientRequests)
+    , cancellationCheck(this->options.cancellationCheck)
     , dispatcher(this->options.dispatcher, cellsOf(this->options.dataCentres, this->options.scope))
 {
     const std::map<DataCentreName, CellName> cells = cellsOf(this->options.dataCentres, this->options.scope);
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 //     SchedulerEffects effects = scheduler.handle(SubmitJobSteps { token, host, path, job }, now);
 //     SchedulerView view = scheduler.ask(QueueQuery { host, path }, now);
 
+#include "scheduling/cancellation_check.h"
 #include "scheduling/cell_leadership.h"
 #include "scheduling/client_requests.h"
 #include "scheduling/dispatcher.h"
@@ -53,6 +54,7 @@
         LeadershipScope scope { LeadershipScope::Whole };
         double processorShare { 1 }; // of a core; larger hosts are preferred as leaders
         Dispatcher::Options dispatcher {};
+        CancellationCheck::Options cancellationCheck {};
         ClientRequests::Options clientRequests {};
         Duration lease { std::chrono::milliseconds(1500) }; // of a cell's leader
         Duration remoteCellDelay { std::chrono::milliseconds(1200) }; // added to the acquisition delay by hosts outside the cell
@@ -144,9 +146,15 @@
 
     void removeEndedJobs(CommandContext& context);
 
+    // checkCancellations() reads the cancellations of running jobs while the change feed is late. cancellationsChecked()
+    // handles an answer to that.
+    void checkCancellations(CommandContext& context);
+    void cancellationsChecked(const RowsWriteEnded& end, CommandContext& context);
+
     Options options;
     JobCache jobCache;
     ClientRequests clientRequests;
+    CancellationCheck cancellationCheck;
     Dispatcher dispatcher;
     std::map<CellName, CellLeadership> leaderships;
     CellName homeCell; // cell of this host's data centre
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -173,6 +173,7 @@
     LeadershipBegun, // the leader has read the jobs of its cell and takes over the runs of its predecessors
     CellReconciled, // every run of former leaders is accounted for, so that tasks may be started again
     EndIgnored, // a worker reported the end of a run of a job that is not in execution here
+    CancellationsChecked, // the change feed is late, and the cancellations of running jobs were read from the store
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -201,8 +202,9 @@
     { DecisionEvent::LeadershipBegun, "leadership-begun" },
     { DecisionEvent::CellReconciled, "cell-reconciled" },
     { DecisionEvent::EndIgnored, "end-ignored" },
+    { DecisionEvent::CancellationsChecked, "cancellations-checked" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::EndIgnored));
+static_assert(decisionEventNames.isWhole(DecisionEvent::CancellationsChecked));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -215,6 +217,7 @@
     LeaseMilliseconds, // left of the lease that was granted to the worker; negative: since its end
     HasAnswered, // 1: the worker has answered this leader
     EndNumber,
+    CancelledJobs,
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -227,8 +230,9 @@
     { DecisionInput::LeaseMilliseconds, "leaseMs" },
     { DecisionInput::HasAnswered, "hasAnswered" },
     { DecisionInput::EndNumber, "endNumber" },
+    { DecisionInput::CancelledJobs, "cancelled" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::EndNumber));
+static_assert(decisionInputNames.isWhole(DecisionInput::CancelledJobs));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
