--- a/packages/scheduling/cancellation_check_test.cc
+++ b/packages/scheduling/cancellation_check_test.cc
@@ -232,6 +232,29 @@
     CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
 }
 
+// The leader's write of the ends conflicts with a row of an earlier leader, which it merges, before it reads the cancellation.
+TEST_CASE_METHOD(LateFeedFixture, "Scheduler_writeOfProgressConflictsBesideCancellation_recordsEndsAndCancellation")
+{
+    this->taskDuration = std::chrono::milliseconds(700);
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(12, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::milliseconds(200));
+    REQUIRE(this->runningOf(otherJob).size() == 4);
+    this->feedLag["a"] = std::chrono::seconds(10);
+    const StoredRowKey key { StoredRowKind::Progress, otherJob };
+    JobProgress former { .phase = JobPhase::Running };
+    former.stepProgress[0].done = std::vector<bool>(12, false);
+    former.stepProgress[0].done[11] = true;
+    REQUIRE(this->store.apply({ .write = 0, .partition = partitionOf(key), .conditions = {}, .puts = { { key, former } }, .removals = {} }).status == TransactionStatus::Committed);
+    this->cancel("b", otherJob);
+    this->taskDuration = std::chrono::seconds(20);
+    this->run({ "a", "b" }, cancellationLimit + stopTimeout);
+    CHECK(std::any_of(this->log.begin(), this->log.end(), [](const LogDecision& line) { return line.event == DecisionEvent::WriteRetried && line.outcome == "conflict"; }));
+    CHECK(this->runningOf(otherJob).empty());
+    CHECK(this->phaseOf(otherJob) == JobPhase::Cancelled);
+    const auto done = std::get<JobProgress>(*this->store.find(key)->value).stepProgress.at(0).done;
+    CHECK(std::count(done.begin(), done.end(), true) == 5);
+}
+
 // Nothing is answered, so that the cancellation is read at the return of the store.
 TEST_CASE_METHOD(LateFeedFixture, "Scheduler_cancellationReadFailsBehindLateFeed_isRepeated")
 {
