scheduling: stand-ins of the store and of workers lose, delay and reorder more

The stand-ins could not bring about what callers saw as TWICE: every write of the store was answered at once, entries of living workers never left the list, hosts were never frozen, and workers never restarted beside other faults. Writes can now take effect late or lose or delay their answers; list entries lapse and come back, through the feed and in whole lists; hosts freeze and then get all that waited; links between hosts and workers are cut; workers crash and restart, also without a start time. Everything is off by default.

--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace dragonflytray {
 
@@ -10,6 +11,7 @@
     constexpr const char* hostName = "desk.example";
     constexpr const char* prefix = "/q/";
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    constexpr Duration callTimeout = std::chrono::milliseconds(900); // of calls to workers
     const DataCentreName dataCentre("rs-poa");
 
     WallTime wallTimeAt(Instant now)
@@ -43,10 +45,18 @@
 
 void SchedulerFixture::send(const std::string& name, const SchedulerCommand& command)
 {
+    if (this->isFrozen(name))
+        return this->heldCommands[name].push_back(command);
     for (const SchedulerEffect& effect : this->host(name).handle(command, this->now))
         this->carryOut(name, effect);
 }
 
+bool SchedulerFixture::isFrozen(const std::string& name) const
+{
+    const auto until = this->frozenUntil.find(name);
+    return until != this->frozenUntil.end() && this->now < until->second;
+}
+
 void SchedulerFixture::carryOut(const std::string& name, const SchedulerEffect& effect)
 {
     std::visit([&](const auto& value) { this->execute(name, value); }, effect);
@@ -57,26 +67,10 @@
     for (const Instant end = this->now + time; this->now < end; this->now += tickInterval) {
         for (auto& [id, worker] : this->workers)
             worker.advance(this->now);
-        std::erase_if(this->delayedStarts, [&](const DelayedStart& start) {
-            if (start.due <= this->now)
-                (void)this->startOn(start.start);
-            return start.due <= this->now;
-        });
-        for (const std::string& name : names) {
-            if (!this->isDisconnectedFromStore[name])
-                this->deliverChanges(name);
-            if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
-                this->deliverList(name);
-            this->send(name, SchedulerTick { wallTimeAt(this->now) });
-        }
-        std::vector<std::pair<std::string, TaskCallEnded>> over;
-        std::erase_if(this->timeouts, [&](const auto& call) {
-            if (call.first <= this->now)
-                over.push_back(call.second);
-            return call.first <= this->now;
-        });
-        for (const auto& [name, end] : over)
-            this->send(name, end);
+        this->carryOutDelayedCalls();
+        for (const std::string& name : names)
+            this->runHost(name);
+        this->deliverDelayedCommands(names);
         std::vector<DelayedReport> due;
         std::erase_if(this->delayedReports, [&](const DelayedReport& report) {
             if (report.due > this->now)
@@ -91,6 +85,62 @@
     }
 }
 
+void SchedulerFixture::carryOutDelayedCalls()
+{
+    std::erase_if(this->delayedStarts, [&](const DelayedStart& start) {
+        if (start.due <= this->now)
+            (void)this->startOn(start.start);
+        return start.due <= this->now;
+    });
+    std::erase_if(this->delayedWrites, [&](const DelayedWrite& write) {
+        if (write.due > this->now)
+            return false;
+        this->store.apply(write.write);
+        this->storeVersions.emplace_back(this->now, this->store.version());
+        return true;
+    });
+}
+
+void SchedulerFixture::runHost(const std::string& name)
+{
+    if (this->isFrozen(name)) {
+        const std::vector<SchedulerCommand>& held = this->heldCommands[name];
+        const bool isChangeHeld = std::any_of(held.begin(), held.end(), [](const SchedulerCommand& command) { return std::holds_alternative<StoredRowsRead>(command); });
+        if (!isChangeHeld && !this->isDisconnectedFromStore[name] && this->followed[name] < this->store.version())
+            this->deliverChanges(name); // the answer that was awaited when the host froze
+        return;
+    }
+    this->deliverHeldCommands(name);
+    if (!this->isDisconnectedFromStore[name])
+        this->deliverChanges(name);
+    if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
+        this->deliverList(name);
+    this->send(name, SchedulerTick { wallTimeAt(this->now) });
+}
+
+void SchedulerFixture::deliverHeldCommands(const std::string& name)
+{
+    for (SchedulerCommand& command : std::exchange(this->heldCommands[name], {})) {
+        if (auto* report = std::get_if<PollEnded>(&command))
+            report->receivedAt = this->now;
+        this->send(name, command);
+    }
+}
+
+void SchedulerFixture::deliverDelayedCommands(const std::vector<std::string>& names)
+{
+    std::vector<DelayedCommand> due;
+    std::erase_if(this->delayedCommands, [&](const DelayedCommand& command) {
+        const bool isDue = command.due <= this->now && std::find(names.begin(), names.end(), command.host) != names.end();
+        if (isDue)
+            due.push_back(command);
+        return isDue;
+    });
+    std::stable_sort(due.begin(), due.end(), [](const DelayedCommand& left, const DelayedCommand& right) { return left.due < right.due; });
+    for (const DelayedCommand& command : due)
+        this->send(command.host, command.command);
+}
+
 RowVersion SchedulerFixture::storeVersionAt(Instant time) const
 {
     const auto next = std::upper_bound(this->storeVersions.begin(), this->storeVersions.end(), time, [](Instant bound, const auto& entry) { return bound < entry.first; });
@@ -113,8 +163,12 @@
         return;
     WorkersListed list { {}, {}, false, this->storeVersionAt(time) };
     for (const auto& [id, worker] : this->workers) {
-        if (worker.isChangedIn(this->listedUntil[name], time))
+        if (!worker.isChangedIn(this->listedUntil[name], time))
+            continue;
+        if (worker.isListedAt(time) && !this->unlisted.contains(id))
             list.changed.push_back(worker.entryAt(time));
+        else
+            list.removed.push_back(id);
     }
     this->listedUntil[name] = time;
     this->send(name, list);
@@ -132,7 +186,7 @@
 
 SimulatedWorker& SchedulerFixture::addWorker(const std::string& id, std::int64_t cores)
 {
-    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", 1 }, .dataCentre = dataCentre, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = 1 };
+    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", 1 }, .dataCentre = dataCentre, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = this->workerStartTime };
     return this->workers.try_emplace(entry.id, entry, this->now).first->second;
 }
 
@@ -142,7 +196,29 @@
     this->followed.erase(name);
     this->listedUntil.erase(name);
     std::erase_if(this->delayedReports, [&](const DelayedReport& report) { return report.host == name; });
-    std::erase_if(this->timeouts, [&](const auto& call) { return call.second.first == name; });
+    std::erase_if(this->delayedCommands, [&](const DelayedCommand& command) { return command.host == name; });
+    this->heldCommands.erase(name);
+    this->frozenUntil.erase(name);
+}
+
+void SchedulerFixture::setStoreContact(const std::string& name, bool isConnected)
+{
+    this->isDisconnectedFromStore[name] = !isConnected;
+    this->send(name, StoreContact { isConnected });
+}
+
+void SchedulerFixture::crashWorker(const WorkerId& id)
+{
+    this->crashed.insert(id);
+    this->workers.at(id).restart(this->now);
+    std::erase_if(this->delayedStarts, [&](const DelayedStart& start) { return start.start.call.to.worker == id; });
+}
+
+void SchedulerFixture::restoreWorker(const WorkerId& id)
+{
+    this->crashed.erase(id);
+    this->workers.at(id).restart(this->now);
+    this->workers.at(id).list(this->now);
 }
 
 std::string SchedulerFixture::leader() const
@@ -169,6 +245,11 @@
     return runs;
 }
 
+bool SchedulerFixture::areOver(const std::vector<std::string>& ids) const
+{
+    return std::all_of(ids.begin(), ids.end(), [this](const std::string& id) { return isFinal(this->phaseOf(id)) && this->runningOf(id).empty(); });
+}
+
 StepDefinition SchedulerFixture::stepOf(const TaskRunId& run) const
 {
     const StoredRowChange* row = this->store.find({ StoredRowKind::Definition, run.task.job.value() });
@@ -180,8 +261,23 @@
     const bool isProgress = !effect.puts.empty() && effect.puts.front().key.kind == StoredRowKind::Progress;
     if (this->isDisconnectedFromStore[name] || (isProgress && this->areProgressWritesRefused))
         return this->send(name, RowsWriteEnded { effect.write, TransactionStatus::Unavailable, 0, {} });
-    const RowsWriteEnded end = this->store.apply(effect);
+    this->applyToStore(name, effect, this->chooseWriteFault ? this->chooseWriteFault(name, effect) : WriteFault {});
+}
+
+void SchedulerFixture::applyToStore(const std::string& name, const WriteStoredRows& write, const WriteFault& fault)
+{
+    constexpr Duration writeTimeout = std::chrono::seconds(1);
+    const RowsWriteEnded timeout { write.write, TransactionStatus::Ambiguous, 0, {} };
+    if (fault.effectDelay > Duration(0)) {
+        this->delayedWrites.push_back({ write, this->now + fault.effectDelay });
+        return this->deliverAfter(writeTimeout, name, timeout);
+    }
+    const RowsWriteEnded end = this->store.apply(write);
     this->storeVersions.emplace_back(this->now, this->store.version());
+    if (fault.isAnswerLost)
+        return this->deliverAfter(writeTimeout, name, timeout);
+    if (fault.answerDelay > Duration(0))
+        return this->deliverAfter(fault.answerDelay, name, end);
     this->send(name, end);
 }
 
@@ -193,11 +289,18 @@
 void SchedulerFixture::execute(const std::string& name, const PollWorker& effect)
 {
     PollEnded end { .worker = effect.to.worker, .epoch = effect.to.epoch, .sentAt = this->now, .status = WorkerCallStatus::Unclear };
-    if (this->unreachable.contains(effect.to.worker))
+    Duration delay = tickInterval;
+    if (this->unreachable.contains(effect.to.worker)) {
         end.status = WorkerCallStatus::NotSent;
-    else if (!this->unresponsive.contains(effect.to.worker))
-        end = this->workers.at(effect.to.worker).poll(effect, this->now);
-    this->delayedReports.push_back({ name, std::move(end), this->now + tickInterval });
+    } else if (this->canReach(name, effect.to.worker) && !this->unresponsive.contains(effect.to.worker)) {
+        PollEnded answer = this->workers.at(effect.to.worker).poll(effect, this->now);
+        if (this->pollsToLose > 0)
+            delay = callTimeout;
+        else
+            end = std::move(answer);
+        this->pollsToLose = std::max(this->pollsToLose - 1, 0);
+    }
+    this->delayedReports.push_back({ name, std::move(end), this->now + delay });
 }
 
 WorkerCallStatus SchedulerFixture::startOn(const SentStart& start)
@@ -215,10 +318,9 @@
     return status;
 }
 
-void SchedulerFixture::endWithoutAnswer(const std::string& name, TaskCallEnded end)
+void SchedulerFixture::deliverAfter(Duration delay, const std::string& name, SchedulerCommand command)
 {
-    constexpr Duration callTimeout = std::chrono::milliseconds(900);
-    this->timeouts.push_back({ this->now + callTimeout, { name, std::move(end) } });
+    this->delayedCommands.push_back({ name, std::move(command), this->now + delay });
 }
 
 void SchedulerFixture::execute(const std::string& name, const StartTask& effect)
@@ -227,25 +329,29 @@
     const StepDefinition definition = this->stepOf(effect.run);
     SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
-    WorkerCallStatus status = WorkerCallStatus::Unclear;
+    TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Unclear };
+    if (!this->canReach(name, effect.to.worker))
+        return this->deliverAfter(callTimeout, name, end);
     if (this->startsToDelay > 0) {
         --this->startsToDelay;
-        this->delayedStarts.push_back({ start, this->now + std::chrono::milliseconds(2000) });
-        return this->endWithoutAnswer(name, { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
+        this->delayedStarts.push_back({ start, this->now + this->startDelay });
+        return this->deliverAfter(callTimeout, name, end);
     }
-    status = this->startOn(start);
-    this->send(name, TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
+    end.status = this->startOn(start);
+    this->send(name, end);
 }
 
 void SchedulerFixture::execute(const std::string& name, const StopTask& effect)
 {
-    WorkerCallStatus status = WorkerCallStatus::Unclear;
+    TaskCallEnded end { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Unclear };
+    if (!this->canReach(name, effect.to.worker))
+        return this->deliverAfter(callTimeout, name, end);
     if (this->stopsToLose > 0) {
         --this->stopsToLose;
-        return this->endWithoutAnswer(name, { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
+        return this->deliverAfter(callTimeout, name, end);
     }
-    status = this->workers.at(effect.to.worker).stop(effect, this->now);
-    this->send(name, TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
+    end.status = this->workers.at(effect.to.worker).stop(effect, this->now);
+    this->send(name, end);
 }
 
 void SchedulerFixture::execute(const std::string& name, const SetTaskSpeed& effect)
@@ -265,7 +371,7 @@
     const Instant time = this->now - this->listLag[name];
     WorkersListed list { {}, {}, true, this->storeVersionAt(time) };
     for (const auto& [id, worker] : this->workers) {
-        if (!this->unlisted.contains(id))
+        if (worker.isListedAt(time) && !this->unlisted.contains(id))
             list.changed.push_back(worker.entryAt(time));
     }
     this->listedUntil[name] = time;
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -11,11 +11,12 @@
 #include "scheduling/simulation/simulated_store.h"
 #include "scheduling/simulation/simulated_worker.h"
 #include <catch2/catch.hpp>
+#include <functional>
 
 namespace dragonflytray {
 
 // SchedulerFixture carries out every effect immediately. Answers of polls are delivered one tick later; tests can delay or
-// lose other answers.
+// lose other answers, freeze and restart hosts, and crash workers or remove them from the list.
 class SchedulerFixture {
 public:
     SchedulerFixture();
@@ -38,6 +39,16 @@
     // restartHost() replaces the process of a host. What was in flight to the former one is lost.
     void restartHost(const std::string& name);
 
+    // freezeHost() delays every command to a host until `time` has passed, and then delivers all of them in order.
+    void freezeHost(const std::string& name, Duration time) { this->frozenUntil[name] = this->now + time; }
+
+    // setStoreContact() connects a host to the store, or disconnects it.
+    void setStoreContact(const std::string& name, bool isConnected);
+
+    // crashWorker() ends the process of a worker, which answers no calls until restoreWorker() begins its next incarnation.
+    void crashWorker(const WorkerId& id);
+    void restoreWorker(const WorkerId& id);
+
     // leader() returns the holder of the lease in the store; empty: none.
     std::string leader() const;
 
@@ -47,7 +58,18 @@
     // runningOf() returns the current runs of a job on all workers.
     std::vector<TaskRunId> runningOf(const std::string& id) const;
 
+    // areOver() returns true if these jobs have ended and none of their tasks runs.
+    bool areOver(const std::vector<std::string>& ids) const;
+
 protected:
+    // WriteFault is what happens to a write of the store. A write without an answer ends as ambiguous after a timeout.
+    struct WriteFault {
+        Duration effectDelay { 0 }; // if not zero, it takes effect that late, if its conditions hold then, and without an answer
+        Duration answerDelay { 0 }; // during which other commands are delivered
+        bool isAnswerLost { false };
+    };
+    using ChooseWriteFault = std::function<WriteFault(const std::string& host, const WriteStoredRows& write)>;
+
     // SentStart is a start that a host has sent to a worker.
     struct SentStart {
         std::string host;
@@ -73,11 +95,18 @@
     void execute(const std::string& name, const ReplyToClient& effect);
     void execute(const std::string& name, const FollowWorkers& effect);
     void execute(const std::string& name, const LogDecision& effect);
+    void applyToStore(const std::string& name, const WriteStoredRows& write, const WriteFault& fault);
+    void runHost(const std::string& name);
+    void carryOutDelayedCalls();
+    void deliverDelayedCommands(const std::vector<std::string>& names);
+    void deliverHeldCommands(const std::string& name);
+    bool isFrozen(const std::string& name) const;
+    bool canReach(const std::string& name, const WorkerId& worker) const { return !this->crashed.contains(worker) && !this->cutLinks.contains({ name, worker }); }
     void deliverChanges(const std::string& name);
     void deliverList(const std::string& name);
     RowVersion storeVersionAt(Instant time) const;
     WorkerCallStatus startOn(const SentStart& start);
-    void endWithoutAnswer(const std::string& name, TaskCallEnded end);
+    void deliverAfter(Duration delay, const std::string& name, SchedulerCommand command);
     StepDefinition stepOf(const TaskRunId& run) const;
 
     // DelayedReport is the result of a poll that has not been delivered to its host yet.
@@ -93,6 +122,9 @@
     std::map<std::string, std::unique_ptr<Scheduler>> hosts;
     std::map<std::string, RowVersion> followed;
     std::map<std::string, bool> isDisconnectedFromStore;
+    std::map<std::string, Instant> frozenUntil; // by host
+    std::map<std::string, std::vector<SchedulerCommand>> heldCommands; // of frozen hosts
+    ChooseWriteFault chooseWriteFault; // none: every write is answered at once
     std::map<std::string, Duration> feedLag; // by which a host receives changes of the store late; reads and writes are answered at once
     std::map<std::string, Duration> listLag; // by which a host receives changes of the list of workers late
     std::vector<std::pair<Instant, RowVersion>> storeVersions; // after each transaction
@@ -104,6 +136,9 @@
     bool shouldDeliverLists { true }; // whether hosts receive answers of the feed of workers
     std::set<WorkerId> unlisted; // workers that are missing from the list
     std::set<WorkerId> unreachable; // workers to which polls can't be sent
+    std::set<WorkerId> crashed; // workers whose process does not run
+    std::set<std::pair<std::string, WorkerId>> cutLinks; // hosts and workers between which calls have no effect and no answer
+    WallTime workerStartTime { 1 }; // of workers that are added later; 0: they never give one
     std::vector<DelayedReport> delayedReports;
     // DelayedStart is a start that its worker carries out after the call has timed out.
     struct DelayedStart {
@@ -111,9 +146,23 @@
         Instant due;
     };
     std::vector<DelayedStart> delayedStarts;
-    std::vector<std::pair<Instant, std::pair<std::string, TaskCallEnded>>> timeouts; // calls without an answer, by time of the result
+    // DelayedWrite is a write that takes effect after the call has timed out.
+    struct DelayedWrite {
+        WriteStoredRows write;
+        Instant due;
+    };
+    std::vector<DelayedWrite> delayedWrites;
+    // DelayedCommand is a result that has not been delivered to its host yet, as a late answer or a timeout.
+    struct DelayedCommand {
+        std::string host;
+        SchedulerCommand command;
+        Instant due;
+    };
+    std::vector<DelayedCommand> delayedCommands;
     std::size_t maxConcurrentRuns { 0 }; // of one task on all workers, counted after each start
-    int startsToDelay { 0 }; // number of next starts that get no answer and are carried out after the timeout
+    int startsToDelay { 0 }; // number of next starts that get no answer and are carried out after startDelay
+    Duration startDelay { std::chrono::seconds(2) };
+    int pollsToLose { 0 }; // number of next polls that have an effect but get no answer
     int stopsToLose { 0 }; // number of next stops that get no answer and have no effect
     std::vector<ReplyToClient> replies;
     std::vector<StartTask> starts;
--- a/packages/scheduling/simulation/simulated_worker.cc
+++ b/packages/scheduling/simulation/simulated_worker.cc
@@ -1,5 +1,7 @@
 #include "scheduling/simulation/simulated_worker.h"
 
+#include <iterator>
+
 namespace dragonflytray {
 
 SimulatedWorker::SimulatedWorker(ListedWorker entry, Instant start)
@@ -20,6 +22,24 @@
     return entry;
 }
 
+void SimulatedWorker::setListed(Instant time, bool isListed)
+{
+    this->listings.erase(this->listings.lower_bound(time), this->listings.end());
+    this->listings.emplace(time, isListed);
+}
+
+bool SimulatedWorker::isListedAt(Instant time) const
+{
+    const auto next = this->listings.upper_bound(time);
+    return next == this->listings.begin() || std::prev(next)->second;
+}
+
+bool SimulatedWorker::isChangedIn(Instant begin, Instant end) const
+{
+    const bool hasBegunToDrain = this->drainingSince && *this->drainingSince > begin && *this->drainingSince <= end;
+    return hasBegunToDrain || this->listings.upper_bound(begin) != this->listings.upper_bound(end);
+}
+
 bool SimulatedWorker::isFenced(Epoch epoch)
 {
     if (epoch < this->highestEpoch)
@@ -58,7 +78,7 @@
     std::uint64_t& last = this->highestEndedRuns[call.run.task];
     last = std::max(last, call.run.run);
     if (this->runs.contains(call.run))
-        this->finish(call.run, RunOutcome::Stopped);
+        this->finish(call.run, RunOutcome::Stopped, now);
     return WorkerCallStatus::Ok;
 }
 
@@ -74,7 +94,7 @@
         this->leaseEnd = std::max(this->leaseEnd, *call.deadline);
     while (!this->unacknowledgedEnds.empty() && this->unacknowledgedEnds.front().number <= call.acknowledged) {
         if (this->unacknowledgedEnds.front().outcome == RunOutcome::Done)
-            this->done[this->unacknowledgedEnds.front().id] = true;
+            this->acknowledge(this->unacknowledgedEnds.front().id);
         this->unacknowledgedEnds.pop_front();
     }
     for (const auto& [id, run] : this->runs)
@@ -87,6 +107,8 @@
 {
     std::vector<std::pair<TaskRunId, RunOutcome>> endedRuns;
     const bool isLeaseExpired = this->clockAt(now) >= this->leaseEnd;
+    if (isLeaseExpired)
+        this->lastLeaseExpiry = now;
     for (const auto& [id, run] : this->runs) {
         if (run.end <= now)
             endedRuns.emplace_back(id, run.isFailing ? RunOutcome::Failed : RunOutcome::Done);
@@ -94,24 +116,36 @@
             endedRuns.emplace_back(id, RunOutcome::LeaseExpired);
     }
     for (const auto& [id, outcome] : endedRuns)
-        this->finish(id, outcome);
+        this->finish(id, outcome, now);
 }
 
-void SimulatedWorker::finish(const TaskRunId& run, RunOutcome outcome)
+void SimulatedWorker::finish(const TaskRunId& run, RunOutcome outcome, Instant now)
 {
     std::uint64_t& last = this->highestEndedRuns[run.task];
     last = std::max(last, run.run);
     this->unacknowledgedEnds.push_back({ ++this->lastEnd, run, outcome, this->runs.at(run).checkpoint });
-    if (outcome == RunOutcome::Done)
+    if (outcome == RunOutcome::Done) {
         this->done[run] = false;
+        this->doneAt[run] = now;
+    }
     this->runs.erase(run);
 }
 
+void SimulatedWorker::acknowledge(const TaskRunId& run)
+{
+    this->done[run] = true;
+    if (this->lastLeaseExpiry < this->doneAt.at(run))
+        this->counted.emplace(run, this->doneAt.at(run));
+}
+
 void SimulatedWorker::restart(Instant now)
 {
     ListedWorker entry = this->listed;
-    ++entry.startedAt;
+    if (entry.startedAt != 0)
+        ++entry.startedAt;
+    std::map<Instant, bool> formerListings = std::move(this->listings);
     *this = SimulatedWorker(std::move(entry), now);
+    this->listings = std::move(formerListings);
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/simulation/simulated_worker.h
+++ b/packages/scheduling/simulation/simulated_worker.h
@@ -36,9 +36,15 @@
     // advance() ends the runs that are done by `now`, and all others if the lease has expired.
     void advance(Instant now);
 
-    // restart() begins a new incarnation under the same id. Runs and unacknowledged ends are lost.
+    // restart() begins a new incarnation under the same id. Runs and unacknowledged ends are lost. The list shows it by the
+    // start time, unless the worker gives none.
     void restart(Instant now);
 
+    // unlist() removes the worker from the list at `time`, although it goes on. list() adds it again. Later changes that were
+    // set before are dropped.
+    void unlist(Instant time) { this->setListed(time, false); }
+    void list(Instant time) { this->setListed(time, true); }
+
     // drain() lists the worker as draining from `now` on. It goes on accepting starts.
     void drain(Instant now) { this->drainingSince = now; }
 
@@ -50,15 +56,23 @@
     // entryAt() is the worker as it was listed at that time.
     ListedWorker entryAt(Instant time) const;
 
-    // isChangedIn() says whether its entry has changed after `begin` and not after `end`.
-    bool isChangedIn(Instant begin, Instant end) const { return this->drainingSince && *this->drainingSince > begin && *this->drainingSince <= end; }
+    // isListedAt() says whether the list contained the worker at that time.
+    bool isListedAt(Instant time) const;
+
+    // isChangedIn() says whether its entry has changed, was removed or was added after `begin` and not after `end`.
+    bool isChangedIn(Instant begin, Instant end) const;
 
     // doneRuns() is every run that has ended as done in this incarnation, and whether its end was acknowledged.
     const std::map<TaskRunId, bool>& doneRuns() const { return this->done; }
 
+    // countedEnds() is when each run ended as done whose end was acknowledged before the lease expired.
+    const std::map<TaskRunId, Instant>& countedEnds() const { return this->counted; }
+
 private:
     std::int64_t clockAt(Instant now) const;
-    void finish(const TaskRunId& run, RunOutcome outcome);
+    void finish(const TaskRunId& run, RunOutcome outcome, Instant now);
+    void acknowledge(const TaskRunId& run);
+    void setListed(Instant time, bool isListed);
     bool isFenced(Epoch epoch);
 
     ListedWorker listed;
@@ -71,6 +85,10 @@
     std::deque<EndedRun> unacknowledgedEnds;
     std::uint64_t lastEnd { 0 };
     std::map<TaskRunId, bool> done; // whether the end is acknowledged
+    std::map<TaskRunId, Instant> doneAt; // when each of them ended
+    std::map<TaskRunId, Instant> counted; // the same, of those that were acknowledged before the lease expired
+    Instant lastLeaseExpiry; // when the lease was last seen to be expired
+    std::map<Instant, bool> listings; // whether the list contains the worker from that time on
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/stale_view_test.cc
+++ b/packages/scheduling/stale_view_test.cc
@@ -2,11 +2,11 @@
 // present state.
 
 #include "scheduling/scheduler_fixture.h"
+#include "scheduling/simulation/random_choices.h"
 
 #include <algorithm>
 #include <iterator>
 #include <limits>
-#include <random>
 
 namespace dragonflytray {
 
@@ -61,12 +61,6 @@
             return isCancelled;
         }
 
-        void setStoreContact(const std::string& host, bool isConnected)
-        {
-            this->isDisconnectedFromStore[host] = !isConnected;
-            this->send(host, StoreContact { isConnected });
-        }
-
         std::size_t countBegun(Instant begin, Instant end) const
         {
             return static_cast<std::size_t>(std::count_if(this->begunRuns.begin(), this->begunRuns.end(), [&](const BegunRun& run) { return run.at >= begin && run.at < end; }));
@@ -249,7 +243,7 @@
     // StaleViewPlay plays random jobs, cancellations and faults of three hosts, which a seed determines.
     struct StaleViewPlay : StaleViewFixture {
         const std::vector<std::string> names { "a", "b", "c" };
-        std::mt19937_64 random;
+        RandomChoices random;
         std::vector<std::string> accepted; // ids of jobs
         std::vector<std::string> longRunning; // those that end only by cancellation
         std::map<std::string, Instant> cutUntil; // of hosts without the store
@@ -265,21 +259,18 @@
             this->run(this->names, std::chrono::seconds(1));
         }
 
-        std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
-        bool chance(std::uint64_t oneIn) { return this->below(oneIn) == 0; }
-        Duration randomDuration(std::uint64_t minMilliseconds, std::uint64_t maxMilliseconds) { return std::chrono::milliseconds(minMilliseconds + this->below(maxMilliseconds - minMilliseconds + 1)); }
-        const std::string& randomHost() { return this->names[this->below(this->names.size())]; }
+        const std::string& randomHost() { return this->random.choose(this->names); }
 
         void submitRandomJob()
         {
             std::vector<StepDefinition> steps;
-            for (std::uint64_t count = 1 + this->below(3); steps.size() < count;) {
-                StepDefinition step = stepOfTasks(static_cast<std::uint32_t>(1 + this->below(16)), static_cast<std::int64_t>(2 + this->below(6)));
+            for (std::uint64_t count = 1 + this->random.below(3); steps.size() < count;) {
+                StepDefinition step = stepOfTasks(static_cast<std::uint32_t>(1 + this->random.below(16)), static_cast<std::int64_t>(2 + this->random.below(6)));
                 if (!steps.empty())
                     step.after = { static_cast<std::uint32_t>(steps.size() - 1) };
                 steps.push_back(step);
             }
-            const bool isLongRunning = this->chance(4);
+            const bool isLongRunning = this->random.chance(4);
             if (isLongRunning)
                 steps.back() = { .count = 2, .need = { 2000, 1000, 0 }, .estimate = std::chrono::seconds(1), .after = steps.back().after, .isLongRunning = true };
             std::string id = std::to_string(1000000000000000 + this->accepted.size() + 1);
@@ -295,13 +286,13 @@
             std::vector<std::string> active;
             std::copy_if(this->accepted.begin(), this->accepted.end(), std::back_inserter(active), [this](const std::string& id) { return !isFinal(this->phaseOf(id)) && !this->cancelledAt.contains(id); });
             if (!active.empty())
-                this->cancel(this->randomHost(), active[this->below(active.size())]);
+                this->cancel(this->randomHost(), this->random.choose(active));
         }
 
         void changeLag()
         {
-            std::map<std::string, Duration>& lags = this->chance(3) ? this->listLag : this->feedLag;
-            lags[this->randomHost()] = this->chance(2) ? Duration(0) : this->randomDuration(0, 6000);
+            std::map<std::string, Duration>& lags = this->random.chance(3) ? this->listLag : this->feedLag;
+            lags[this->randomHost()] = this->random.chance(2) ? Duration(0) : this->random.duration(0, 6000);
         }
 
         void cutRandomHost()
@@ -309,7 +300,7 @@
             const std::string& name = this->randomHost();
             if (!this->cutUntil.empty())
                 return;
-            this->cutUntil[name] = this->now + this->randomDuration(500, 6000);
+            this->cutUntil[name] = this->now + this->random.duration(500, 6000);
             this->setStoreContact(name, false);
         }
 
@@ -333,21 +324,21 @@
         // act() makes at random what callers, hosts, the store and the network do in one tick.
         void act()
         {
-            if (this->chance(30))
+            if (this->random.chance(30))
                 this->submitRandomJob();
-            if (this->chance(40))
+            if (this->random.chance(40))
                 this->cancelRandomJob();
-            if (this->chance(100))
+            if (this->random.chance(100))
                 this->changeLag();
-            if (this->chance(600))
+            if (this->random.chance(600))
                 this->cutRandomHost();
-            if (this->chance(900) && !this->leader().empty())
+            if (this->random.chance(900) && !this->leader().empty())
                 this->restartHost(this->leader());
-            if (this->chance(800) && this->draining.isEmpty())
+            if (this->random.chance(800) && this->draining.isEmpty())
                 this->drainWorker();
-            this->startsToDelay += this->chance(40) ? 1 : 0;
-            this->stopsToLose += this->chance(40) ? 1 : 0;
-            this->taskDuration = this->randomDuration(200, 1500);
+            this->startsToDelay += this->random.chance(40) ? 1 : 0;
+            this->stopsToLose += this->random.chance(40) ? 1 : 0;
+            this->taskDuration = this->random.duration(200, 1500);
             this->endCuts(this->now);
         }
 
@@ -384,11 +375,6 @@
             this->checkNewRuns();
         }
 
-        bool areJobsOver() const
-        {
-            return std::all_of(this->accepted.begin(), this->accepted.end(), [this](const std::string& id) { return isFinal(this->phaseOf(id)) && this->runningOf(id).empty(); });
-        }
-
         // settle() ends the faults and runs until all jobs are over, or for `time`.
         void settle(Duration time)
         {
@@ -400,7 +386,7 @@
             this->endCuts(Instant::max());
             for (const std::string& id : this->longRunning)
                 this->cancel("a", id);
-            for (const Instant end = this->now + time; this->now < end && !this->areJobsOver();)
+            for (const Instant end = this->now + time; this->now < end && !this->areOver(this->accepted);)
                 this->runTick();
         }
     };
