scheduling: a test of a renewal that is answered after the fencing it precedes

A renewal that was sent before the last worker was fenced says nothing about writes that a former leader makes until then.

--- a/packages/scheduling/takeover_test.cc
+++ b/packages/scheduling/takeover_test.cc
@@ -186,4 +186,30 @@
     CHECK(this->workers.at(WorkerId("w2")).running().size() == 4);
 }
 
+TEST_CASE_METHOD(TakeoverFixture, "Takeover_renewalSentBeforeFencingAndAnsweredAfter_laterProgressOfFormerLeaderIsFollowed", "[takeover]")
+{
+    const WorkerId worker("w1");
+    const Instant end = this->workers.at(worker).running().begin()->second.end;
+    const Instant answered = end + std::chrono::milliseconds(480);
+    this->feedLag["a"] = std::chrono::hours(1); // it goes on as leader, although its lease is lost
+    this->cutLinks.insert({ "b", worker });
+    this->chooseWriteFault = [&](const std::string& host, const WriteStoredRows& write) -> WriteFault {
+        if (write.partition != leasePartition)
+            return {};
+        if (host == "a")
+            return { .effectDelay = std::chrono::hours(1) };
+        return { .answerDelay = this->now >= end - std::chrono::milliseconds(500) ? std::max(answered - this->now, Duration(0)) : Duration(0) };
+    };
+    this->runWatched({ "a", "b" }, end - std::chrono::milliseconds(500) - this->now);
+    REQUIRE(this->leader() == "b");
+    this->feedLag["b"] = std::chrono::milliseconds(800);
+    this->runWatched({ "a", "b" }, std::chrono::milliseconds(600));
+    this->run({ "a", "b" }, std::chrono::milliseconds(50));
+    REQUIRE(this->workers.at(worker).countedEnds().size() == 4);
+    this->cutLinks.clear();
+    this->runWatched({ "a", "b" }, std::chrono::seconds(3));
+    CHECK_FALSE(this->hasStartAfterEnd());
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
