--- a/packages/scheduling/takeover_test.cc
+++ b/packages/scheduling/takeover_test.cc
@@ -212,4 +212,33 @@
     CHECK(this->phaseOf(job) == JobPhase::Completed);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "Takeover_conflictShowsMissingEndRecordedByFormerLeader_jobIsCompleted", "[takeover]")
+{
+    const WorkerId first("w1");
+    const WorkerId second("w2");
+    this->addWorker("w1", 4);
+    this->addWorker("w2", 4);
+    this->taskDuration = std::chrono::seconds(6);
+    this->run({ "a" }, takeoverTime);
+    REQUIRE(this->submit("a", job, { stepOfTasks(2, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(500));
+    REQUIRE(this->runningOf(job).size() == 2);
+    const Instant end = this->workers.at(first).running().begin()->second.end;
+    this->feedLag["a"] = std::chrono::hours(1); // it goes on as leader, although its lease is lost
+    this->chooseWriteFault = [](const std::string& host, const WriteStoredRows& write) -> WriteFault {
+        return { .effectDelay = host == "a" && write.partition == leasePartition ? std::chrono::hours(1) : Duration(0) };
+    };
+    this->cutLinks = { { "b", first }, { "a", second } };
+    this->run({ "a", "b" }, end - std::chrono::milliseconds(100) - this->now);
+    REQUIRE(this->leader() == "b");
+    this->feedLag["b"] = std::chrono::milliseconds(800);
+    this->cutLinks.insert({ "b", second });
+    this->run({ "a", "b" }, std::chrono::milliseconds(300)); // host "a" records the end on the first worker
+    REQUIRE(this->workers.at(first).countedEnds().size() == 1);
+    this->cutLinks.erase({ "b", second });
+    this->run({ "a", "b" }, std::chrono::seconds(10));
+    CHECK(this->workers.at(second).countedEnds().size() == 1);
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
