scheduling: an overtaken answer of a worker leaves its poll in flight, and any other start time is a restart

An answer to an earlier poll cleared the mark of the poll in flight, so that two polls went round from then on, and a worker whose wall clock was set back before a restart would have been passed over for ever. Answers are ordered by the send of their polls, and a clock that runs back counts as a restart only where answers carry no start time.

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -7,7 +7,7 @@
 void Dispatcher::pollEnded(const PollEnded& end, CommandContext& context)
 {
     FleetWorker* worker = this->fleet.find(end.worker);
-    if (!worker)
+    if (!worker || end.sentAt < worker->answeredPollSentAt) // the answer to a later poll was handled already
         return;
     worker->isPollInFlight = false;
     const auto cell = this->cells.find(worker->cell);
@@ -23,11 +23,6 @@
     }
     if (end.status != WorkerCallStatus::Ok)
         return this->handleFailedPoll(*worker, end, context);
-    const bool isOfEarlierIncarnation = end.startedAt != 0 && end.startedAt < worker->answeredStartedAt;
-    if (isOfEarlierIncarnation || end.sentAt < worker->answeredPollSentAt) { // a later answer was handled already
-        worker->nextPollAt = context.now;
-        return;
-    }
     this->adoptIncarnation(*worker, end, context);
     for (const EndedRun& run : end.ended) {
         if (run.number > worker->lastHandledEnd)
@@ -44,9 +39,9 @@
 
 void Dispatcher::adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
-    const bool isStartLater = worker.answeredStartedAt != 0 && end.startedAt > worker.answeredStartedAt;
-    const bool isClockReset = worker.clock && end.clock < *worker.clock;
-    if (isStartLater || isClockReset) {
+    const bool isOtherStart = end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt;
+    const bool isClockReset = end.startedAt == 0 && worker.clock && end.clock < *worker.clock;
+    if (isOtherStart || isClockReset) {
         this->markFormerRunsLost(worker, end, context);
         this->expectLateStarts(worker, context);
         worker.acceptsUntil = {};
--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -227,6 +227,8 @@
     this->startTasks(1);
     PollEnded report = this->fullReport(this->epoch());
     report.ended.clear();
+    report.hasMoreEnds = false;
+    report.sentAt = this->startedAt; // before the restart
     --report.startedAt;
     this->send("a", report);
     this->run({ "a" }, settlingTime);
