scheduling: findings of the review of the roster

Fixed here: - a worker that restarted under its id with an earlier start time was passed over (already mended by ordering answers), and the list's former entry made it look restarted: the list counts only if it was read since the answered poll was sent; - a part of the roster that was not read made a new leader take its workers for idle: the lease gives the size of the roster; - the clock of a restarted worker without a start time is compared with what the former clock must show by now; - ends of gangs were reported outside the limit of unconfirmed tasks, with duplicates: they are counted as a set of tasks; - a 421 from a worker's former address dropped the worker that the list had moved meanwhile; - after a leader and a worker that ended together a long-running task ran again after 11.06 s, since the successor waited for leases of 4.5 s that a leader without the store might grant until 5 s after its own: no lease outlasts the time of its grantor by more than 2 s now, and the successor waits 7.4 s.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -176,7 +176,7 @@
         Json silentWorkers = Json::array();
         for (const WorkerId& worker : lease.silentWorkers)
             silentWorkers.push_back(worker.value());
-        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete } };
+        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete }, { "rosterSize", lease.rosterSize } };
     }
 
     StoredRow decodeLease(const Json& json)
@@ -190,6 +190,7 @@
         for (const Json& task : json.at("unconfirmed"))
             lease.unconfirmed.push_back({ JobId(task.at(0)), task.at(1), task.at(2), task.at(3) });
         lease.isRosterComplete = json.value("roster", false);
+        lease.rosterSize = json.value("rosterSize", std::uint64_t { 0 });
         for (const Json& worker : json.value("silent", Json::array()))
             lease.silentWorkers.emplace_back(worker.get<std::string>());
         return lease;
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -19,7 +19,7 @@
             return std::get<Row>(*read);
         }
 
-        CellLease lease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .isRosterComplete = true };
+        CellLease lease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true };
     };
 
 } // namespace
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -94,6 +94,7 @@
         .labels = isHolder ? report.labels : this->lastRow.labels,
         .unconfirmed = isHolder ? report.unconfirmed : this->lastRow.unconfirmed,
         .silentWorkers = isHolder ? report.silentWorkers : this->lastRow.silentWorkers,
+        .rosterSize = isHolder ? report.rosterSize : this->lastRow.rosterSize,
         .isRosterComplete = isHolder ? report.isRosterComplete : this->lastRow.isRosterComplete || this->lastRow.epoch == 0,
     };
     this->sentWrites.push_back({ .number = number, .row = row, .report = isHolder ? report.number : 0, .replaced = this->lastVersion, .sentAt = now });
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -32,6 +32,7 @@
     std::vector<std::string> labels {};
     std::vector<TaskId> unconfirmed {};
     std::vector<WorkerId> silentWorkers {};
+    std::uint64_t rosterSize { 0 };
     bool isRosterComplete { false };
     std::vector<StoredRowPut> rosterPuts {}; // changed rows of the roster
 };
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -28,8 +28,7 @@
 void Dispatcher::beginToLead(const CellAcquired& acquired, const JobCache& jobCache, CommandContext& context)
 {
     Cell cell { .epoch = acquired.epoch, .acquiredAt = acquired.acquiredAt, .leadingSince = context.now };
-    cell.formerLeaseEnd = context.now + this->options.formerLeaderTimeout + this->fleet.lease() + this->options.fleet.clockMargin;
-    cell.isRosterComplete = acquired.former.isRosterComplete;
+    cell.formerLeaseEnd = this->fleet.latestLeaseEnd(context.now + this->options.formerLeaderTimeout, this->options.maxLeaseAfterTerm);
     cell.unconfirmed.insert(acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end());
     this->fleet.beginEpoch(acquired.cell, context.now);
     std::erase_if(this->orphanedRuns, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == acquired.cell; });
@@ -46,12 +45,14 @@
     context.add(std::move(begun));
 }
 
-void Dispatcher::inheritWorkers(const CellAcquired& acquired, const Cell& cell)
+void Dispatcher::inheritWorkers(const CellAcquired& acquired, Cell& cell)
 {
     const std::set<WorkerId> silent(acquired.former.silentWorkers.begin(), acquired.former.silentWorkers.end());
     CellRoster& roster = this->rosters.try_emplace(acquired.cell, acquired.cell).first->second;
     roster.beginReporting();
-    for (const auto& [id, entry] : roster.workers()) {
+    const std::map<WorkerId, RosterEntry> workers = roster.workers();
+    cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
+    for (const auto& [id, entry] : workers) {
         FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
         worker.mayHaveUnknownRuns = !silent.contains(id);
         worker.enrolment = worker.mayHaveUnknownRuns ? Enrolment::Stored : Enrolment::None;
@@ -85,14 +86,16 @@
     Cell& cell = found->second;
     CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .silentWorkers = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
     std::map<WorkerId, RosterEntry> enrolled;
-    std::size_t unconfirmed = cell.unconfirmed.size();
+    std::set<TaskId> unconfirmed = cell.unconfirmed;
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
             continue;
         enrolled.emplace(id, RosterEntry { worker.entry.endpoint, worker.entry.capacity });
-        const std::size_t tasks = worker.runs.size() + worker.unacknowledgedEnds.size();
-        if (worker.isSilent(now, this->options.silenceReportTimeout) && unconfirmed + tasks <= this->options.maxUnconfirmedTasks) {
-            unconfirmed += tasks;
+        if (worker.enrolment != Enrolment::None && !worker.isSilent(now, this->options.silenceReportTimeout))
+            continue;
+        std::set<TaskId> tasks = this->unconfirmedTasksOn(worker);
+        if (worker.isSilent(now, this->options.silenceReportTimeout) && unconfirmed.size() + tasks.size() <= this->options.maxUnconfirmedTasks) {
+            unconfirmed.merge(tasks);
             worker.enrolment = Enrolment::None;
             worker.wasReportedSilent = true;
             report.silentWorkers.push_back(id);
@@ -101,7 +104,8 @@
             worker.enrolmentReport = report.number;
         }
     }
-    report.unconfirmed = this->unconfirmedOf(name, cell);
+    report.rosterSize = enrolled.size();
+    report.unconfirmed.assign(unconfirmed.begin(), unconfirmed.end());
     report.rosterPuts = this->rosters.at(name).compose(report.number, enrolled);
     if (cell.areWorkersFenced && cell.reconciliationReport == 0)
         cell.reconciliationReport = report.number;
@@ -375,31 +379,28 @@
     return { labels.begin(), labels.end() };
 }
 
-std::vector<TaskId> Dispatcher::unconfirmedOf(const CellName& name, const Cell& cell) const
+std::set<TaskId> Dispatcher::unconfirmedTasksOn(const FleetWorker& worker) const
 {
-    std::vector<TaskId> tasks(cell.unconfirmed.begin(), cell.unconfirmed.end());
-    for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell != name || worker.enrolment != Enrolment::None)
-            continue;
-        for (const auto& [run, allocation] : worker.runs)
-            tasks.push_back(run.task);
-        for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
-            if (!this->isRecorded(end))
-                this->appendTasksOf(end, tasks);
-        }
+    std::set<TaskId> tasks;
+    for (const auto& [run, allocation] : worker.runs)
+        tasks.insert(run.task);
+    for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
+        if (!this->isRecorded(end))
+            tasks.merge(this->tasksEndedBy(end));
     }
     return tasks;
 }
 
-void Dispatcher::appendTasksOf(const UnacknowledgedEnd& end, std::vector<TaskId>& tasks) const
+std::set<TaskId> Dispatcher::tasksEndedBy(const UnacknowledgedEnd& end) const
 {
     const auto job = this->jobExecutions.find(end.task.job);
-    const bool isGang = job != this->jobExecutions.end() && job->second->definition().steps[end.task.step].isGang;
-    TaskId task = end.task;
-    if (!isGang)
-        return tasks.push_back(task);
-    for (task.index = 0; task.index < job->second->definition().steps[task.step].count; ++task.index)
-        tasks.push_back(task);
+    const StepDefinition* step = job == this->jobExecutions.end() ? nullptr : &job->second->definition().steps[end.task.step];
+    if (!step || !step->isGang)
+        return { end.task };
+    std::set<TaskId> tasks;
+    for (TaskId task { end.task.job, end.task.occurrence, end.task.step, 0 }; task.index < step->count; ++task.index)
+        tasks.insert(task);
+    return tasks;
 }
 
 std::size_t Dispatcher::runningTasks() const
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -3,8 +3,9 @@
 // The leader of a cell: it places the tasks of jobs on workers, polls the workers, handles the ends of runs, and
 // acknowledges an end to the worker only after the progress of the job has been recorded in the store.
 //
-// A new leader first reconciles with its predecessors: it fences every worker of the stored roster with its own epoch, adopts
-// the runs that the workers report, and starts a task again only when no run of a former leader can be left. That a worker is
+// A new leader first reconciles with its predecessors: it fences every worker of the stored roster that was not reported as
+// silent with its own epoch, adopts the runs that the workers report, and starts a task again only when no run of a former
+// leader can be left. That a worker is
 // not listed, does not answer or can't be reached says nothing about its runs.
 //
 // Example:
@@ -46,6 +47,7 @@
         Recorder::Options recorder {};
         BestEffortControl::Options bestEffort {};
         Duration formerLeaderTimeout { std::chrono::seconds(5) }; // for which a former leader may act after its lease; equals CellLeadership::Options::storeOutageTimeout
+        Duration maxLeaseAfterTerm { std::chrono::seconds(2) }; // for which a lease of a worker may outlast the time in which its grantor may act
         Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
         Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
@@ -95,9 +97,9 @@
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
-    // composeReport() returns the report of a cell for the next renewal of its lease. Tasks are started on a worker only once
-    // a report that enrols it is stored, and no more on one that the report says is silent. Requires leads(). Linear in all
-    // workers.
+    // composeReport() withdraws silent workers from the roster's use, enrols others, and returns the report of a cell for the next renewal of its lease; an empty one while the cell is not led.
+    // Tasks are started on a worker only once a report that enrols it is stored, and no more on one that a report says is
+    // silent. Linear in all workers.
     CellReport composeReport(const CellName& cell, Instant now);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
@@ -217,9 +219,9 @@
         std::set<TaskId> unconfirmed {}; // tasks believed alive until the leases of former leaders have expired
     };
 
-    // beginToLead() opens the jobs of a cell that are stored and not ended. inheritWorkers() adds the workers on which former
-    // leaders may have started tasks.
-    void inheritWorkers(const CellAcquired& acquired, const Cell& cell);
+    // inheritWorkers() adds the workers on which former leaders may have started tasks. beginToLead() opens the jobs of a cell
+    // that are stored and not ended.
+    void inheritWorkers(const CellAcquired& acquired, Cell& cell);
     void beginToLead(const CellAcquired& acquired, const JobCache& jobCache, CommandContext& context);
 
     // Ends of runs. handleEnd() applies one reported end and keeps it for acknowledgement, which acknowledge() does once
@@ -233,7 +235,7 @@
     void acknowledge(FleetWorker& worker, CommandContext& context);
     bool isRecorded(const UnacknowledgedEnd& end) const;
 
-    // Reports of workers. adoptIncarnation() gives up the runs of an earlier incarnation. reconcileRuns() compares what a
+    // Reports of workers. adoptIncarnation() gives up the runs that an earlier incarnation has confirmed. reconcileRuns() compares what a
     // worker reports with what it is believed to run: runs of former leaders are adopted, or kept as orphaned until their
     // step opens; unwanted ones are stopped; missing ones are stopped or given up by markRunLost().
     void adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context);
@@ -257,12 +259,15 @@
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
-    std::vector<TaskId> unconfirmedOf(const CellName& name, const Cell& cell) const;
-    void appendTasksOf(const UnacknowledgedEnd& end, std::vector<TaskId>& tasks) const; // one end stands for all tasks of a gang
+    // unconfirmedTasksOn() returns the tasks that a successor may not take for free while it has not heard the worker: those with
+    // runs there, and those whose end is read and not stored. One end stands for all tasks of a gang.
+    std::set<TaskId> unconfirmedTasksOn(const FleetWorker& worker) const;
+    std::set<TaskId> tasksEndedBy(const UnacknowledgedEnd& end) const;
     std::int64_t capacityOf(const CellName& name) const;
     std::vector<std::string> labelsOf(const CellName& name) const;
     void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
     bool mayPoll(const FleetWorker& worker, Instant now) const;
+    Duration grantableLease(const FleetWorker& worker, Instant now) const;
     void evacuate(FleetWorker& worker, CommandContext& context);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
     WorkerAddress addressOf(const FleetWorker& worker) const;
@@ -279,8 +284,8 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
-    // Runs of former leaders. A cell is reconciled when all workers of the roster are fenced and the store is followed beyond
-    // that, or when the leases of former leaders have expired. Then tasks without a known run may be started.
+    // Runs of former leaders. A cell is reconciled when all workers of the roster that were not reported as silent are
+    // fenced and the store is followed beyond that, or when the leases of former leaders have expired. Then tasks without a known run may be started.
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -2,6 +2,8 @@
 
 #include "scheduling/dispatcher.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
 void Dispatcher::pollWorkers(CommandContext& context)
@@ -59,7 +61,7 @@
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
     const bool mayRenew = !worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout;
     if (mayRenew && worker.isFenced && !worker.isRestartListed())
-        call.deadline = worker.deadlineAt(context.now, this->fleet.lease());
+        call.deadline = worker.deadlineAt(context.now, this->grantableLease(worker, context.now));
     worker.acceptsUntilAfterPoll = {};
     if (call.deadline)
         this->fleet.recordPollLease(worker, context.now);
@@ -69,9 +71,17 @@
     if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline && isLeased)
         call.wait = this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
     worker.isPollInFlight = true;
+    worker.polledEndpoint = call.to.endpoint;
     context.add(std::move(call));
 }
 
+Duration Dispatcher::grantableLease(const FleetWorker& worker, Instant now) const
+{
+    // A successor has to wait for the last lease of this leader when it can't reach a worker.
+    const Instant end = this->cells.at(worker.cell).leaseEnd + this->options.formerLeaderTimeout + this->options.maxLeaseAfterTerm;
+    return std::clamp(Duration(end - now), Duration(0), this->fleet.lease());
+}
+
 void Dispatcher::evacuate(FleetWorker& worker, CommandContext& context)
 {
     std::vector<TaskRunId> evacuatedRuns;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -40,7 +40,7 @@
 void Dispatcher::adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
     const bool isOtherStart = end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt;
-    const bool isClockReset = end.startedAt == 0 && worker.clock && end.clock < *worker.clock;
+    const bool isClockReset = end.startedAt == 0 && worker.isClockReset(end.clock, end.sentAt, this->options.fleet.clockMargin, this->options.fleet.maxClockDrift);
     if (isOtherStart || isClockReset) {
         this->markFormerRunsLost(worker, end, context);
         this->expectLateStarts(worker, context);
@@ -70,6 +70,10 @@
 
 void Dispatcher::handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
+    if (end.status == WorkerCallStatus::OtherIncarnation && worker.polledEndpoint != worker.entry.endpoint) {
+        worker.nextPollAt = context.now; // the list has moved the worker meanwhile
+        return;
+    }
     if (end.status == WorkerCallStatus::OtherIncarnation) {
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
@@ -254,7 +258,7 @@
     const TaskId& id = task.id.task;
     JobExecution* job = this->findJobExecution(id.job);
     TaskExecution* taskExecution = job && id.step < job->definition().steps.size() ? job->taskExecution(id) : nullptr;
-    RunAllocation allocation = taskExecution ? this->allocationFor(*job, job->definition().steps[id.step]) : RunAllocation {};
+    RunAllocation allocation = job && id.step < job->definition().steps.size() ? this->allocationFor(*job, job->definition().steps[id.step]) : RunAllocation {};
     allocation.lastConfirmedAt = context.now;
     allocation.lastReportNumber = worker.reportCount;
     this->fleet.allocate(worker, task.id, allocation);
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -13,7 +13,8 @@
 
 bool FleetWorker::isRestartListed() const
 {
-    return this->answeredStartedAt != 0 && this->entry.startedAt > this->answeredStartedAt;
+    const bool isOtherIncarnation = this->answeredStartedAt != 0 && this->entry.startedAt != 0 && this->entry.startedAt != this->answeredStartedAt;
+    return isOtherIncarnation && this->listedAt > this->answeredPollSentAt;
 }
 
 bool FleetWorker::isSilent(Instant now, Duration timeout) const
@@ -21,6 +22,14 @@
     return !this->mayHaveUnknownRuns && (!this->isFenced || (this->isSuspect && now >= this->lastAnswer + timeout));
 }
 
+bool FleetWorker::isClockReset(std::int64_t reading, Instant time, Duration margin, double maxDrift) const
+{
+    if (!this->clock)
+        return false;
+    const auto elapsed = std::chrono::duration_cast<Duration>((time - this->clockReadAt) * (1 - maxDrift));
+    return reading < *this->clock + std::max<std::int64_t>(toMilliseconds(elapsed - margin), 0);
+}
+
 bool FleetWorker::isForgettable(Instant now) const
 {
     return !this->isListed && this->runs.empty() && now >= (this->isFenced ? this->leaseEnd : this->formerLeaseEnd);
@@ -64,6 +73,7 @@
             worker.enrolment = Enrolment::None; // a successor would not find it by the stored roster
         worker.entry = entry;
         worker.isListed = true;
+        worker.listedAt = now;
         worker.cell = cell->second;
         listed.insert(entry.id);
     }
@@ -109,8 +119,10 @@
         reset.entry = worker.entry;
         reset.cell = worker.cell;
         reset.isListed = worker.isListed;
+        reset.listedAt = worker.listedAt;
         reset.unlistedSince = worker.unlistedSince;
         reset.isPollInFlight = worker.isPollInFlight;
+        reset.polledEndpoint = worker.polledEndpoint;
         reset.nextPollAt = now;
         worker = std::move(reset);
     }
@@ -138,22 +150,22 @@
     worker.runs.erase(found);
 }
 
-Instant Fleet::latestLeaseEnd(Instant now) const
+Instant Fleet::latestLeaseEnd(Instant now, Duration lease) const
 {
-    const auto longest = std::chrono::duration_cast<Duration>(this->options.lease * (1 + 2 * this->options.maxClockDrift));
+    const auto longest = std::chrono::duration_cast<Duration>(lease * (1 + 2 * this->options.maxClockDrift));
     return now + longest + this->options.clockMargin;
 }
 
 void Fleet::recordLease(FleetWorker& worker, Instant now)
 {
-    worker.leaseEndBeforePoll = std::max(worker.leaseEndBeforePoll, this->latestLeaseEnd(now));
+    worker.leaseEndBeforePoll = std::max(worker.leaseEndBeforePoll, this->latestLeaseEnd(now, this->options.lease));
     worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseEndBeforePoll);
 }
 
 void Fleet::recordPollLease(FleetWorker& worker, Instant now)
 {
     worker.leaseEndBeforePoll = worker.leaseEnd;
-    worker.leaseEnd = std::max(worker.leaseEnd, this->latestLeaseEnd(now));
+    worker.leaseEnd = std::max(worker.leaseEnd, this->latestLeaseEnd(now, this->options.lease));
     worker.acceptsUntilAfterPoll = now + std::chrono::duration_cast<Duration>(this->options.lease * this->options.maxUsedLease);
 }
 
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -84,6 +84,7 @@
     ListedWorker entry;
     CellName cell;
     bool isListed { false };
+    Instant listedAt; // when its entry was last read
     Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
@@ -94,6 +95,7 @@
     bool wasReportedSilent { false }; // by this leader
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
+    Endpoint polledEndpoint; // of the last poll
     Instant nextPollAt;
     std::optional<std::int64_t> clock; // ms on the worker's steady clock at clockReadAt; nothing before the first answer
     Instant clockReadAt;
@@ -127,14 +129,17 @@
     // or, under this epoch, never.
     bool isSilent(Instant now, Duration timeout) const;
 
+    // isClockReset() says whether `reading`, taken after `time`, shows that the clock of the worker has started anew.
+    bool isClockReset(std::int64_t reading, Instant time, Duration margin, double maxDrift) const;
+
     // isForgettable() says whether a worker that is not listed can have no runs and no lease any more.
     bool isForgettable(Instant now) const;
 
     // availableResources() is the capacity that no run occupies.
     TaskResources availableResources() const;
 
-    // isRestartListed() says whether the list shows a later incarnation than the one that last answered. What is known of
-    // the runs, the ends and the clock of the worker does not hold for it.
+    // isRestartListed() says whether the list, read since the poll that was last answered was sent, shows another incarnation
+    // than that answer. What is known of the runs, the ends and the clock of the worker does not hold for it.
     bool isRestartListed() const;
 
     // acceptsTasks() says whether new tasks may be placed on the worker. Their lease is that of the worker, which polls extend.
@@ -198,12 +203,14 @@
     std::map<WorkerId, FleetWorker>& all() { return this->workers; }
     const std::map<WorkerId, FleetWorker>& all() const { return this->workers; }
 
+    // latestLeaseEnd() is the time by which a lease granted at `now` has expired on every worker.
+    Instant latestLeaseEnd(Instant now, Duration lease) const;
+
     Duration lease() const { return this->options.lease; }
 
 private:
     void regroup();
     static void unlist(FleetWorker& worker, Instant now);
-    Instant latestLeaseEnd(Instant now) const;
 
     Options options;
     std::map<DataCentreName, CellName> cellOf;
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -127,7 +127,8 @@
     std::int64_t capacityMillicores { 0 }; // of the workers that accept tasks
     std::vector<std::string> labels {}; // labels that at least one worker of the cell has
     std::vector<TaskId> unconfirmed {}; // tasks that may run on silent workers, or on workers that are not in the roster
-    std::vector<WorkerId> silentWorkers {}; // of the roster; no task has been started on them that is not in `unconfirmed`
+    std::vector<WorkerId> silentWorkers {}; // of the roster; no run on them may be alive whose task is not in `unconfirmed`
+    std::uint64_t rosterSize { 0 }; // workers in the roster; another number was not read whole
     bool isRosterComplete { false }; // every other worker with runs is in the roster; leaders that know no roster write false
 
     bool operator==(const CellLease&) const = default;
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -92,8 +92,9 @@
 }) };
 static_assert(runLossCauseNames.isWhole(RunLossCause::Stopped));
 
-// isReportedLoss() returns true if the worker of the run has answered this leader without it. Any other loss may be known
-// better by a successor, which may have read the end of the run, or go on extending its lease.
+// isReportedLoss() returns true if the incarnation that had the run has answered this leader without it. Any other loss may be
+// known better by a successor, which may have read the end of the run before another incarnation answered, or go on extending
+// its lease.
 constexpr bool isReportedLoss(RunLossCause cause)
 {
     return cause == RunLossCause::NotReported || cause == RunLossCause::Stopped;
