scheduling: a test of a restart that is reported after a start on the next incarnation

A poll that the next incarnation of a worker answers before a start there may be read after the answer to that start.

--- a/packages/scheduling/worker_restart_test.cc
+++ b/packages/scheduling/worker_restart_test.cc
@@ -52,4 +52,20 @@
     CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
 }
 
+TEST_CASE_METHOD(WorkerRestartFixture, "Worker_restartIsReportedAfterStartOnNextIncarnation_runsAreKept")
+{
+    this->workerStartTime = GENERATE(0, 1);
+    CAPTURE(this->workerStartTime);
+    this->runFirstJob();
+    this->listLag["a"] = std::chrono::milliseconds(500);
+    this->crashWorker(WorkerId("w1"));
+    this->restoreWorker(WorkerId("w1"));
+    this->taskDuration = std::chrono::seconds(2);
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(2, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(10));
+    CHECK(this->maxConcurrentRuns == 1);
+    CHECK(this->begunRuns.size() == 6);
+    CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
