scheduling: stand-in workers carry out late starts also after a restart

A call without an answer may be executed seconds later, and a worker that has restarted under its id knows of no fencing token nor deadline of before. The stand-ins dropped such starts when their worker crashed, which hid that way from the random takeovers.

--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -88,7 +88,7 @@
 void SchedulerFixture::carryOutDelayedCalls()
 {
     std::erase_if(this->delayedStarts, [&](const DelayedStart& start) {
-        if (start.due <= this->now)
+        if (start.due <= this->now && !this->crashed.contains(start.start.call.to.worker))
             (void)this->startOn(start.start);
         return start.due <= this->now;
     });
@@ -211,7 +211,6 @@
 {
     this->crashed.insert(id);
     this->workers.at(id).restart(this->now);
-    std::erase_if(this->delayedStarts, [&](const DelayedStart& start) { return start.start.call.to.worker == id; });
 }
 
 void SchedulerFixture::restoreWorker(const WorkerId& id)
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -45,7 +45,8 @@
     // setStoreContact() connects a host to the store, or disconnects it.
     void setStoreContact(const std::string& name, bool isConnected);
 
-    // crashWorker() ends the process of a worker, which answers no calls until restoreWorker() begins its next incarnation.
+    // crashWorker() ends the process of a worker, which answers no calls until restoreWorker() begins its next incarnation. Starts
+    // that are carried out late may reach that one.
     void crashWorker(const WorkerId& id);
     void restoreWorker(const WorkerId& id);
 
