scheduling: a release ends the own lease when it is sent, also for what is granted to workers

Found on rereading the change. Since leases of workers may outlast the time of their grantor by 2 s at most, a successor waits 7.4 s. A leader that had sent the release of its lease counted that time from the end of its last renewal, up to 1.5 s later than its successor, which may acquire the lease at once: with a lost answer, a lease of a worker that the successor can't reach could end 8.5 s after the release, and a task could run twice. One query now gives the end of the own lease to all who ask: the leadership, the grants, and what is proof only while the lease is held. CellLeadership_releaseWithoutAnswer_ownLeaseEndsWithTheRelease failed before.

--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -178,15 +178,19 @@
     return LeadershipChange::Lost;
 }
 
+Instant CellLeadership::leaseEndsAt() const
+{
+    return this->releaseSentAt ? std::min(this->leaseEnd, *this->releaseSentAt) : this->leaseEnd;
+}
+
 bool CellLeadership::isLeader(Instant now) const
 {
-    const Instant end = this->releaseSentAt ? std::min(this->leaseEnd, *this->releaseSentAt) : this->leaseEnd;
-    return this->ownEpoch != 0 && now < end + this->options.storeOutageTimeout;
+    return this->ownEpoch != 0 && now < this->leaseEndsAt() + this->options.storeOutageTimeout;
 }
 
 bool CellLeadership::holdsLease(Instant now) const
 {
-    return this->ownEpoch != 0 && now < this->leaseEnd;
+    return this->ownEpoch != 0 && now < this->leaseEndsAt();
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -100,8 +100,8 @@
     // continues without the store.
     bool isLeader(Instant now) const;
 
-    // leaseEndsAt() returns the end of the own lease; it is past if this host has none.
-    Instant leaseEndsAt() const { return this->leaseEnd; }
+    // leaseEndsAt() returns the end of the own lease, which a release ends when it is sent; it is past if this host has none.
+    Instant leaseEndsAt() const;
 
     // holdsLease() returns true if the lease has not expired.
     bool holdsLease(Instant now) const;
--- a/packages/scheduling/lease_release_test.cc
+++ b/packages/scheduling/lease_release_test.cc
@@ -56,4 +56,14 @@
     CHECK_FALSE(this->holder.isLeader(this->now + options.storeOutageTimeout));
 }
 
+TEST_CASE_METHOD(LeaseReleaseFixture, "CellLeadership_releaseWithoutAnswer_ownLeaseEndsWithTheRelease", "[lease]")
+{
+    this->now += milliseconds(100);
+    this->holder.release();
+    this->holder.renewImmediately();
+    (void)this->holder.nextWrite(this->nextWrite++, {}, this->now);
+    CHECK(this->holder.leaseEndsAt() <= this->now);
+    CHECK_FALSE(this->holder.holdsLease(this->now));
+}
+
 } // namespace dragonflytray
