--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -45,20 +45,6 @@
     context.add(std::move(begun));
 }
 
-void Dispatcher::inheritWorkers(const CellAcquired& acquired, Cell& cell)
-{
-    const std::set<WorkerId> silent(acquired.former.silentWorkers.begin(), acquired.former.silentWorkers.end());
-    CellRoster& roster = this->rosters.try_emplace(acquired.cell, acquired.cell).first->second;
-    roster.beginReporting();
-    const std::map<WorkerId, RosterEntry> workers = roster.workers();
-    cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
-    for (const auto& [id, entry] : workers) {
-        FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
-        worker.mayHaveUnknownRuns = !silent.contains(id);
-        worker.enrolment = worker.mayHaveUnknownRuns ? Enrolment::Stored : Enrolment::None;
-    }
-}
-
 void Dispatcher::leaseExtended(const CellName& cell, Instant leaseEnd)
 {
     if (const auto found = this->cells.find(cell); found != this->cells.end())
@@ -78,78 +64,6 @@
     this->workersView.writeCommitted(version, sentAt);
 }
 
-CellReport Dispatcher::composeReport(const CellName& name, Instant now)
-{
-    const auto found = this->cells.find(name);
-    if (found == this->cells.end())
-        return {};
-    Cell& cell = found->second;
-    CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .silentWorkers = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
-    std::map<WorkerId, RosterEntry> enrolled;
-    std::set<TaskId> unconfirmed = cell.unconfirmed;
-    for (auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
-            continue;
-        enrolled.emplace(id, RosterEntry { worker.entry.endpoint, worker.entry.capacity });
-        if (worker.enrolment != Enrolment::None && !worker.isSilent(now, this->options.silenceReportTimeout))
-            continue;
-        std::set<TaskId> tasks = this->unconfirmedTasksOn(worker);
-        if (worker.isSilent(now, this->options.silenceReportTimeout) && unconfirmed.size() + tasks.size() <= this->options.maxUnconfirmedTasks) {
-            unconfirmed.merge(tasks);
-            worker.enrolment = Enrolment::None;
-            worker.wasReportedSilent = true;
-            report.silentWorkers.push_back(id);
-        } else if (worker.enrolment == Enrolment::None) {
-            worker.enrolment = Enrolment::Requested;
-            worker.enrolmentReport = report.number;
-        }
-    }
-    report.rosterSize = enrolled.size();
-    report.unconfirmed.assign(unconfirmed.begin(), unconfirmed.end());
-    report.rosterPuts = this->rosters.at(name).compose(report.number, enrolled);
-    if (cell.areWorkersFenced && cell.reconciliationReport == 0)
-        cell.reconciliationReport = report.number;
-    return report;
-}
-
-void Dispatcher::reportStored(const CellName& name, const StoredReport& report)
-{
-    const auto found = this->cells.find(name);
-    if (found == this->cells.end())
-        return;
-    Cell& cell = found->second;
-    this->rosters.at(name).reportStored(report.number, report.version);
-    for (auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell == name && worker.enrolment == Enrolment::Requested && worker.enrolmentReport <= report.number)
-            worker.enrolment = Enrolment::Stored;
-    }
-    if (cell.reconciliationReport != 0 && report.number >= cell.reconciliationReport && cell.reconciliationVersion == 0)
-        cell.reconciliationVersion = report.version;
-    this->needsPass = true;
-}
-
-void Dispatcher::rosterChanged(const StoredRowChange& change)
-{
-    const auto part = parseRosterKey(change.key);
-    if (!part)
-        return;
-    const auto* row = change.value ? std::get_if<WorkerRoster>(&*change.value) : nullptr;
-    this->rosters.try_emplace(part->cell, part->cell).first->second.apply(part->number, row ? *row : WorkerRoster {}, change.version);
-}
-
-bool Dispatcher::isReportDue(const CellName& name) const
-{
-    const auto cell = this->cells.find(name);
-    if (cell == this->cells.end())
-        return false;
-    if (cell->second.areWorkersFenced && cell->second.reconciliationReport == 0)
-        return true;
-    return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
-        const FleetWorker& worker = entry.second;
-        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.wasReportedSilent && worker.isListed;
-    });
-}
-
 void Dispatcher::storeFollowed(RowVersion version, const JobCache& jobCache, CommandContext& context)
 {
     this->followedVersion = std::max(this->followedVersion, version);
@@ -359,50 +273,6 @@
     });
 }
 
-std::int64_t Dispatcher::capacityOf(const CellName& name) const
-{
-    std::int64_t millicores = 0;
-    for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell == name && worker.isListed && !worker.isSuspect && !worker.entry.isDraining)
-            millicores += worker.entry.capacity.millicores;
-    }
-    return millicores;
-}
-
-std::vector<std::string> Dispatcher::labelsOf(const CellName& name) const
-{
-    std::set<std::string> labels;
-    for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell == name && worker.isListed)
-            labels.insert(worker.entry.labels.begin(), worker.entry.labels.end());
-    }
-    return { labels.begin(), labels.end() };
-}
-
-std::set<TaskId> Dispatcher::unconfirmedTasksOn(const FleetWorker& worker) const
-{
-    std::set<TaskId> tasks;
-    for (const auto& [run, allocation] : worker.runs)
-        tasks.insert(run.task);
-    for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
-        if (!this->isRecorded(end))
-            tasks.merge(this->tasksEndedBy(end));
-    }
-    return tasks;
-}
-
-std::set<TaskId> Dispatcher::tasksEndedBy(const UnacknowledgedEnd& end) const
-{
-    const auto job = this->jobExecutions.find(end.task.job);
-    const StepDefinition* step = job == this->jobExecutions.end() ? nullptr : &job->second->definition().steps[end.task.step];
-    if (!step || !step->isGang)
-        return { end.task };
-    std::set<TaskId> tasks;
-    for (TaskId task { end.task.job, end.task.occurrence, end.task.step, 0 }; task.index < step->count; ++task.index)
-        tasks.insert(task);
-    return tasks;
-}
-
 std::size_t Dispatcher::runningTasks() const
 {
     std::size_t running = 0;
@@ -425,61 +295,6 @@
     return { jobs.begin(), jobs.end() };
 }
 
-void Dispatcher::reconcileCells(CommandContext& context)
-{
-    for (auto& [name, cell] : this->cells) {
-        if (cell.isReconciled && cell.unconfirmed.empty())
-            continue;
-        // Without its lease this host may have a successor, which extends leases of workers that this host has not heard of.
-        const bool haveLeasesExpired = context.now >= cell.formerLeaseEnd && context.now < cell.leaseEnd;
-        if (!cell.areWorkersFenced && cell.isRosterComplete && !this->hasUnknownRuns(name))
-            cell.areWorkersFenced = true;
-        const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
-        if (haveLeasesExpired || (isFollowed && !cell.isReconciled))
-            this->reconcile(name, cell, haveLeasesExpired, context);
-    }
-}
-
-bool Dispatcher::hasUnknownRuns(const CellName& name) const
-{
-    return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
-        return entry.second.cell == name && entry.second.mayHaveUnknownRuns;
-    });
-}
-
-std::vector<DecisionInputValue> Dispatcher::takeoverInputs(const CellName& name, const Cell& cell) const
-{
-    std::int64_t listed = 0;
-    std::int64_t fenced = 0;
-    std::int64_t unlisted = 0;
-    for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.cell != name)
-            continue;
-        listed += worker.isListed ? 1 : 0;
-        unlisted += worker.isListed ? 0 : 1;
-        fenced += worker.isFenced ? 1 : 0;
-    }
-    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.unconfirmed.size()) } };
-}
-
-void Dispatcher::reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context)
-{
-    LogDecision reconciled { DecisionEvent::CellReconciled, name.value(), {}, haveLeasesExpired ? "leases-expired" : "workers-fenced", cell.epoch, toMilliseconds(context.now - cell.leadingSince) };
-    reconciled.inputs = this->takeoverInputs(name, cell);
-    context.add(std::move(reconciled));
-    cell.isReconciled = true;
-    if (haveLeasesExpired) {
-        cell.unconfirmed.clear();
-        for (auto& [id, worker] : this->fleet.all())
-            worker.mayHaveUnknownRuns = worker.mayHaveUnknownRuns && worker.cell != name;
-    }
-    for (auto& [id, job] : this->jobExecutions) {
-        if (job->definition().cell == name)
-            job->reconcile(cell.unconfirmed, context.now);
-    }
-    this->needsPass = true;
-}
-
 WorkerAddress Dispatcher::addressOf(const FleetWorker& worker) const
 {
     const auto cell = this->cells.find(worker.cell);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -5,8 +5,7 @@
 //
 // A new leader first reconciles with its predecessors: it fences every worker of the stored roster that was not reported as
 // silent with its own epoch, adopts the runs that the workers report, and starts a task again only when no run of a former
-// leader can be left. That a worker is
-// not listed, does not answer or can't be reached says nothing about its runs.
+// leader can be left. That a worker is not listed, does not answer or can't be reached says nothing about its runs.
 //
 // Example:
 //
@@ -97,9 +96,9 @@
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
-    // composeReport() withdraws silent workers from the roster's use, enrols others, and returns the report of a cell for the next renewal of its lease; an empty one while the cell is not led.
-    // Tasks are started on a worker only once a report that enrols it is stored, and no more on one that a report says is
-    // silent. Linear in all workers.
+    // composeReport() returns the report of a cell for the next renewal of its lease, and marks the workers that it enrols or
+    // reports as silent; it is empty while the cell is not led. Tasks are started on a worker only once a report that enrols it
+    // is stored, and no more on one that a report says is silent. Linear in all workers.
     CellReport composeReport(const CellName& cell, Instant now);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
@@ -235,9 +234,9 @@
     void acknowledge(FleetWorker& worker, CommandContext& context);
     bool isRecorded(const UnacknowledgedEnd& end) const;
 
-    // Reports of workers. adoptIncarnation() gives up the runs that an earlier incarnation has confirmed. reconcileRuns() compares what a
-    // worker reports with what it is believed to run: runs of former leaders are adopted, or kept as orphaned until their
-    // step opens; unwanted ones are stopped; missing ones are stopped or given up by markRunLost().
+    // Reports of workers. adoptIncarnation() gives up the runs that an earlier incarnation has confirmed. reconcileRuns()
+    // compares what a worker reports with what it is believed to run: runs of former leaders are adopted, or kept as orphaned
+    // until their step opens; unwanted ones are stopped; missing ones are stopped or given up by markRunLost().
     void adoptIncarnation(FleetWorker& worker, const PollEnded& end, CommandContext& context);
     void reconcileRuns(FleetWorker& worker, const PollEnded& end, CommandContext& context);
     void confirmRun(FleetWorker& worker, const RunningTask& task, RunAllocation& allocation, CommandContext& context);
@@ -284,8 +283,9 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
-    // Runs of former leaders. A cell is reconciled when all workers of the roster that were not reported as silent are
-    // fenced and the store is followed beyond that, or when the leases of former leaders have expired. Then tasks without a known run may be started.
+    // Runs of former leaders. A cell is reconciled when all workers of the roster that were not reported as silent are fenced
+    // and the store is followed beyond that, or when the leases of former leaders have expired. Then tasks without a known run
+    // may be started.
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -41,8 +41,8 @@
     gone.inputs = { { DecisionInput::HasAnswered, hasAnswered ? 1 : 0 } };
     if (worker.unlistedSince != Instant())
         gone.inputs.push_back({ DecisionInput::UnlistedMilliseconds, toMilliseconds(context.now - worker.unlistedSince) });
-    if (worker.leaseEnd != Instant())
-        gone.inputs.push_back({ DecisionInput::LeaseMilliseconds, toMilliseconds(worker.leaseEnd - context.now) });
+    if (const Instant leaseEnd = worker.isFenced ? worker.leaseEnd : worker.formerLeaseEnd; leaseEnd != Instant())
+        gone.inputs.push_back({ DecisionInput::LeaseMilliseconds, toMilliseconds(leaseEnd - context.now) });
     context.add(std::move(gone));
 }
 
--- a/packages/scheduling/review_test.cc
+++ b/packages/scheduling/worker_evidence_test.cc
@@ -10,8 +10,8 @@
 
     const std::string job = "00000000000000a1";
 
-    // ReviewFixture has host "a" as the leader.
-    struct ReviewFixture : SchedulerFixture {
+    // WorkerEvidenceFixture has host "a" as the leader.
+    struct WorkerEvidenceFixture : SchedulerFixture {
         SimulatedWorker& replaceWorker(const std::string& id, WallTime startedAt, Endpoint endpoint)
         {
             ListedWorker entry = this->workers.at(WorkerId(id)).entry();
@@ -29,7 +29,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(ReviewFixture, "Worker_restartsWithEarlierStartTime_tasksAreStartedAgain")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Worker_restartsWithEarlierStartTime_tasksAreStartedAgain")
 {
     this->workerStartTime = 100000;
     this->addWorker("w1", 16);
@@ -43,7 +43,7 @@
 }
 
 // The clock of the next incarnation is ahead of the last reading, but behind what the former clock must show by now.
-TEST_CASE_METHOD(ReviewFixture, "Worker_restartsWithoutStartTimeAfterShortLife_endsAreCountedBeforeAcknowledgement")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Worker_restartsWithoutStartTimeAfterShortLife_endsAreCountedBeforeAcknowledgement")
 {
     this->workerStartTime = 0;
     this->taskDuration = std::chrono::milliseconds(200);
@@ -69,7 +69,7 @@
 }
 
 // The list of the new leader still shows the former address of the worker, where another worker answers.
-TEST_CASE_METHOD(ReviewFixture, "Takeover_listShowsFormerAddressOfWorker_tasksDoNotRunTwice")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Takeover_listShowsFormerAddressOfWorker_tasksDoNotRunTwice")
 {
     this->taskDuration = std::chrono::seconds(20);
     this->addWorker("w1", 16);
@@ -100,7 +100,7 @@
 }
 
 // A gang's end on a silent worker stands for all of its tasks; the row of the lease must stay within the limit.
-TEST_CASE_METHOD(ReviewFixture, "Report_unrecordedEndsOfGangOnSilentWorkers_unconfirmedTasksStayWithinLimit")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Report_unrecordedEndsOfGangOnSilentWorkers_unconfirmedTasksStayWithinLimit")
 {
     this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
     constexpr std::uint32_t members = 64;
@@ -123,7 +123,7 @@
 }
 
 // The list moves the worker to another address while a poll of the former one is in flight.
-TEST_CASE_METHOD(ReviewFixture, "Worker_movesWhileFormerAddressIsPolled_isUsedAtNextAddress")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Worker_movesWhileFormerAddressIsPolled_isUsedAtNextAddress")
 {
     this->addWorker("w1", 16);
     this->run({ "a" }, std::chrono::seconds(3));
@@ -141,7 +141,7 @@
 }
 
 // What is being stopped occupies the worker until its end is reported.
-TEST_CASE_METHOD(ReviewFixture, "Takeover_runsOfCancelledJobAreStopped_noTaskIsStartedInTheirRoom")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Takeover_runsOfCancelledJobAreStopped_noTaskIsStartedInTheirRoom")
 {
     this->taskDuration = std::chrono::seconds(30);
     this->addWorker("w1", 16);
@@ -167,7 +167,7 @@
 }
 
 // A start that is carried out late reaches the next incarnation, whose clock is behind its deadline.
-TEST_CASE_METHOD(ReviewFixture, "Worker_restartsBeforeLateStartArrives_taskRunsOnce")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Worker_restartsBeforeLateStartArrives_taskRunsOnce")
 {
     this->taskDuration = std::chrono::seconds(20);
     this->addWorker("w1", 16);
@@ -184,7 +184,7 @@
 }
 
 // The leader and a worker end at the same moment.
-TEST_CASE_METHOD(ReviewFixture, "Takeover_workerEndsWithLeader_longRunningTaskRunsAgainInTime")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Takeover_workerEndsWithLeader_longRunningTaskRunsAgainInTime")
 {
     this->addWorker("w1", 16);
     this->run({ "a" }, std::chrono::seconds(3));
@@ -204,7 +204,7 @@
 }
 
 // Each leader is replaced before the leases of the former ones have expired, and one worker never answers any of them.
-TEST_CASE_METHOD(ReviewFixture, "Takeover_leadersChangeOftenAndOneWorkerIsGone_waitingTasksAreStarted")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Takeover_leadersChangeOftenAndOneWorkerIsGone_waitingTasksAreStarted")
 {
     this->addWorker("w1", 16);
     this->addWorker("w2", 16);
@@ -220,7 +220,7 @@
 }
 
 // A part of the roster that can't be read says nothing about its workers.
-TEST_CASE_METHOD(ReviewFixture, "Takeover_rosterCanNotBeDecoded_tasksDoNotRunTwice")
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Takeover_rosterCanNotBeDecoded_tasksDoNotRunTwice")
 {
     this->taskDuration = std::chrono::seconds(20);
     this->addWorker("w1", 16);
