scheduling: a leader names the runs on workers that get no more tasks

Cause: the roster kept each worker until its last lease was over, as a worker on which any task may run. A successor can't reach a worker that has left, so it held back every task of every former job until the leases of the former leader had expired (7.4 s). What the former leader knew, that it started nothing more there and which runs were left, got lost.

Now a roster entry names the only tasks that may run on a worker, once its leader starts no more there: when it drains, is not listed, does not answer, or when the leader hands over. A worker without such tasks leaves the roster. The successor takes the named tasks as alive until the worker has answered and the store is followed beyond that, or until the leases have expired, and starts all others. A named task was possible before as well; nothing that was held back for its own runs is released earlier.

In PlannedStop_successorCanNotReachWorker_itsTasksDoNotRunTwice the last worker has room for the waiting tasks, too, which are no longer held back.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -168,11 +168,15 @@
 
     StoredRow decodeCancellation(const Json& json) { return CancellationRequest { json.at("requested") }; }
 
+    Json encodeTask(const TaskId& task) { return { task.job.value(), task.occurrence, task.step, task.index }; }
+
+    TaskId decodeTask(const Json& json) { return { JobId(json.at(0)), json.at(1), json.at(2), json.at(3) }; }
+
     Json encode(const CellLease& lease)
     {
         Json unconfirmed = Json::array();
         for (const TaskId& task : lease.unconfirmed)
-            unconfirmed.push_back({ task.job.value(), task.occurrence, task.step, task.index });
+            unconfirmed.push_back(encodeTask(task));
         Json silentWorkers = Json::array();
         for (const WorkerId& worker : lease.silentWorkers)
             silentWorkers.push_back(worker.value());
@@ -188,7 +192,7 @@
         lease.capacityMillicores = json.at("capacity");
         lease.labels = json.at("labels").get<std::vector<std::string>>();
         for (const Json& task : json.at("unconfirmed"))
-            lease.unconfirmed.push_back({ JobId(task.at(0)), task.at(1), task.at(2), task.at(3) });
+            lease.unconfirmed.push_back(decodeTask(task));
         lease.isRosterComplete = json.value("roster", false);
         lease.rosterSize = json.value("rosterSize", std::uint64_t { 0 });
         for (const Json& worker : json.value("silent", Json::array()))
@@ -199,16 +203,31 @@
     Json encode(const WorkerRoster& roster)
     {
         Json workers = Json::array();
-        for (const auto& [worker, entry] : roster.workers)
-            workers.push_back({ worker.value(), entry.endpoint.address, entry.endpoint.port, encodeResources(entry.capacity) });
+        for (const auto& [worker, entry] : roster.workers) {
+            Json row = Json::array({ worker.value(), entry.endpoint.address, entry.endpoint.port, encodeResources(entry.capacity) });
+            if (entry.possibleTasks) {
+                Json tasks = Json::array();
+                for (const TaskId& task : *entry.possibleTasks)
+                    tasks.push_back(encodeTask(task));
+                row.push_back(std::move(tasks));
+            }
+            workers.push_back(std::move(row));
+        }
         return { { "workers", std::move(workers) } };
     }
 
     StoredRow decodeRoster(const Json& json)
     {
         WorkerRoster roster;
-        for (const Json& worker : json.at("workers"))
-            roster.workers[WorkerId(worker.at(0))] = { .endpoint = { worker.at(1), worker.at(2) }, .capacity = decodeResources(worker.at(3)) };
+        for (const Json& worker : json.at("workers")) {
+            RosterEntry entry { .endpoint = { worker.at(1), worker.at(2) }, .capacity = decodeResources(worker.at(3)) };
+            if (worker.size() > 4) {
+                entry.possibleTasks.emplace();
+                for (const Json& task : worker.at(4))
+                    entry.possibleTasks->insert(decodeTask(task));
+            }
+            roster.workers[WorkerId(worker.at(0))] = std::move(entry);
+        }
         return roster;
     }
 
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -36,6 +36,17 @@
     CHECK(this->readBack(StoredRowKind::WorkerRoster, WorkerRoster {}) == WorkerRoster {});
 }
 
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_rosterOfWorkersThatGetNoMoreTasks_tasksAreReadBack")
+{
+    const RosterEntry open { { "10.1.1.1", 8080 }, { 64000, 256000, 0 }, std::nullopt };
+    RosterEntry closed = open;
+    closed.possibleTasks = { { JobId("00000000000000a1"), 0, 1, 2 }, { JobId("00000000000000a2"), 3, 0, 0 } };
+    RosterEntry empty = open;
+    empty.possibleTasks.emplace();
+    const WorkerRoster roster { { { WorkerId("i-1"), open }, { WorkerId("i-2"), closed }, { WorkerId("i-3"), empty } } };
+    CHECK(this->readBack(StoredRowKind::WorkerRoster, roster) == roster);
+}
+
 TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseOfReleaseWithoutRoster_rosterIsIncomplete")
 {
     nlohmann::json json = nlohmann::json::from_cbor(encodeRow(this->lease));
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -93,7 +93,7 @@
         .capacityMillicores = isHolder ? report.capacityMillicores : this->lastRow.capacityMillicores,
         .labels = isHolder ? report.labels : this->lastRow.labels,
         .unconfirmed = isHolder ? report.unconfirmed : this->lastRow.unconfirmed,
-        .silentWorkers = isHolder ? report.silentWorkers : this->lastRow.silentWorkers,
+        .silentWorkers = isHolder ? std::vector<WorkerId>() : this->lastRow.silentWorkers,
         .rosterSize = isHolder ? report.rosterSize : this->lastRow.rosterSize,
         .isRosterComplete = isHolder ? report.isRosterComplete : this->lastRow.isRosterComplete || this->lastRow.epoch == 0,
     };
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -31,7 +31,6 @@
     std::int64_t capacityMillicores { 0 };
     std::vector<std::string> labels {};
     std::vector<TaskId> unconfirmed {};
-    std::vector<WorkerId> silentWorkers {};
     std::uint64_t rosterSize { 0 };
     bool isRosterComplete { false };
     std::vector<StoredRowPut> rosterPuts {}; // changed rows of the roster
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -24,6 +24,7 @@
 
 void Scheduler::beginHandover(const SchedulerCommand&, CommandContext& context)
 {
+    this->dispatcher.beginHandover();
     for (auto& [cell, leadership] : this->leaderships) {
         leadership.release();
         leadership.renewImmediately();
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -29,7 +29,7 @@
 {
     Cell cell { .epoch = acquired.epoch, .acquiredAt = acquired.acquiredAt, .leadingSince = context.now };
     cell.formerLeaseEnd = this->fleet.latestLeaseEnd(context.now + this->options.formerLeaderTimeout, this->options.maxLeaseAfterTerm);
-    cell.unconfirmed.insert(acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end());
+    cell.formerRuns.inherit(WorkerId(), { acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end() });
     this->fleet.beginEpoch(acquired.cell, context.now);
     std::erase_if(this->orphanedRuns, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == acquired.cell; });
     Cell& ledCell = this->cells[acquired.cell] = std::move(cell);
@@ -130,8 +130,8 @@
     if (const auto due = job.openDueSteps(context.wallTime, context.now))
         this->nextOccurrenceDue = std::min(this->nextOccurrenceDue.value_or(*due), *due);
     const Cell& cell = this->cells.at(job.definition().cell);
-    if (cell.isReconciled && !cell.unconfirmed.empty())
-        job.reconcile(cell.unconfirmed, context.now);
+    if (cell.isReconciled && !cell.formerRuns.isEmpty())
+        job.reconcile(cell.formerRuns.tasks(), context.now);
     if (!this->orphanedRuns.empty())
         this->adoptOrphanedRuns(job, context);
     this->needsPass = true;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -3,9 +3,10 @@
 // The leader of a cell: it places the tasks of jobs on workers, polls the workers, handles the ends of runs, and
 // acknowledges an end to the worker only after the progress of the job has been recorded in the store.
 //
-// A new leader first reconciles with its predecessors: it fences every worker of the stored roster that was not reported as
-// silent with its own epoch, adopts the runs that the workers report, and starts a task again only when no run of a former
-// leader can be left. That a worker is not listed, does not answer or can't be reached says nothing about its runs.
+// A new leader first reconciles with its predecessors: it fences the workers of the stored roster with its own epoch, adopts the
+// runs that they report, and starts a task again only when no run of a former leader can be left. That a worker is not listed,
+// does not answer or can't be reached says nothing about its runs. A leader that starts no more tasks on a worker names those
+// that may still run there, so that a worker which is gone holds back only these.
 //
 // Example:
 //
@@ -20,6 +21,7 @@
 #include "scheduling/cell_roster.h"
 #include "scheduling/command_context.h"
 #include "scheduling/fleet.h"
+#include "scheduling/former_runs.h"
 #include "scheduling/job_execution.h"
 #include "scheduling/placement.h"
 #include "scheduling/recorder.h"
@@ -54,8 +56,8 @@
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
         Duration unrecordedPollInterval { std::chrono::milliseconds(120) }; // between polls of a worker while its ends wait to be recorded
         Duration renewalTimeout { std::chrono::milliseconds(1500) }; // for which leases of a worker that does not answer are still renewed
-        Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which its tasks are reported as unconfirmed and it gets no more
-        std::size_t maxUnconfirmedTasks { 1500 }; // in a report; further silent workers stay in the roster as if they answered. A row of the store holds about 2,800
+        Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which it gets no more tasks and a report names those that may run there
+        std::size_t maxTasksPerRosterPart { 1500 }; // named in a row of the roster; further workers stay there as if any task may run on them. A row of the store holds about 2,800
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
@@ -96,9 +98,13 @@
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
+    // beginHandover() makes the next reports name the runs on all workers. No task is started on a worker after the first of them.
+    void beginHandover() { this->isHandingOver = true; }
+
     // composeReport() returns the report of a cell for the next renewal of its lease, and marks the workers that it enrols or
-    // reports as silent; it is empty while the cell is not led. Tasks are started on a worker only once a report that enrols it
-    // is stored, and no more on one that a report says is silent. Linear in all workers.
+    // closes; it is empty while the cell is not led. Tasks are started on a worker only once a report that enrols it is stored, and
+    // no more on one that a report closes, since it names the only tasks that may run there. Linear in all workers and the runs on
+    // closed ones.
     CellReport composeReport(const CellName& cell, Instant now);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
@@ -210,12 +216,12 @@
         Instant leadingSince {};
         Instant leaseEnd {}; // of the own lease of the cell
         Instant formerLeaseEnd {}; // by which every lease that a former leader granted has expired
-        bool isRosterComplete { false }; // the former leader's runs are on workers of the roster, or in `unconfirmed`
-        bool areWorkersFenced { false }; // no worker has runs of former leaders that are unknown here
+        bool isRosterComplete { false }; // the former leader's runs are on workers of the roster, or in `formerRuns`
+        bool areWorkersFenced { false }; // no worker has runs of former leaders that are neither known here nor in `formerRuns`
         std::uint64_t reconciliationReport { 0 }; // first report composed after that; 0: none yet
         RowVersion reconciliationVersion { 0 }; // of that report, up to which the store has to be followed first; 0: not known yet
         bool isReconciled { false }; // every run of former leaders is accounted for
-        std::set<TaskId> unconfirmed {}; // tasks believed alive until the leases of former leaders have expired
+        FormerRuns formerRuns {}; // believed alive until their worker answers or the leases of former leaders have expired
     };
 
     // inheritWorkers() adds the workers on which former leaders may have started tasks. beginToLead() opens the jobs of a cell
@@ -258,9 +264,10 @@
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
-    // unconfirmedTasksOn() returns the tasks that a successor may not take for free while it has not heard the worker: those with
-    // runs there, and those whose end is read and not stored. One end stands for all tasks of a gang.
-    std::set<TaskId> unconfirmedTasksOn(const FleetWorker& worker) const;
+    // possibleTasksOn() returns the tasks that a successor may not take for free while it has not heard the worker: those with
+    // runs there, those whose end is read and not stored, and those that former leaders named. One end stands for all tasks of a
+    // gang.
+    std::set<TaskId> possibleTasksOn(const Cell& cell, const FleetWorker& worker) const;
     std::set<TaskId> tasksEndedBy(const UnacknowledgedEnd& end) const;
     std::int64_t capacityOf(const CellName& name) const;
     std::vector<std::string> labelsOf(const CellName& name) const;
@@ -283,9 +290,11 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
-    // Runs of former leaders. A cell is reconciled when all workers of the roster that were not reported as silent are fenced
-    // and the store is followed beyond that, or when the leases of former leaders have expired. Then tasks without a known run
-    // may be started.
+    // Runs of former leaders. A cell is reconciled when all workers on which any task may run are fenced and the store is followed
+    // beyond that, or when the leases of former leaders have expired. Then tasks may be started that have no known run and are not
+    // in Cell::formerRuns. accountForWorker() records that the runs on a worker are known.
+    void accountForWorker(FleetWorker& worker);
+    void accountForTasks(const CellName& name, const Cell& cell, Instant now);
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
@@ -328,6 +337,7 @@
     std::map<CellName, Cell> cells;
     std::map<CellName, CellRoster> rosters;
     std::uint64_t lastReport { 0 }; // number
+    bool isHandingOver { false }; // beginHandover() was called
     std::map<QueueName, QueueRule> queues;
     RowVersion followedVersion { 0 };
     StoreView jobsView;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -59,7 +59,8 @@
     if (!worker.isFenced) // a former leader may have granted leases until now
         this->fleet.recordLease(worker, context.now);
     worker.isFenced = true;
-    worker.mayHaveUnknownRuns = worker.mayHaveUnknownRuns && end.hasMoreEnds; // a whole report names all of them
+    if (!end.hasMoreEnds) // a whole report names all runs
+        this->accountForWorker(worker);
     worker.clock = end.clock;
     worker.clockReadAt = end.receivedAt;
     Fleet::pollAnswered(worker);
@@ -78,7 +79,7 @@
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
         worker.isListed = false;
-        worker.mayHaveUnknownRuns = false;
+        this->accountForWorker(worker);
         worker.leaseEnd = context.now;
         worker.formerLeaseEnd = context.now;
         return;
@@ -277,7 +278,7 @@
     this->markRunning(*job, id, context);
     const auto cell = this->cells.find(job->definition().cell);
     if (cell != this->cells.end())
-        cell->second.unconfirmed.erase(id);
+        cell->second.formerRuns.runAdopted(id);
 }
 
 void Dispatcher::adoptOrphanedRuns(JobExecution& job, CommandContext& context)
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -16,8 +16,9 @@
     cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
     for (const auto& [id, entry] : workers) {
         FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
-        worker.mayHaveUnknownRuns = !silent.contains(id);
+        worker.mayHaveUnknownRuns = !entry.possibleTasks && !silent.contains(id);
         worker.enrolment = worker.mayHaveUnknownRuns ? Enrolment::Stored : Enrolment::None;
+        cell.formerRuns.inherit(id, entry.possibleTasks.value_or(std::set<TaskId>()));
     }
 }
 
@@ -27,31 +28,36 @@
     if (found == this->cells.end())
         return {};
     Cell& cell = found->second;
-    CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .silentWorkers = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
+    CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
     std::map<WorkerId, RosterEntry> enrolled;
-    std::set<TaskId> unconfirmed = cell.unconfirmed;
+    std::array<std::size_t, rosterParts> namedTasks {};
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
             continue;
-        enrolled.emplace(id, RosterEntry { worker.entry.endpoint, worker.entry.capacity });
-        if (worker.enrolment != Enrolment::None && !worker.isSilent(now, this->options.silenceReportTimeout))
-            continue;
-        std::set<TaskId> tasks = this->unconfirmedTasksOn(worker);
-        if (worker.isSilent(now, this->options.silenceReportTimeout) && unconfirmed.size() + tasks.size() <= this->options.maxUnconfirmedTasks) {
-            unconfirmed.merge(tasks);
+        RosterEntry entry { .endpoint = worker.entry.endpoint, .capacity = worker.entry.capacity };
+        const bool isClosing = !worker.mayGetTasks(now, this->options.silenceReportTimeout) || (this->isHandingOver && !worker.mayHaveUnknownRuns);
+        std::set<TaskId> tasks = isClosing ? this->possibleTasksOn(cell, worker) : std::set<TaskId>();
+        std::size_t& namedInPart = namedTasks[rosterPartOf(id)];
+        if (isClosing && namedInPart + tasks.size() <= this->options.maxTasksPerRosterPart) {
             worker.enrolment = Enrolment::None;
-            worker.wasReportedSilent = true;
-            report.silentWorkers.push_back(id);
+            worker.wasClosed = worker.wasClosed || worker.isFenced;
+            if (tasks.empty())
+                continue;
+            namedInPart += tasks.size();
+            entry.possibleTasks = std::move(tasks);
         } else if (worker.enrolment == Enrolment::None) {
             worker.enrolment = Enrolment::Requested;
             worker.enrolmentReport = report.number;
         }
+        enrolled.emplace(id, std::move(entry));
     }
     report.rosterSize = enrolled.size();
+    const std::set<TaskId> unconfirmed = cell.formerRuns.tasksOn(WorkerId());
     report.unconfirmed.assign(unconfirmed.begin(), unconfirmed.end());
     report.rosterPuts = this->rosters.at(name).compose(report.number, enrolled);
     if (cell.areWorkersFenced && cell.reconciliationReport == 0)
         cell.reconciliationReport = report.number;
+    cell.formerRuns.reportComposed(report.number);
     return report;
 }
 
@@ -68,6 +74,7 @@
     }
     if (cell.reconciliationReport != 0 && report.number >= cell.reconciliationReport && cell.reconciliationVersion == 0)
         cell.reconciliationVersion = report.version;
+    cell.formerRuns.reportStored(report.number, report.version);
     this->needsPass = true;
 }
 
@@ -89,7 +96,7 @@
         return true;
     return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
         const FleetWorker& worker = entry.second;
-        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.wasReportedSilent && worker.isListed;
+        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.wasClosed && worker.isListed;
     });
 }
 
@@ -113,9 +120,9 @@
     return { labels.begin(), labels.end() };
 }
 
-std::set<TaskId> Dispatcher::unconfirmedTasksOn(const FleetWorker& worker) const
+std::set<TaskId> Dispatcher::possibleTasksOn(const Cell& cell, const FleetWorker& worker) const
 {
-    std::set<TaskId> tasks;
+    std::set<TaskId> tasks = cell.formerRuns.tasksOn(worker.entry.id);
     for (const auto& [run, allocation] : worker.runs)
         tasks.insert(run.task);
     for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
@@ -140,15 +147,18 @@
 void Dispatcher::reconcileCells(CommandContext& context)
 {
     for (auto& [name, cell] : this->cells) {
-        if (cell.isReconciled && cell.unconfirmed.empty())
+        if (cell.isReconciled && cell.formerRuns.isEmpty())
             continue;
         // Without its lease this host may have a successor, which extends leases of workers that this host has not heard of.
         const bool haveLeasesExpired = context.now >= cell.formerLeaseEnd && context.now < cell.leaseEnd;
         if (!cell.areWorkersFenced && cell.isRosterComplete && !this->hasUnknownRuns(name))
             cell.areWorkersFenced = true;
         const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
+        const bool isAnyReleased = cell.formerRuns.release(this->followedVersion);
         if (haveLeasesExpired || (isFollowed && !cell.isReconciled))
             this->reconcile(name, cell, haveLeasesExpired, context);
+        else if (isAnyReleased && cell.isReconciled)
+            this->accountForTasks(name, cell, context.now);
     }
 }
 
@@ -171,7 +181,7 @@
         unlisted += worker.isListed ? 0 : 1;
         fenced += worker.isFenced ? 1 : 0;
     }
-    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.unconfirmed.size()) } };
+    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.formerRuns.tasks().size()) } };
 }
 
 void Dispatcher::reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context)
@@ -181,13 +191,25 @@
     context.add(std::move(reconciled));
     cell.isReconciled = true;
     if (haveLeasesExpired) {
-        cell.unconfirmed.clear();
+        cell.formerRuns.clear();
         for (auto& [id, worker] : this->fleet.all())
             worker.mayHaveUnknownRuns = worker.mayHaveUnknownRuns && worker.cell != name;
     }
+    this->accountForTasks(name, cell, context.now);
+}
+
+void Dispatcher::accountForWorker(FleetWorker& worker)
+{
+    worker.mayHaveUnknownRuns = false;
+    if (const auto cell = this->cells.find(worker.cell); cell != this->cells.end())
+        cell->second.formerRuns.workerAccounted(worker.entry.id);
+}
+
+void Dispatcher::accountForTasks(const CellName& name, const Cell& cell, Instant now)
+{
     for (auto& [id, job] : this->jobExecutions) {
         if (job->definition().cell == name)
-            job->reconcile(cell.unconfirmed, context.now);
+            job->reconcile(cell.formerRuns.tasks(), now);
     }
     this->needsPass = true;
 }
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -17,9 +17,10 @@
     return isOtherIncarnation && this->listedAt > this->answeredPollSentAt;
 }
 
-bool FleetWorker::isSilent(Instant now, Duration timeout) const
+bool FleetWorker::mayGetTasks(Instant now, Duration timeout) const
 {
-    return !this->mayHaveUnknownRuns && (!this->isFenced || (this->isSuspect && now >= this->lastAnswer + timeout));
+    const bool isSilent = !this->isFenced || (this->isSuspect && now >= this->lastAnswer + timeout);
+    return this->mayHaveUnknownRuns || (this->isListed && !this->entry.isDraining && !isSilent);
 }
 
 bool FleetWorker::isClockReset(std::int64_t reading, Instant time, Duration margin, double maxDrift) const
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -50,7 +50,7 @@
 
 // Enrolment says whether the stored roster allows tasks to be started on a worker.
 enum class Enrolment {
-    None, // the roster does not contain the worker, or a report said that it is silent
+    None, // the roster does not contain the worker, or names the only tasks that may run there
     Requested, // a report that enrols it was sent
     Stored,
 };
@@ -92,7 +92,7 @@
     Instant formerLeaseEnd; // by which every lease that a former leader granted has expired; zero: there was none
     Enrolment enrolment { Enrolment::None };
     std::uint64_t enrolmentReport { 0 }; // first report that enrols it, if Requested
-    bool wasReportedSilent { false }; // by this leader
+    bool wasClosed { false }; // after it answered, a report of this leader named the only tasks that may run there, or dropped it from the roster
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
     Endpoint polledEndpoint; // of the last poll
@@ -125,9 +125,9 @@
     std::vector<ServingHeadroom> servingHeadrooms; // as of the last report
     std::map<TaskRunId, RunAllocation> runs;
 
-    // isSilent() says whether the worker is to be reported as silent: its runs are known, and it has not answered for `timeout`
-    // or, under this epoch, never.
-    bool isSilent(Instant now, Duration timeout) const;
+    // mayGetTasks() says whether tasks may be started on the worker soon, or may have been by a former leader: it is listed,
+    // does not drain and has answered, at the latest `timeout` ago if the last poll had no answer.
+    bool mayGetTasks(Instant now, Duration timeout) const;
 
     // isClockReset() says whether `reading`, taken after `time`, shows that the clock of the worker has started anew.
     bool isClockReset(std::int64_t reading, Instant time, Duration margin, double maxDrift) const;
--- a/packages/scheduling/planned_stop_test.cc
+++ b/packages/scheduling/planned_stop_test.cc
@@ -107,7 +107,7 @@
     this->stopLeader();
     this->cutLinks.insert({ "b", this->first });
     this->workers.at(this->first).unlist(this->now);
-    this->addWorker("w3", 16).list(this->now);
+    this->addWorker("w3", 32).list(this->now);
     this->run({ "b" }, formerLeaseTime + this->taskDuration);
     CHECK(this->maxConcurrentRuns == 1);
     CHECK(this->phaseOf(job) == JobPhase::Completed);
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -90,13 +90,14 @@
 struct RosterEntry {
     Endpoint endpoint;
     TaskResources capacity;
+    std::optional<std::set<TaskId>> possibleTasks {}; // the only ones that may have runs there, if the leader starts no more on the worker; nothing: any may
 
     bool operator==(const RosterEntry&) const = default;
 };
 
 // WorkerRoster is one part of the roster of a cell: the workers on which its leader may have started tasks. The leader starts
-// tasks on a worker only while the stored roster contains it, so that a successor knows where runs may be alive without the
-// platform's list, from which living workers can be missing.
+// tasks on a worker only while the stored roster contains it without RosterEntry::possibleTasks, so that a successor knows where
+// runs may be alive without the platform's list, from which living workers can be missing.
 struct WorkerRoster {
     std::map<WorkerId, RosterEntry> workers;
 
@@ -126,8 +127,8 @@
     std::uint64_t renewalCount { 0 }; // incremented with each write of the lease
     std::int64_t capacityMillicores { 0 }; // of the workers that accept tasks
     std::vector<std::string> labels {}; // labels that at least one worker of the cell has
-    std::vector<TaskId> unconfirmed {}; // tasks that may run on silent workers, or on workers that are not in the roster
-    std::vector<WorkerId> silentWorkers {}; // of the roster; no run on them may be alive whose task is not in `unconfirmed`
+    std::vector<TaskId> unconfirmed {}; // tasks that may run on `silentWorkers`, or on workers that are not in the roster
+    std::vector<WorkerId> silentWorkers {}; // of the roster, as leaders report them that write no RosterEntry::possibleTasks
     std::uint64_t rosterSize { 0 }; // workers in the roster; another number was not read whole
     bool isRosterComplete { false }; // every other worker with runs is in the roster; leaders that know no roster write false
 
--- a/packages/scheduling/worker_evidence_test.cc
+++ b/packages/scheduling/worker_evidence_test.cc
@@ -99,8 +99,8 @@
     CHECK(this->maxConcurrentRuns == 1);
 }
 
-// A gang's end on a silent worker stands for all of its tasks; the row of the lease must stay within the limit.
-TEST_CASE_METHOD(WorkerEvidenceFixture, "Report_unrecordedEndsOfGangOnSilentWorkers_unconfirmedTasksStayWithinLimit")
+// A gang's end on a silent worker stands for all of its tasks; the rows of the roster must stay within the limit.
+TEST_CASE_METHOD(WorkerEvidenceFixture, "Report_unrecordedEndsOfGangOnSilentWorkers_namedTasksStayWithinLimit")
 {
     this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
     constexpr std::uint32_t members = 64;
@@ -117,9 +117,17 @@
     for (const auto& [id, worker] : this->workers)
         this->unresponsive.insert(id);
     this->run({ "a" }, std::chrono::milliseconds(3000));
-    const auto lease = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value);
-    CHECK(lease.silentWorkers.size() == 4);
-    CHECK(lease.unconfirmed.size() <= this->dispatcherOptions.maxUnconfirmedTasks);
+    std::size_t closedWorkers = 0;
+    for (std::uint32_t part = 0; part < rosterParts; ++part) {
+        const StoredRowChange* row = this->store.find(rosterKey({ CellName("whole"), part }));
+        std::size_t namedTasks = 0;
+        for (const auto& [id, entry] : row ? std::get<WorkerRoster>(*row->value).workers : std::map<WorkerId, RosterEntry> {}) {
+            closedWorkers += entry.possibleTasks ? 1 : 0;
+            namedTasks += entry.possibleTasks ? entry.possibleTasks->size() : 0;
+        }
+        CHECK(namedTasks <= this->dispatcherOptions.maxTasksPerRosterPart);
+    }
+    CHECK(closedWorkers == 4);
 }
 
 // The list moves the worker to another address while a poll of the former one is in flight.
