scheduling: random planned stops and drains beside the random faults

Sixty seeds of the long-run test of takeovers with planned handovers and workers that drain and leave, beside and between the faults; the seeds of the other cases play as before.

--- a/packages/scheduling/takeover_long_run_test.cc
+++ b/packages/scheduling/takeover_long_run_test.cc
@@ -27,6 +27,7 @@
             void (TakeoverPlay::*begin)();
         };
         static const std::array<FaultKind, 13> faultKinds;
+        static const std::array<FaultKind, 2> plannedKinds; // planned work, which goes on beside faults and between them
 
         const std::vector<std::string> names { "a", "b", "c" };
         std::vector<WorkerId> workerIds;
@@ -35,6 +36,9 @@
         Instant faultsBeginAt; // tasks run undisturbed until then
         Instant faultsEndAt; // no fault begins after that
         Instant lateWritesUntil; // writes may be late or lose their answer
+        bool hasPlannedWork { false };
+        Faults<std::string> stopping; // hosts that hand over before their process ends
+        Faults<WorkerId> draining; // workers that leave afterwards
         Faults<std::string> killed; // hosts without a process
         Faults<std::string> withoutStore; // hosts
         Faults<WorkerId> crashes;
@@ -117,6 +121,35 @@
             this->killed[name] = this->now + this->random.duration(20, 3000);
         }
 
+        void stopRandomHost()
+        {
+            const std::string name = this->randomVictim();
+            if (!name.empty() && this->stopping.emplace(name, this->now + this->random.duration(20, 300)).second)
+                this->send(name, BeginHandover {});
+        }
+
+        void drainRandomWorker()
+        {
+            const WorkerId& id = this->randomWorker();
+            if (!this->crashes.contains(id) && this->draining.emplace(id, this->now + this->random.duration(1000, 5000)).second)
+                this->workers.at(id).drain(this->now);
+        }
+
+        void endStop(const std::string& name)
+        {
+            this->restartHost(name);
+            this->killed[name] = this->now + this->random.duration(20, 3000);
+        }
+
+        void endDrain(const WorkerId& id)
+        {
+            if (!this->crashes.emplace(id, this->now + this->random.duration(100, 4000)).second)
+                return;
+            this->crashWorker(id);
+            this->silent.erase(id);
+            this->workers.at(id).unlist(this->now);
+        }
+
         void disconnectRandomHost()
         {
             const std::string name = this->randomVictim();
@@ -182,6 +215,8 @@
 
         void endFaults(Instant time)
         {
+            endOver(this->stopping, time, [this](const std::string& name) { this->endStop(name); });
+            endOver(this->draining, time, [this](const WorkerId& id) { this->endDrain(id); });
             endOver(this->killed, time, [](const std::string&) {});
             endOver(this->withoutStore, time, [this](const std::string& name) {
                 this->isDisconnectedFromStore[name] = false;
@@ -208,6 +243,10 @@
                 if (this->now >= this->faultsBeginAt && this->random.chance(kind.oneIn))
                     (this->*kind.begin)();
             }
+            for (const FaultKind& kind : plannedKinds) {
+                if (this->hasPlannedWork && this->random.chance(kind.oneIn))
+                    (this->*kind.begin)();
+            }
             this->endFaults(this->now);
         }
 
@@ -330,6 +369,11 @@
         { 20, &TakeoverPlay::losePoll },
     } };
 
+    const std::array<TakeoverPlay::FaultKind, 2> TakeoverPlay::plannedKinds { {
+        { 120, &TakeoverPlay::stopRandomHost },
+        { 100, &TakeoverPlay::drainRandomWorker },
+    } };
+
 } // namespace
 
 TEST_CASE_METHOD(TakeoverPlay, "Takeover_randomLateWritesAndLapsedEntries_noTaskRunsTwice", "[takeover]")
@@ -348,4 +392,13 @@
     this->play();
 }
 
+TEST_CASE_METHOD(TakeoverPlay, "Takeover_randomPlannedStopsBesideDrains_noTaskRunsTwice", "[takeover]")
+{
+    const std::uint64_t seed = GENERATE(range(std::uint64_t { 1 }, std::uint64_t { 61 }));
+    CAPTURE(seed);
+    this->hasPlannedWork = true;
+    this->begin(seed, 1);
+    this->play();
+}
+
 } // namespace dragonflytray
