scheduling: the lines of a takeover count the workers that hold back all tasks

A late reconciliation could be told from its line and those of workers that went in the same moment only. leadership-begun and cell-reconciled say now how many workers have not answered yet on which any task may run.

--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -174,14 +174,16 @@
     std::int64_t listed = 0;
     std::int64_t fenced = 0;
     std::int64_t unlisted = 0;
+    std::int64_t unknown = 0;
     for (const auto& [id, worker] : this->fleet.all()) {
         if (worker.cell != name)
             continue;
         listed += worker.isListed ? 1 : 0;
         unlisted += worker.isListed ? 0 : 1;
         fenced += worker.isFenced ? 1 : 0;
+        unknown += worker.mayHaveUnknownRuns ? 1 : 0;
     }
-    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.formerRuns.tasks().size()) } };
+    return { { DecisionInput::ListedWorkers, listed }, { DecisionInput::FencedWorkers, fenced }, { DecisionInput::UnlistedWorkers, unlisted }, { DecisionInput::UnconfirmedTasks, static_cast<std::int64_t>(cell.formerRuns.tasks().size()) }, { DecisionInput::UnknownWorkers, unknown } };
 }
 
 void Dispatcher::reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context)
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -211,7 +211,8 @@
     ListedWorkers,
     FencedWorkers, // that have answered under the epoch of the leader
     UnlistedWorkers, // known here but not listed
-    UnconfirmedTasks, // that may run on workers which the former leader could not reach
+    UnconfirmedTasks, // that may have runs of former leaders
+    UnknownWorkers, // on which any task may run, since they have not answered this leader
     Jobs,
     UnlistedMilliseconds, // since the worker was last listed
     LeaseMilliseconds, // left of the lease that was granted to the worker; negative: since its end
@@ -225,6 +226,7 @@
     { DecisionInput::FencedWorkers, "fenced" },
     { DecisionInput::UnlistedWorkers, "unlisted" },
     { DecisionInput::UnconfirmedTasks, "unconfirmed" },
+    { DecisionInput::UnknownWorkers, "unknown" },
     { DecisionInput::Jobs, "jobs" },
     { DecisionInput::UnlistedMilliseconds, "unlistedMs" },
     { DecisionInput::LeaseMilliseconds, "leaseMs" },
