scheduling: an evacuation stops no more tasks than there is room for

Callers saw long-running tasks away for seconds while workers were replaced or scaled in (a share of LOST): they were stopped on a worker that drains, although it would have run them for seconds more, and nothing could be started for them.

The evacuation asked for each task alone whether there is room, and reserved none: all tasks of a worker, and of all workers that drained, were stopped for one place; so was a task for a place in which a waiting one was to be started.

Each task that is stopped now counts as running in the room that was found for it, while the rest of the pass searches. So do, before the first one is stopped, the long-running tasks that wait or are being stopped, which holds the room of earlier passes. The evacuation is a part of the placement pass, after the waiting tasks had their turn.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -259,7 +259,15 @@
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
-    // Calls to workers. evacuate() stops long-running tasks on a draining worker that have room elsewhere.
+    // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
+    // holds for others. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
+    class PlannedRoom;
+    void evacuateWorkers(CommandContext& context);
+    void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
+    void planAbsentTasks(PlannedRoom& plannedRoom, Instant now);
+    void planAbsentTasks(JobExecution& job, const StepExecution& stepExecution, PlannedRoom& plannedRoom, Instant now);
+
+    // Calls to workers.
     void handleStartEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
@@ -274,7 +282,6 @@
     void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
     bool mayPoll(const FleetWorker& worker, Instant now) const;
     Duration grantableLease(const FleetWorker& worker, Instant now) const;
-    void evacuate(FleetWorker& worker, CommandContext& context);
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
     WorkerAddress addressOf(const FleetWorker& worker) const;
 
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -16,8 +16,6 @@
                 removedWorkers.push_back(id);
             continue;
         }
-        if (worker.entry.isDraining && this->mayStartTasks(context.now))
-            this->evacuate(worker, context);
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
         if (isLeaseExpired && !worker.runs.empty())
             this->markRunsLost(worker, RunLossCause::LeaseLapsed, context);
@@ -82,23 +80,6 @@
     return std::clamp(Duration(end - now), Duration(0), this->fleet.lease());
 }
 
-void Dispatcher::evacuate(FleetWorker& worker, CommandContext& context)
-{
-    std::vector<TaskRunId> evacuatedRuns;
-    for (const auto& [run, allocation] : worker.runs) {
-        JobExecution* job = allocation.isStopping ? nullptr : this->findJobExecution(run.task.job);
-        const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
-        if (!taskExecution || taskExecution->run != run.run || taskExecution->stage != TaskStage::Running || !job->definition().steps[run.task.step].isLongRunning)
-            continue;
-        if (this->findWorker(*job, run.task, context.now))
-            evacuatedRuns.push_back(run);
-        if (evacuatedRuns.size() >= this->options.maxEvacuationsPerPass)
-            break;
-    }
-    for (const TaskRunId& run : evacuatedRuns)
-        this->stopRun(worker, run, "evacuated", context);
-}
-
 void Dispatcher::stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context)
 {
     const auto allocation = worker.runs.find(run);
--- /dev/null
+++ b/packages/scheduling/dispatcher_evacuation.cc
@@ -0,0 +1,93 @@
+// Evacuation: long-running tasks on draining workers are stopped, to be started on workers that have room for them.
+
+#include "scheduling/dispatcher.h"
+
+namespace dragonflytray {
+
+// PlannedRoom allocates room for runs that are not started yet, so that each search sees what the others leave. The destructor
+// releases it.
+class Dispatcher::PlannedRoom {
+public:
+    explicit PlannedRoom(Fleet& fleet)
+        : fleet(fleet)
+    {
+    }
+
+    ~PlannedRoom()
+    {
+        for (const auto& [worker, run] : this->runs)
+            this->fleet.release(*worker, run);
+    }
+
+    PlannedRoom(const PlannedRoom&) = delete;
+    PlannedRoom& operator=(const PlannedRoom&) = delete;
+
+    void add(FleetWorker& worker, const TaskId& task, const RunAllocation& allocation)
+    {
+        this->runs.emplace_back(&worker, TaskRunId { task, 0 });
+        this->fleet.allocate(worker, this->runs.back().second, allocation);
+    }
+
+private:
+    Fleet& fleet;
+    std::vector<std::pair<FleetWorker*, TaskRunId>> runs;
+};
+
+void Dispatcher::evacuateWorkers(CommandContext& context)
+{
+    std::optional<PlannedRoom> plannedRoom;
+    for (auto& [id, worker] : this->fleet.all()) {
+        if (worker.entry.isDraining && this->cells.contains(worker.cell))
+            this->evacuate(worker, plannedRoom, context);
+    }
+}
+
+void Dispatcher::evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context)
+{
+    std::size_t evacuatedRuns = 0;
+    for (const auto& [run, allocation] : worker.runs) {
+        if (evacuatedRuns >= this->options.maxEvacuationsPerPass)
+            return;
+        JobExecution* job = allocation.isStopping ? nullptr : this->findJobExecution(run.task.job);
+        const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
+        if (!taskExecution || taskExecution->run != run.run || taskExecution->stage != TaskStage::Running || !job->definition().steps[run.task.step].isLongRunning)
+            continue;
+        FleetWorker* destination = this->findWorker(*job, run.task, context.now);
+        if (destination && !plannedRoom) {
+            this->planAbsentTasks(plannedRoom.emplace(this->fleet), context.now);
+            destination = this->findWorker(*job, run.task, context.now);
+        }
+        if (!destination)
+            continue;
+        plannedRoom->add(*destination, run.task, this->allocationFor(*job, job->definition().steps[run.task.step]));
+        this->stopRun(worker, run, "evacuated", context);
+        ++evacuatedRuns;
+    }
+}
+
+void Dispatcher::planAbsentTasks(PlannedRoom& plannedRoom, Instant now)
+{
+    for (auto& [id, job] : this->jobExecutions) {
+        if (!job->definition().isLongRunning() || isFinal(job->progress().phase))
+            continue;
+        for (auto& [number, stepExecution] : job->openSteps())
+            this->planAbsentTasks(*job, stepExecution, plannedRoom, now);
+    }
+}
+
+void Dispatcher::planAbsentTasks(JobExecution& job, const StepExecution& stepExecution, PlannedRoom& plannedRoom, Instant now)
+{
+    const StepDefinition& step = job.definition().steps[stepExecution.step];
+    for (std::uint32_t index = 0; step.isLongRunning && index < stepExecution.tasks.size(); ++index) {
+        const TaskStage stage = stepExecution.tasks[index].stage;
+        if (stage != TaskStage::Waiting && stage != TaskStage::Stopping)
+            continue;
+        const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
+        FleetWorker* worker = this->findWorker(job, task, now);
+        if (!worker)
+            return; // nor for the others of the step
+        plannedRoom.add(*worker, task, this->allocationFor(job, step));
+    }
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -101,6 +101,7 @@
                 this->placeStep(*job, stepExecution, pass, context);
         }
     }
+    this->evacuateWorkers(context);
 }
 
 void Dispatcher::updatePause(CommandContext& context)
