--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -92,6 +92,11 @@
             (void)this->startOn(start.start);
         return start.due <= this->now;
     });
+    std::erase_if(this->delayedStops, [&](const DelayedStop& stop) {
+        if (stop.due <= this->now && !this->crashed.contains(stop.call.to.worker))
+            (void)this->workers.at(stop.call.to.worker).stop(stop.call, this->now);
+        return stop.due <= this->now;
+    });
     std::erase_if(this->delayedWrites, [&](const DelayedWrite& write) {
         if (write.due > this->now)
             return false;
@@ -349,6 +354,11 @@
         --this->stopsToLose;
         return this->deliverAfter(callTimeout, name, end);
     }
+    if (const Duration delay = this->chooseStopDelay ? this->chooseStopDelay(effect.run) : Duration(0); delay > Duration(0)) {
+        this->delayedStops.push_back({ effect, this->now + delay });
+        end.status = WorkerCallStatus::Ok;
+        return this->send(name, end);
+    }
     end.status = this->workers.at(effect.to.worker).stop(effect, this->now);
     this->send(name, end);
 }
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -71,6 +71,9 @@
     };
     using ChooseWriteFault = std::function<WriteFault(const std::string& host, const WriteStoredRows& write)>;
 
+    // ChooseStopDelay is the time for which a run goes on after its worker has answered a stop.
+    using ChooseStopDelay = std::function<Duration(const TaskRunId& run)>;
+
     // SentStart is a start that a host has sent to a worker.
     struct SentStart {
         std::string host;
@@ -147,6 +150,13 @@
         Instant due;
     };
     std::vector<DelayedStart> delayedStarts;
+    // DelayedStop is a stop that its worker has answered and not carried out yet.
+    struct DelayedStop {
+        StopTask call;
+        Instant due;
+    };
+    std::vector<DelayedStop> delayedStops;
+    ChooseStopDelay chooseStopDelay; // none: a stop ends the run at once
     // DelayedWrite is a write that takes effect after the call has timed out.
     struct DelayedWrite {
         WriteStoredRows write;
