--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -24,7 +24,6 @@
 #include "scheduling/former_runs.h"
 #include "scheduling/job_execution.h"
 #include "scheduling/placement.h"
-#include "scheduling/planned_room.h"
 #include "scheduling/recorder.h"
 #include "scheduling/store_view.h"
 #include <algorithm>
@@ -78,7 +77,6 @@
         double evictionDelayShare { 0.15 }; // share of a job's slack that a task waits before other runs are evicted for it
         double restartCostSeconds { 0.3 }; // seconds of work lost when a run with checkpoints is stopped
         std::size_t maxEvictionSearchesPerPass { 2 };
-        Duration heldRoomTimeout { std::chrono::milliseconds(750) }; // for which the room that an eviction frees is held for its task; a stop and its report take less
         Duration evictionSearchCooldown { std::chrono::milliseconds(100) }; // after a search that freed too little, for tasks that need as much or more
         Duration minPassInterval { std::chrono::milliseconds(10) }; // between two placement passes, however much changes
         Duration idlePassInterval { std::chrono::milliseconds(50) }; // between two placement passes when nothing has changed
@@ -263,6 +261,7 @@
 
     // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
     // holds for others. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
+    class PlannedRoom;
     void evacuateWorkers(CommandContext& context);
     void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
     void planAbsentTasks(PlannedRoom& plannedRoom, Instant now);
@@ -310,14 +309,8 @@
 
     // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
     // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
-    // Options::longRunningYieldDelay after room was found (isYielding()). Before that, placeEvictors() starts the tasks for which
-    // runs were evicted, and holds what is free of their room until the pass ends.
+    // Options::longRunningYieldDelay after room was found (isYielding()).
     struct PlacementPass;
-    // HeldRoom is what an eviction frees on a worker, which no other task may take before `until`.
-    struct HeldRoom {
-        WorkerId worker;
-        Instant until;
-    };
     void updatePause(CommandContext& context);
     // PlacementOutcome is the result for one task in a pass.
     enum class PlacementOutcome {
@@ -326,8 +319,6 @@
         NoRoom, // nor is there any for the other tasks of the step
     };
     void placeTasks(CommandContext& context);
-    void placeEvictors(PlacementPass& pass, CommandContext& context);
-    void holdRoom(const JobExecution& job, const TaskId& task, const HeldRoom& held, PlacementPass& pass);
     std::vector<JobExecution*> jobsInPlacementOrder(Instant now);
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
@@ -335,7 +326,7 @@
     void placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
-    std::optional<WorkerId> evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
+    bool evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
     bool mayEvictFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now);
     RunAllocation allocationFor(const JobExecution& job, const StepDefinition& step) const;
     bool hasOrphanedRun(const TaskId& task) const;
@@ -374,7 +365,6 @@
         Instant until;
     };
     std::vector<FailedEvictionSearch> failedEvictionSearches;
-    std::map<TaskId, HeldRoom> heldRooms; // of tasks for which runs were evicted
     Instant lastPass;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
--- a/packages/scheduling/dispatcher_evacuation.cc
+++ b/packages/scheduling/dispatcher_evacuation.cc
@@ -4,6 +4,35 @@
 
 namespace dragonflytray {
 
+// PlannedRoom allocates room for runs that are not started yet, so that each search sees what the others leave. The destructor
+// releases it.
+class Dispatcher::PlannedRoom {
+public:
+    explicit PlannedRoom(Fleet& fleet)
+        : fleet(fleet)
+    {
+    }
+
+    ~PlannedRoom()
+    {
+        for (const auto& [worker, run] : this->runs)
+            this->fleet.release(*worker, run);
+    }
+
+    PlannedRoom(const PlannedRoom&) = delete;
+    PlannedRoom& operator=(const PlannedRoom&) = delete;
+
+    void add(FleetWorker& worker, const TaskId& task, const RunAllocation& allocation)
+    {
+        this->runs.emplace_back(&worker, TaskRunId { task, 0 });
+        this->fleet.allocate(worker, this->runs.back().second, allocation);
+    }
+
+private:
+    Fleet& fleet;
+    std::vector<std::pair<FleetWorker*, TaskRunId>> runs;
+};
+
 void Dispatcher::evacuateWorkers(CommandContext& context)
 {
     std::optional<PlannedRoom> plannedRoom;
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -47,15 +47,9 @@
         bool isBestEffort { false };
         ImageName image {};
     };
-    explicit PlacementPass(Fleet& fleet)
-        : heldRoom(fleet)
-    {
-    }
-
     std::vector<UnplacedTask> unplacedTasks;
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
-    PlannedRoom heldRoom; // for tasks of `heldRooms`
 
     bool hasNoRoomFor(const CellName& cell, const ServiceName& service, const StepDefinition& step) const
     {
@@ -98,8 +92,7 @@
         return;
     this->needsPass = false;
     this->lastPass = context.now;
-    PlacementPass pass(this->fleet);
-    this->placeEvictors(pass, context);
+    PlacementPass pass;
     for (JobExecution* job : this->jobsInPlacementOrder(context.now)) {
         if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass)
             break;
@@ -111,37 +104,6 @@
     this->evacuateWorkers(context);
 }
 
-void Dispatcher::placeEvictors(PlacementPass& pass, CommandContext& context)
-{
-    std::erase_if(this->heldRooms, [&](const auto& entry) {
-        const auto& [task, held] = entry;
-        JobExecution* job = this->findJobExecution(task.job);
-        const TaskExecution* taskExecution = job ? job->taskExecution(task) : nullptr;
-        const bool isWaiting = taskExecution && taskExecution->stage == TaskStage::Waiting && !isFinal(job->progress().phase);
-        if (!isWaiting || context.now >= held.until || this->hasOrphanedRun(task) || !this->mayStartAgain(*job, *taskExecution, context.now))
-            return true;
-        FleetWorker* worker = this->findWorker(*job, task, context.now);
-        if (worker)
-            this->startTask(*job, task, *worker, job->nextRun(*taskExecution), context);
-        else
-            this->holdRoom(*job, task, held, pass);
-        return worker != nullptr;
-    });
-}
-
-void Dispatcher::holdRoom(const JobExecution& job, const TaskId& task, const HeldRoom& held, PlacementPass& pass)
-{
-    FleetWorker* worker = this->fleet.find(held.worker);
-    if (!worker)
-        return;
-    const TaskResources need = needOf(job.definition().steps[task.step]);
-    const TaskResources room = worker->availableResources();
-    const auto smallerOf = [](std::int64_t a, std::int64_t b) { return std::max<std::int64_t>(std::min(a, b), 0); };
-    RunAllocation allocation;
-    allocation.need = { smallerOf(need.millicores, room.millicores), smallerOf(need.megabytes, room.megabytes), smallerOf(need.accelerators, room.accelerators) };
-    pass.heldRoom.add(*worker, task, allocation);
-}
-
 void Dispatcher::updatePause(CommandContext& context)
 {
     const bool isPaused = !this->mayStartTasks(context.now);
@@ -247,13 +209,7 @@
     if (!maySearch)
         return isRoomBeingFreed ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
     ++pass.evictionSearches;
-    pass.heldRoom.remove(task);
-    const auto evictedWorker = this->evictFor(job, taskExecution, request, context);
-    if (!evictedWorker)
-        return PlacementOutcome::NoRoom;
-    const HeldRoom& held = this->heldRooms[task] = { *evictedWorker, context.now + this->options.heldRoomTimeout };
-    this->holdRoom(job, task, held, pass);
-    return PlacementOutcome::Deferred;
+    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
 }
 
 bool Dispatcher::mayYield(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
@@ -339,7 +295,7 @@
     });
 }
 
-std::optional<WorkerId> Dispatcher::evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context)
+bool Dispatcher::evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context)
 {
     const int priority = this->queueRuleOf(job).priority;
     const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds });
@@ -347,12 +303,12 @@
         const bool hasOnlyResourceNeeds = request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
             this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
-        return std::nullopt;
+        return false;
     }
     taskExecution.roomExpectedAt = context.now + this->options.evictionInterval;
     for (const TaskRunId& victim : eviction->victims)
         this->stopRun(*eviction->worker, victim, "evicted", context);
-    return eviction->worker->entry.id;
+    return true;
 }
 
 } // namespace dragonflytray
