scheduling: a worker is emptied of long-running tasks before it leaves

After 2 s of draining, of at least 3 s, all of them are stopped. What ran there has ended with a report then, before the worker leaves.

Evacuation_workerLeavesSoonAndNoRoom_endsAreKnownBeforeItLeaves fails without the change of evacuate() (4 of 4 still run there). scheduling_test: 154 of 160 pass, the others are known red.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -59,6 +59,7 @@
         Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which it gets no more tasks and a report names those that may run there
         std::size_t maxTasksPerRosterPart { 1500 }; // named in a row of the roster; further workers stay there as if any task may run on them. A row of the store holds about 2,800
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
+        Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
@@ -260,7 +261,7 @@
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
     // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
-    // holds for others. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
+    // holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
     class PlannedRoom;
     void evacuateWorkers(CommandContext& context);
     void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
--- a/packages/scheduling/dispatcher_evacuation.cc
+++ b/packages/scheduling/dispatcher_evacuation.cc
@@ -44,6 +44,7 @@
 
 void Dispatcher::evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context)
 {
+    const bool isLeavingSoon = context.now >= worker.drainingSince + this->options.evacuationGrace;
     std::size_t evacuatedRuns = 0;
     for (const auto& [run, allocation] : worker.runs) {
         if (evacuatedRuns >= this->options.maxEvacuationsPerPass)
@@ -57,9 +58,10 @@
             this->planAbsentTasks(plannedRoom.emplace(this->fleet), context.now);
             destination = this->findWorker(*job, run.task, context.now);
         }
-        if (!destination)
+        if (!destination && !isLeavingSoon)
             continue;
-        plannedRoom->add(*destination, run.task, this->allocationFor(*job, job->definition().steps[run.task.step]));
+        if (destination)
+            plannedRoom->add(*destination, run.task, this->allocationFor(*job, job->definition().steps[run.task.step]));
         this->stopRun(worker, run, "evacuated", context);
         ++evacuatedRuns;
     }
--- a/packages/scheduling/evacuation_test.cc
+++ b/packages/scheduling/evacuation_test.cc
@@ -66,6 +66,19 @@
     CHECK(this->runningOn("w2") == 1);
 }
 
+TEST_CASE_METHOD(EvacuationFixture, "Evacuation_workerLeavesSoonAndNoRoom_endsAreKnownBeforeItLeaves")
+{
+    this->submitTasks(4);
+    this->drain("w1");
+    this->run({ "a" }, std::chrono::milliseconds(2900));
+    CHECK(this->runningOn("w1") == 0);
+    this->crashWorker(WorkerId("w1"));
+    this->workers.at(WorkerId("w1")).unlist(this->now);
+    this->addWorker("w2", 16).list(this->now);
+    this->run({ "a" }, stopAndStart);
+    CHECK(this->runningOn("w2") == 4);
+}
+
 TEST_CASE_METHOD(EvacuationFixture, "Evacuation_stoppedTaskIsNotStartedYet_itsRoomIsNotCountedAgain")
 {
     this->dispatcherOptions.maxEvacuationsPerPass = 1;
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -72,6 +72,10 @@
         FleetWorker& worker = this->workers[entry.id];
         if (worker.entry.endpoint != entry.endpoint)
             worker.enrolment = Enrolment::None; // a successor would not find it by the stored roster
+        if (!entry.isDraining)
+            worker.drainingSince = {};
+        else if (worker.drainingSince == Instant())
+            worker.drainingSince = now;
         worker.entry = entry;
         worker.isListed = true;
         worker.listedAt = now;
@@ -122,6 +126,7 @@
         reset.isListed = worker.isListed;
         reset.listedAt = worker.listedAt;
         reset.unlistedSince = worker.unlistedSince;
+        reset.drainingSince = worker.drainingSince;
         reset.isPollInFlight = worker.isPollInFlight;
         reset.polledEndpoint = worker.polledEndpoint;
         reset.nextPollAt = now;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -86,6 +86,7 @@
     bool isListed { false };
     Instant listedAt; // when its entry was last read
     Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
+    Instant drainingSince; // when it was first seen to drain; zero: it does not
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
     bool mayHaveUnknownRuns { false }; // a former leader may have started tasks on it that this leader has not heard of
