scheduling: a new leader enrols workers anew that the list has moved

A task could be started on a worker at an address that the stored roster does not hold. If the leader died before its next report, a successor whose list lacks the worker would ask at the former address, and could take another worker's answer there as the end of the run: two runs of one task.

Cause: updateList() resets the enrolment of a worker whose address changes; inheritWorkers() set it again for each open worker of the roster, also where the list shows another address, which addInherited() keeps.

Now only a worker that the roster finds counts as enrolled; any other gets tasks after the next stored report, as after a move later on.

--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -17,7 +17,8 @@
     for (const auto& [id, entry] : workers) {
         FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
         worker.mayHaveUnknownRuns = !entry.possibleTasks && !silent.contains(id);
-        worker.enrolment = worker.mayHaveUnknownRuns ? Enrolment::Stored : Enrolment::None;
+        const bool isFoundByRoster = worker.entry.endpoint == entry.endpoint;
+        worker.enrolment = worker.mayHaveUnknownRuns && isFoundByRoster ? Enrolment::Stored : Enrolment::None;
         cell.formerRuns.inherit(id, entry.possibleTasks.value_or(std::set<TaskId>()));
     }
 }
--- a/packages/scheduling/handover_review_test.cc
+++ b/packages/scheduling/handover_review_test.cc
@@ -77,4 +77,23 @@
     CHECK(this->maxConcurrentRuns == 1);
 }
 
+// The list moves a worker before a new leader inherits it; the next leader would look for its runs at the former address.
+TEST_CASE_METHOD(HandoverFixture, "Takeover_listShowsOtherAddressThanRoster_noTaskStartsBeforeRosterHoldsIt", "[takeover]")
+{
+    const WorkerId moved { "w2" };
+    while (this->leader() != "b")
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    ListedWorker entry = this->workers.at(moved).entry();
+    entry.endpoint.port = 2;
+    this->send("b", WorkersListed { { entry }, {}, false, this->store.version() });
+    this->starts.clear();
+    REQUIRE(this->submit("b", "00000000000000a2", { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    for (const Instant end = this->now + settlingTime; this->starts.empty() && this->now < end;)
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    REQUIRE(this->starts.size() == 1);
+    REQUIRE(this->starts.front().to.endpoint == entry.endpoint);
+    const StoredRowChange* row = this->store.find(rosterKey({ CellName("whole"), rosterPartOf(moved) }));
+    CHECK(std::get<WorkerRoster>(*row->value).workers.at(moved).endpoint == entry.endpoint);
+}
+
 } // namespace dragonflytray
