json: messages that are nested too deeply are discarded before they are parsed

What is seen: a stored row of 100 KB whose bytes open one array, or one text of indefinite length, within another ends the process that follows the table. A response of 10 MB of brackets takes about 395 MB.

Cause: nlohmann's parser recurses once per level of CBOR, also within texts of indefinite length, which no limit on arrays and objects would stop. Its parser of JSON text is iterative and its values are destroyed iteratively, but each level costs about 40 times its size in memory, and copies recurse.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -1,6 +1,6 @@
 #include "entry/row_encoding.h"
 
-#include <nlohmann/json.hpp>
+#include "json/json.h"
 
 namespace dragonflytray {
 
@@ -245,7 +245,7 @@
 
 std::optional<StoredRow> decodeRow(StoredRowKind kind, const std::string& bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
+    const Json json = parseCbor(bytes);
     if (json.is_discarded())
         return std::nullopt;
     try {
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -62,4 +62,13 @@
     CHECK(former.epoch == this->lease.epoch);
 }
 
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_deeplyNestedBytes_areUnreadable")
+{
+    const std::size_t depth = GENERATE(100'000, 10'000'000);
+    for (const auto& kind : storedRowKindNames) {
+        CHECK_FALSE(decodeRow(kind.value, std::string(depth, '\x81')));
+        CHECK_FALSE(decodeRow(kind.value, std::string(depth, '\x7f')));
+    }
+}
+
 } // namespace dragonflytray
--- a/packages/gateway/caller_decoding.cc
+++ b/packages/gateway/caller_decoding.cc
@@ -1,8 +1,8 @@
 #include "gateway/caller_decoding.h"
 
 #include "gateway/reply_encoding.h"
+#include "json/json.h"
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace dragonflytray {
 
@@ -81,7 +81,7 @@
 
     Decoded decodeSubmitJob(Incoming incoming)
     {
-        const json body = json::parse(incoming.request.body, nullptr, false);
+        const json body = parseJson(incoming.request.body);
         if (!body.is_object())
             return malformed("the body must be a JSON object");
         try {
--- a/packages/gateway/worker_encoding.cc
+++ b/packages/gateway/worker_encoding.cc
@@ -1,6 +1,6 @@
 #include "gateway/worker_encoding.h"
 
-#include <nlohmann/json.hpp>
+#include "json/json.h"
 
 namespace dragonflytray {
 
@@ -69,7 +69,7 @@
         return WorkerUnreachable { worker, epoch };
     try {
         WorkerReported reported { worker, epoch, {} };
-        const json body = json::parse(answer->body);
+        const json body = parseJson(answer->body);
         for (const json& value : body.at("reports"))
             reported.reports.push_back(decodeReport(value));
         return reported;
--- a/packages/platform/platform_client.cc
+++ b/packages/platform/platform_client.cc
@@ -2,6 +2,7 @@
 
 #include "platform/internal/host_json.h"
 #include "platform/internal/row_json.h"
+#include "json/json.h"
 
 namespace dragonflytray {
 
@@ -17,7 +18,7 @@
     // parseAnswer() is the JSON body of an answer, or a discarded value when there is none.
     json parseAnswer(const Answer& answer)
     {
-        return answer ? json::parse(answer->body, nullptr, false) : json(json::value_t::discarded);
+        return answer ? parseJson(answer->body) : json(json::value_t::discarded);
     }
 
     std::vector<RowChange> decodeRows(const json& body, const char* member)
