--- a/packages/json/json.h
+++ b/packages/json/json.h
@@ -6,11 +6,15 @@
 // Example:
 //
 //     const nlohmann::json body = parseJson(response.body);
-//     if (!body.is_object())
-//         return std::nullopt;
+//     const auto version = body.is_object() && body.contains("version") ? numberAs<std::uint64_t>(body["version"]) : std::nullopt;
 
+#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 
 namespace dragonflytray {
 
@@ -23,4 +27,31 @@
 // tags or items of indefinite length, which to_cbor() does not write.
 nlohmann::json parseCbor(std::string_view bytes);
 
+// numberAs() returns the value of a JSON number, or nothing if `json` is not a number or `Number` cannot represent it. A
+// fraction is truncated if `Number` is an integer type.
+template <typename Number>
+std::optional<Number> numberAs(const nlohmann::json& json)
+{
+    static_assert(std::is_arithmetic_v<Number> && !std::is_same_v<Number, bool>);
+    if (!json.is_number())
+        return std::nullopt;
+    if constexpr (std::is_floating_point_v<Number>) {
+        return json.get<Number>();
+    } else {
+        using Limits = std::numeric_limits<Number>;
+        if (json.is_number_float()) {
+            const double value = std::trunc(json.get<double>());
+            const double end = std::ldexp(1.0, Limits::digits); // the first value above the range; max() may round up to it
+            const bool isInRange = value < end && value >= static_cast<double>(Limits::min());
+            return isInRange ? std::optional(static_cast<Number>(value)) : std::nullopt;
+        }
+        if (json.is_number_unsigned()) {
+            const auto value = json.get<std::uint64_t>();
+            return std::in_range<Number>(value) ? std::optional(static_cast<Number>(value)) : std::nullopt;
+        }
+        const auto value = json.get<std::int64_t>();
+        return std::in_range<Number>(value) ? std::optional(static_cast<Number>(value)) : std::nullopt;
+    }
+}
+
 } // namespace dragonflytray
--- a/packages/json/json_test.cc
+++ b/packages/json/json_test.cc
@@ -1,4 +1,5 @@
-// A message that another writer has nested deeply or cut off must not end the process that reads it.
+// A message that is nested deeply, or holds a number that its field can't represent, must neither end the process nor
+// become another value.
 
 #include "json/json.h"
 
@@ -71,4 +72,30 @@
     CHECK(parseCbor(std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9)).is_discarded());
 }
 
+TEST_CASE_METHOD(DamagedMessageFixture, "NumberAs_valueOutsideTheType_isNothing")
+{
+    CHECK_FALSE(numberAs<std::int64_t>(1e20));
+    CHECK_FALSE(numberAs<std::int64_t>(-1e20));
+    CHECK_FALSE(numberAs<std::int64_t>(9223372036854775808.0));
+    CHECK_FALSE(numberAs<std::int64_t>(std::uint64_t { 1 } << 63U));
+    CHECK_FALSE(numberAs<std::uint64_t>(-1));
+    CHECK_FALSE(numberAs<std::uint64_t>(18446744073709551616.0));
+    CHECK_FALSE(numberAs<std::uint32_t>(std::uint64_t { 1 } << 32U));
+    CHECK_FALSE(numberAs<std::uint16_t>(65536));
+    CHECK_FALSE(numberAs<int>(3e9));
+    CHECK_FALSE(numberAs<std::int64_t>(std::numeric_limits<double>::quiet_NaN()));
+    CHECK_FALSE(numberAs<std::int64_t>("7"));
+    CHECK_FALSE(numberAs<std::int64_t>(nullptr));
+}
+
+TEST_CASE_METHOD(DamagedMessageFixture, "NumberAs_valueWithinTheType_isKept")
+{
+    CHECK(numberAs<std::int64_t>(std::numeric_limits<std::int64_t>::min()) == std::numeric_limits<std::int64_t>::min());
+    CHECK(numberAs<std::uint64_t>(std::numeric_limits<std::uint64_t>::max()) == std::numeric_limits<std::uint64_t>::max());
+    CHECK(numberAs<std::uint32_t>(4294967295U) == 4294967295U);
+    CHECK(numberAs<int>(-2147483648.0) == std::numeric_limits<int>::min());
+    CHECK(numberAs<std::int64_t>(2.9) == 2);
+    CHECK(numberAs<double>(3) == 3.0);
+}
+
 } // namespace dragonflytray
