entry: a stored row with a number outside its field is unreadable

What is seen: a step, task or run number that does not fit into its field is cut to another one, so that the ends or failures of one task are recorded for another; a floating-point value out of range is undefined behaviour, and a time of 2^63 ms overflows in nanoseconds.

Cause: the JSON library converts numbers implicitly and without a check.

Each number is read through numberOf(), which rejects what is negative or above the limit of its kind; decodeRow() then returns nothing and the caller counts and reports the row.

Before: 220 checks of DecodeRow_numberOutsideItsField_isUnreadable failed; the fuzz found nothing, as it checks no range. After: both pass.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -1,6 +1,8 @@
 #include "entry/row_encoding.h"
 
 #include "json/json.h"
+#include "json/number_limits.h"
+#include <stdexcept>
 
 namespace dragonflytray {
 
@@ -8,9 +10,39 @@
 
     using Json = nlohmann::json;
 
+    constexpr std::uint16_t maxPort = 65535;
+
     Json encodeResources(const TaskResources& need) { return Json::array({ need.millicores, need.megabytes, need.accelerators }); }
 
-    TaskResources decodeResources(const Json& json) { return { json.at(0), json.at(1), json.at(2) }; }
+    // numberOf() converts a number from 0 to `max` and throws if it is none.
+    template <typename Number>
+    Number numberOf(const Json& json, std::type_identity_t<Number> max)
+    {
+        const auto number = numberAs<Number>(json);
+        if (!number || !(*number >= 0 && *number <= max))
+            throw std::out_of_range("not a number in the range of its field");
+        return *number;
+    }
+
+    // smallNumberOf() converts a number of a step, a task or an occurrence, or a count of them.
+    std::uint32_t smallNumberOf(const Json& json) { return numberOf<std::uint32_t>(json, maxQuantity); }
+
+    std::uint64_t ordinalOf(const Json& json) { return numberOf<std::uint64_t>(json, maxOrdinal); }
+
+    std::chrono::milliseconds periodOf(const Json& json) { return std::chrono::milliseconds(numberOf<std::int64_t>(json, maxPeriod)); }
+
+    WallTime timeOf(const Json& json) { return numberOf<WallTime>(json, maxTime); }
+
+    std::int64_t quantityOf(const Json& json) { return numberOf<std::int64_t>(json, maxQuantity); }
+
+    // fieldOrZero() is the field `name`, or the number 0 if it is absent.
+    Json fieldOrZero(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        return found == json.end() ? Json(0) : *found;
+    }
+
+    TaskResources decodeResources(const Json& json) { return { quantityOf(json.at(0)), quantityOf(json.at(1)), quantityOf(json.at(2)) }; }
 
     // The flags of a step, as bits.
     enum class StepFlag {
@@ -51,19 +83,20 @@
     StepDefinition decodeStep(const Json& json)
     {
         StepDefinition step;
-        step.count = json.at("count");
+        step.count = smallNumberOf(json.at("count"));
         step.need = decodeResources(json.at("need"));
-        step.estimate = std::chrono::milliseconds(json.at("estimate").get<std::int64_t>());
-        const std::uint32_t flags = json.at("flags");
+        step.estimate = periodOf(json.at("estimate"));
+        const std::uint32_t flags = smallNumberOf(json.at("flags"));
         for (std::size_t bit = 0; bit < stepFlags.size(); ++bit)
             step.*stepFlags[bit] = (flags >> bit & 1U) != 0;
-        step.after = json.value("after", step.after);
+        for (const Json& earlier : json.value("after", Json::array()))
+            step.after.push_back(smallNumberOf(earlier));
         step.requiredLabel = json.value("label", "");
         step.nearLabel = json.value("near", "");
-        step.maxPerWorker = json.value("perWorker", 0U);
-        step.disruptionBudget = json.value("budget", 0U);
+        step.maxPerWorker = smallNumberOf(fieldOrZero(json, "perWorker"));
+        step.disruptionBudget = smallNumberOf(fieldOrZero(json, "budget"));
         step.image = ImageName(json.value("image", ""));
-        step.latencyTarget = std::chrono::milliseconds(json.value("target", std::int64_t { 0 }));
+        step.latencyTarget = periodOf(fieldOrZero(json, "target"));
         return step;
     }
 
@@ -79,10 +112,10 @@
         queue.host = json.at("host");
         queue.pathPrefix = json.at("prefix");
         queue.service = ServiceName(json.at("service"));
-        queue.priority = json.at("priority");
-        queue.maxAttempts = json.at("attempts");
-        queue.slackFactor = json.at("slack");
-        queue.targetLatency = std::chrono::milliseconds(json.at("latency").get<std::int64_t>());
+        queue.priority = numberOf<int>(json.at("priority"), maxQuantity);
+        queue.maxAttempts = smallNumberOf(json.at("attempts"));
+        queue.slackFactor = numberOf<double>(json.at("slack"), maxSlackFactor);
+        queue.targetLatency = periodOf(json.at("latency"));
         queue.needsAdvice = json.at("advice");
         return queue;
     }
@@ -107,12 +140,12 @@
         for (const Json& step : json.at("steps"))
             job.steps.push_back(decodeStep(step));
         job.cell = CellName(json.at("cell"));
-        job.acceptedAt = json.at("accepted");
+        job.acceptedAt = timeOf(json.at("accepted"));
         if (json.contains("times")) {
             const Json& times = json.at("times");
-            job.repetitions = times.at(0);
-            job.firstDue = times.at(1);
-            job.interval = std::chrono::milliseconds(times.at(2).get<std::int64_t>());
+            job.repetitions = smallNumberOf(times.at(0));
+            job.firstDue = timeOf(times.at(1));
+            job.interval = periodOf(times.at(2));
         }
         return job;
     }
@@ -140,15 +173,23 @@
         return { { "phase", jobPhaseNames.nameOf(progress.phase) }, { "epoch", progress.epoch }, { "generation", progress.generation }, { "ended", progress.endedAt }, { "units", std::move(steps) } };
     }
 
+    TaskFailures decodeFailures(const Json& json)
+    {
+        TaskFailures failures;
+        for (const Json& run : json)
+            failures.insert(ordinalOf(run));
+        return failures;
+    }
+
     StepProgress decodeStepProgress(const Json& json)
     {
         StepProgress stepProgress;
         for (const char bit : json.at(1).get<std::string>())
             stepProgress.done.push_back(bit == '1');
         for (const Json& failed : json.at(2))
-            stepProgress.failures[failed.at(0)] = failed.at(1).get<TaskFailures>();
+            stepProgress.failures[smallNumberOf(failed.at(0))] = decodeFailures(failed.at(1));
         for (const Json& checkpoint : json.at(3))
-            stepProgress.checkpoints[checkpoint.at(0)] = checkpoint.at(1);
+            stepProgress.checkpoints[smallNumberOf(checkpoint.at(0))] = checkpoint.at(1);
         return stepProgress;
     }
 
@@ -156,21 +197,21 @@
     {
         JobProgress progress;
         progress.phase = jobPhaseNames.parse(json.at("phase").get<std::string>()).value();
-        progress.epoch = json.at("epoch");
-        progress.generation = json.at("generation");
-        progress.endedAt = json.at("ended");
+        progress.epoch = ordinalOf(json.at("epoch"));
+        progress.generation = ordinalOf(json.at("generation"));
+        progress.endedAt = timeOf(json.at("ended"));
         for (const Json& stepProgress : json.at("units"))
-            progress.stepProgress[stepProgress.at(0)] = decodeStepProgress(stepProgress);
+            progress.stepProgress[smallNumberOf(stepProgress.at(0))] = decodeStepProgress(stepProgress);
         return progress;
     }
 
     Json encode(const CancellationRequest& request) { return { { "requested", request.requestedAt } }; }
 
-    StoredRow decodeCancellation(const Json& json) { return CancellationRequest { json.at("requested") }; }
+    StoredRow decodeCancellation(const Json& json) { return CancellationRequest { timeOf(json.at("requested")) }; }
 
     Json encodeTask(const TaskId& task) { return { task.job.value(), task.occurrence, task.step, task.index }; }
 
-    TaskId decodeTask(const Json& json) { return { JobId(json.at(0)), json.at(1), json.at(2), json.at(3) }; }
+    TaskId decodeTask(const Json& json) { return { JobId(json.at(0)), smallNumberOf(json.at(1)), smallNumberOf(json.at(2)), smallNumberOf(json.at(3)) }; }
 
     Json encode(const CellLease& lease)
     {
@@ -187,14 +228,14 @@
     {
         CellLease lease;
         lease.holder = HostName(json.at("holder"));
-        lease.epoch = json.at("epoch");
-        lease.renewalCount = json.at("beat");
-        lease.capacityMillicores = json.at("capacity");
+        lease.epoch = ordinalOf(json.at("epoch"));
+        lease.renewalCount = ordinalOf(json.at("beat"));
+        lease.capacityMillicores = numberOf<std::int64_t>(json.at("capacity"), maxOrdinal);
         lease.labels = json.at("labels").get<std::vector<std::string>>();
         for (const Json& task : json.at("unconfirmed"))
             lease.unconfirmed.push_back(decodeTask(task));
         lease.isRosterComplete = json.value("roster", false);
-        lease.rosterSize = json.value("rosterSize", std::uint64_t { 0 });
+        lease.rosterSize = ordinalOf(fieldOrZero(json, "rosterSize"));
         for (const Json& worker : json.value("silent", Json::array()))
             lease.silentWorkers.emplace_back(worker.get<std::string>());
         return lease;
@@ -220,7 +261,7 @@
     {
         WorkerRoster roster;
         for (const Json& worker : json.at("workers")) {
-            RosterEntry entry { .endpoint = { worker.at(1), worker.at(2) }, .capacity = decodeResources(worker.at(3)) };
+            RosterEntry entry { .endpoint = { worker.at(1), numberOf<std::uint16_t>(worker.at(2), maxPort) }, .capacity = decodeResources(worker.at(3)) };
             if (worker.size() > 4) {
                 entry.possibleTasks.emplace();
                 for (const Json& task : worker.at(4))
