platform client: an answer that can't be decoded is a result, not an exception

What is seen: a 200 whose body is no JSON object, or holds a revision that is no number, throws on the thread of the loop and ends the process.

Cause: basic_json::value() throws on anything but an object and on another type of the member.

Revisions are read through numberAs(), and rows and hosts must be arrays. A transaction without a revision is ambiguous; rows and lists are not read.

--- a/packages/platform/platform_client.cc
+++ b/packages/platform/platform_client.cc
@@ -3,6 +3,7 @@
 #include "platform/internal/host_json.h"
 #include "platform/internal/row_json.h"
 #include "json/json.h"
+#include "json/number_limits.h"
 
 namespace dragonflytray {
 
@@ -21,12 +22,28 @@
         return answer ? parseJson(answer->body) : json(json::value_t::discarded);
     }
 
+    // arrayMember() is the member `name` of an object, or null if there is no such array. The pointer refers into `body`.
+    const json* arrayMember(const json& body, const char* name)
+    {
+        const auto found = body.find(name);
+        return found != body.end() && found->is_array() ? &*found : nullptr;
+    }
+
+    // decodeRevision() is the member `revision`, or nothing if it is not one.
+    std::optional<RowVersion> decodeRevision(const json& body)
+    {
+        const auto found = body.find("revision");
+        const auto revision = found != body.end() ? numberAs<RowVersion>(*found) : std::nullopt;
+        return revision && *revision <= maxOrdinal ? revision : std::nullopt;
+    }
+
     std::vector<RowChange> decodeRows(const json& body, const char* member)
     {
         std::vector<RowChange> rows;
-        if (!body.is_object() || !body.contains(member))
+        const json* values = arrayMember(body, member);
+        if (!values)
             return rows;
-        for (const json& value : body[member]) {
+        for (const json& value : *values) {
             if (auto row = internal::decodeRow(value))
                 rows.push_back(std::move(*row));
         }
@@ -72,7 +89,9 @@
         const json body = parseAnswer(answer);
         TransactionResult result { id, statusOf(answer), 0, decodeRows(body, "conflicts") };
         if (result.status == TransactionStatus::Committed)
-            result.revision = body.value("revision", RowVersion(0));
+            result.revision = decodeRevision(body).value_or(0);
+        if (result.status == TransactionStatus::Committed && result.revision == 0)
+            result.status = TransactionStatus::Ambiguous;
         completion(std::move(result));
     });
 }
@@ -86,8 +105,10 @@
     HttpRequest request { .target = "/table/rows?kinds=" + percentEncode(kinds) + "&after=" + std::to_string(read.after), .headers = {}, .body = {} };
     this->client.send(this->options.endpoint, std::move(request), this->options.timeout, [completion = std::move(completion)](Answer answer) {
         const json body = parseAnswer(answer);
-        const bool isRead = answer && answer->status == statusOk && body.is_object();
-        completion(RowsRead { isRead, isRead ? body.value("revision", RowVersion(0)) : 0, decodeRows(body, "rows") });
+        const auto revision = answer && answer->status == statusOk && arrayMember(body, "rows") ? decodeRevision(body) : std::nullopt;
+        if (!revision)
+            return completion(RowsRead {});
+        completion(RowsRead { true, *revision, decodeRows(body, "rows") });
     });
 }
 
@@ -116,9 +137,10 @@
     this->client.send(this->options.endpoint, { .target = "/hosts", .headers = {}, .body = {} }, this->options.timeout, [completion = std::move(completion)](Answer answer) {
         const json body = parseAnswer(answer);
         HostListRead result;
-        result.isRead = answer && answer->status == statusOk && body.is_object() && body.contains("hosts");
-        if (result.isRead) {
-            for (const json& value : body["hosts"]) {
+        const json* hosts = answer && answer->status == statusOk ? arrayMember(body, "hosts") : nullptr;
+        result.isRead = hosts != nullptr;
+        if (hosts) {
+            for (const json& value : *hosts) {
                 if (auto host = internal::decodeHost(value))
                     result.hosts.push_back(std::move(*host));
             }
