scheduling: a closed worker's entry says for how long its leases may last

Cause: each successor took the leases of such a worker as granted at its own beginning, although the leader before had granted none for seconds.

A report that closes a worker which does not answer for 1.5 s, or that may be gone when the leader hands over, names the longest time for which leases there may last. From the moment when it is composed the leader grants none there until a report without that time is stored, so the time is an upper bound at any later moment. A successor takes the tasks for free at its end, if that comes before the end of the former leader's term, and names what is left of it in its own reports.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -251,6 +251,8 @@
                 for (const TaskId& task : *entry.possibleTasks)
                     tasks.push_back(encodeTask(task));
                 row.push_back(std::move(tasks));
+                if (entry.maxLease)
+                    row.push_back(toMilliseconds(*entry.maxLease));
             }
             workers.push_back(std::move(row));
         }
@@ -267,6 +269,8 @@
                 for (const Json& task : worker.at(4))
                     entry.possibleTasks->insert(decodeTask(task));
             }
+            if (worker.size() > 5)
+                entry.maxLease = std::chrono::milliseconds(numberOf<std::int64_t>(worker.at(5), maxPeriod));
             roster.workers[WorkerId(worker.at(0))] = std::move(entry);
         }
         return roster;
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -38,9 +38,10 @@
 
 TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_rosterOfWorkersThatGetNoMoreTasks_tasksAreReadBack")
 {
-    const RosterEntry open { { "10.1.1.1", 8080 }, { 64000, 256000, 0 }, std::nullopt };
+    const RosterEntry open { { "10.1.1.1", 8080 }, { 64000, 256000, 0 }, std::nullopt, std::nullopt };
     RosterEntry closed = open;
     closed.possibleTasks = { { JobId("00000000000000a1"), 0, 1, 2 }, { JobId("00000000000000a2"), 3, 0, 0 } };
+    closed.maxLease = std::chrono::milliseconds(4200);
     RosterEntry empty = open;
     empty.possibleTasks.emplace();
     const WorkerRoster roster { { { WorkerId("i-1"), open }, { WorkerId("i-2"), closed }, { WorkerId("i-3"), empty } } };
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -29,7 +29,7 @@
 {
     Cell cell { .epoch = acquired.epoch, .acquiredAt = acquired.acquiredAt, .leadingSince = context.now };
     cell.formerLeaseEnd = this->fleet.latestLeaseEnd(context.now + this->options.formerLeaderTimeout, this->options.maxLeaseAfterTerm);
-    cell.formerRuns.inherit(WorkerId(), { acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end() });
+    cell.formerRuns.inherit(WorkerId(), { acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end() }, cell.formerLeaseEnd);
     this->fleet.beginEpoch(acquired.cell, context.now);
     std::erase_if(this->orphanedRuns, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == acquired.cell; });
     Cell& ledCell = this->cells[acquired.cell] = std::move(cell);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -302,6 +302,9 @@
     // beyond that, or when the leases of former leaders have expired. Then tasks may be started that have no known run and are not
     // in Cell::formerRuns. accountForWorker() records that the runs on a worker are known.
     void accountForWorker(FleetWorker& worker);
+    // boundLease() sets FleetWorker::reportedLease for a report that closes the worker, or takes it back. Leases are bounded on workers
+    // that don't answer for a while or, when this leader hands over, that may be gone.
+    void boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const;
     void accountForTasks(const CellName& name, const Cell& cell, Instant now);
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -57,7 +57,7 @@
     PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = mayAcknowledge ? worker.acknowledged : 0, .wait = Duration(0) };
     worker.polledAcknowledged = call.acknowledged;
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
-    const bool mayRenew = !worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout;
+    const bool mayRenew = !worker.reportedLease && (!worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout);
     if (mayRenew && worker.isFenced && !worker.isRestartListed())
         call.deadline = worker.deadlineAt(context.now, this->grantableLease(worker, context.now));
     worker.acceptsUntilAfterPoll = {};
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -15,11 +15,12 @@
     const std::map<WorkerId, RosterEntry> workers = roster.workers();
     cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
     for (const auto& [id, entry] : workers) {
-        FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, cell.formerLeaseEnd);
+        const Instant leaseEnd = entry.maxLease ? std::min(cell.formerLeaseEnd, this->fleet.latestLeaseEnd(cell.leadingSince, *entry.maxLease)) : cell.formerLeaseEnd;
+        FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, leaseEnd);
         worker.mayHaveUnknownRuns = !entry.possibleTasks && !silent.contains(id);
         const bool isFoundByRoster = worker.entry.endpoint == entry.endpoint;
         worker.enrolment = worker.mayHaveUnknownRuns && isFoundByRoster ? Enrolment::Stored : Enrolment::None;
-        cell.formerRuns.inherit(id, entry.possibleTasks.value_or(std::set<TaskId>()));
+        cell.formerRuns.inherit(id, entry.possibleTasks.value_or(std::set<TaskId>()), leaseEnd);
     }
 }
 
@@ -39,13 +40,16 @@
         const bool isClosing = !worker.mayGetTasks(now, this->options.silenceReportTimeout) || (this->isHandingOver && !worker.mayHaveUnknownRuns);
         std::set<TaskId> tasks = isClosing ? this->possibleTasksOn(cell, worker) : std::set<TaskId>();
         std::size_t& namedInPart = namedTasks[rosterPartOf(id)];
-        if (isClosing && namedInPart + tasks.size() <= this->options.maxTasksPerRosterPart) {
+        const bool isClosed = isClosing && namedInPart + tasks.size() <= this->options.maxTasksPerRosterPart;
+        this->boundLease(cell, worker, isClosed, report.number, now);
+        if (isClosed) {
             worker.enrolment = Enrolment::None;
             worker.wasClosed = worker.wasClosed || worker.isFenced;
             if (tasks.empty())
                 continue;
             namedInPart += tasks.size();
             entry.possibleTasks = std::move(tasks);
+            entry.maxLease = worker.leaseReport == 0 ? worker.reportedLease : std::nullopt;
         } else if (worker.enrolment == Enrolment::None) {
             worker.enrolment = Enrolment::Requested;
             worker.enrolmentReport = report.number;
@@ -62,6 +66,20 @@
     return report;
 }
 
+void Dispatcher::boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const
+{
+    const Instant lastContact = worker.isFenced ? worker.lastAnswer : cell.leadingSince;
+    const bool hasNoAnswer = !worker.isFenced || worker.isSuspect;
+    const bool mayBeGone = this->isHandingOver ? hasNoAnswer || !worker.isListed : hasNoAnswer && now >= lastContact + this->options.renewalTimeout;
+    if (isClosed && mayBeGone) {
+        if (!worker.reportedLease || this->isHandingOver || worker.leaseReport != 0)
+            worker.reportedLease = Fleet::remainingLease(worker, now);
+        worker.leaseReport = 0;
+    } else if (worker.reportedLease && worker.leaseReport == 0) {
+        worker.leaseReport = report;
+    }
+}
+
 void Dispatcher::reportStored(const CellName& name, const StoredReport& report)
 {
     const auto found = this->cells.find(name);
@@ -72,6 +90,10 @@
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.cell == name && worker.enrolment == Enrolment::Requested && worker.enrolmentReport <= report.number)
             worker.enrolment = Enrolment::Stored;
+        if (worker.cell == name && worker.leaseReport != 0 && worker.leaseReport <= report.number) {
+            worker.reportedLease.reset();
+            worker.leaseReport = 0;
+        }
     }
     if (cell.reconciliationReport != 0 && report.number >= cell.reconciliationReport && cell.reconciliationVersion == 0)
         cell.reconciliationVersion = report.version;
@@ -155,7 +177,8 @@
         if (!cell.areWorkersFenced && cell.isRosterComplete && !this->hasUnknownRuns(name))
             cell.areWorkersFenced = true;
         const bool isFollowed = cell.areWorkersFenced && cell.reconciliationVersion > 0 && this->followedVersion >= cell.reconciliationVersion;
-        const bool isAnyReleased = cell.formerRuns.release(this->followedVersion);
+        const bool isAnyExpired = context.now < cell.leaseEnd && cell.formerRuns.expire(context.now);
+        const bool isAnyReleased = cell.formerRuns.release(this->followedVersion) || isAnyExpired;
         if (haveLeasesExpired || (isFollowed && !cell.isReconciled))
             this->reconcile(name, cell, haveLeasesExpired, context);
         else if (isAnyReleased && cell.isReconciled)
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -1,5 +1,6 @@
 #include "scheduling/fleet.h"
 
+#include <algorithm>
 #include <set>
 
 namespace dragonflytray {
@@ -162,6 +163,12 @@
     return now + longest + this->options.clockMargin;
 }
 
+Duration Fleet::remainingLease(const FleetWorker& worker, Instant now)
+{
+    const Duration remaining = (worker.isFenced ? worker.leaseEnd : worker.formerLeaseEnd) - now;
+    return std::max<Duration>(std::chrono::ceil<std::chrono::milliseconds>(remaining), Duration(0));
+}
+
 void Fleet::recordLease(FleetWorker& worker, Instant now)
 {
     worker.leaseEndBeforePoll = std::max(worker.leaseEndBeforePoll, this->latestLeaseEnd(now, this->options.lease));
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -90,6 +90,8 @@
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
     bool mayHaveUnknownRuns { false }; // a former leader may have started tasks on it that this leader has not heard of
+    std::optional<Duration> reportedLease; // RosterEntry::maxLease of a report; no lease is granted while it is set
+    std::uint64_t leaseReport { 0 }; // first report without it, which takes it back once it is stored; 0: none
     Instant formerLeaseEnd; // by which every lease that a former leader granted has expired; zero: there was none
     Enrolment enrolment { Enrolment::None };
     std::uint64_t enrolmentReport { 0 }; // first report that enrols it, if Requested
@@ -204,6 +206,10 @@
     std::map<WorkerId, FleetWorker>& all() { return this->workers; }
     const std::map<WorkerId, FleetWorker>& all() const { return this->workers; }
 
+    // remainingLease() is the time for which leases on the worker may last, granted by this leader or a former one, in whole
+    // milliseconds.
+    static Duration remainingLease(const FleetWorker& worker, Instant now);
+
     // latestLeaseEnd() is the time by which a lease granted at `now` has expired on every worker.
     Instant latestLeaseEnd(Instant now, Duration lease) const;
 
--- a/packages/scheduling/former_runs.cc
+++ b/packages/scheduling/former_runs.cc
@@ -1,12 +1,16 @@
 #include "scheduling/former_runs.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
-void FormerRuns::inherit(const WorkerId& worker, const std::set<TaskId>& tasks)
+void FormerRuns::inherit(const WorkerId& worker, const std::set<TaskId>& tasks, Instant leaseEnd)
 {
     if (tasks.empty())
         return;
-    this->workers[worker].tasks.insert(tasks.begin(), tasks.end());
+    WorkerTasks& entry = this->workers[worker];
+    entry.tasks.insert(tasks.begin(), tasks.end());
+    entry.leaseEnd = std::max(entry.leaseEnd, leaseEnd);
     this->allTasks.insert(tasks.begin(), tasks.end());
 }
 
@@ -39,15 +43,23 @@
     }
 }
 
-bool FormerRuns::release(RowVersion followedVersion)
+template <typename Condition>
+bool FormerRuns::dropWorkers(Condition condition)
 {
-    const bool isAnyReleased = std::erase_if(this->workers, [followedVersion](const auto& entry) {
-        const WorkerTasks& worker = entry.second;
-        return worker.reportVersion != 0 && worker.reportVersion <= followedVersion;
-    }) > 0;
-    if (isAnyReleased)
+    const bool isAnyDropped = std::erase_if(this->workers, [&](const auto& entry) { return condition(entry.second); }) > 0;
+    if (isAnyDropped)
         this->collectTasks();
-    return isAnyReleased;
+    return isAnyDropped;
+}
+
+bool FormerRuns::release(RowVersion followedVersion)
+{
+    return this->dropWorkers([=](const WorkerTasks& worker) { return worker.reportVersion != 0 && worker.reportVersion <= followedVersion; });
+}
+
+bool FormerRuns::expire(Instant now)
+{
+    return this->dropWorkers([=](const WorkerTasks& worker) { return now >= worker.leaseEnd; });
 }
 
 void FormerRuns::clear()
--- a/packages/scheduling/former_runs.h
+++ b/packages/scheduling/former_runs.h
@@ -3,12 +3,13 @@
 // The runs of former leaders that a new leader of a cell can't rule out, by the worker on which they may be alive.
 //
 // A task is free for its next run once the worker has named its runs, or has ended, and the store is followed up to a report that
-// was composed after that: the run may have ended before, and the former leader may have recorded that end.
+// was composed after that: the run may have ended before, and the former leader may have recorded that end. It is also free once
+// the leases on the worker have expired.
 //
 // Example:
 //
 //     FormerRuns formerRuns;
-//     formerRuns.inherit(worker, entry.possibleTasks.value());
+//     formerRuns.inherit(worker, entry.possibleTasks.value(), leaseEnd);
 //     formerRuns.workerAccounted(worker);
 //     formerRuns.reportComposed(7);
 //     formerRuns.reportStored(7, version);
@@ -22,9 +23,9 @@
 // FormerRuns holds tasks that may have runs of former leaders. Not thread-safe.
 class FormerRuns {
 public:
-    // inherit() adds tasks that may have runs on `worker`; the empty id stands for workers that are not known. Linear in all
-    // tasks.
-    void inherit(const WorkerId& worker, const std::set<TaskId>& tasks);
+    // inherit() adds tasks that may have runs on `worker`, whose leases have expired by `leaseEnd`; the empty id stands for workers
+    // that are not known. Linear in the tasks.
+    void inherit(const WorkerId& worker, const std::set<TaskId>& tasks, Instant leaseEnd);
 
     // runAdopted() records that the run of a task on a worker that was not known is found.
     void runAdopted(const TaskId& task);
@@ -40,6 +41,10 @@
     // tasks if so, else in the workers.
     bool release(RowVersion followedVersion);
 
+    // expire() drops the tasks of workers whose leases have expired, with the same result and cost. The caller has to know that
+    // nobody has extended them since.
+    bool expire(Instant now);
+
     // clear() drops all tasks, for example when the leases of former leaders have expired.
     void clear();
 
@@ -52,11 +57,14 @@
 private:
     struct WorkerTasks {
         std::set<TaskId> tasks;
+        Instant leaseEnd;
         bool isAccounted { false };
         std::uint64_t report { 0 }; // first one composed after the worker was accounted for; 0: none yet
         RowVersion reportVersion { 0 }; // 0: not known to be stored
     };
 
+    template <typename Condition>
+    bool dropWorkers(Condition condition);
     void collectTasks();
 
     std::map<WorkerId, WorkerTasks> workers;
--- a/packages/scheduling/former_runs_test.cc
+++ b/packages/scheduling/former_runs_test.cc
@@ -12,11 +12,12 @@
     struct FormerRunsFixture {
         FormerRunsFixture()
         {
-            this->formerRuns.inherit(this->first, { this->firstTask });
-            this->formerRuns.inherit(this->second, { this->secondTask });
-            this->formerRuns.inherit(WorkerId(), { this->otherTask });
+            this->formerRuns.inherit(this->first, { this->firstTask }, this->leaseEnd);
+            this->formerRuns.inherit(this->second, { this->secondTask }, this->leaseEnd + std::chrono::seconds(1));
+            this->formerRuns.inherit(WorkerId(), { this->otherTask }, this->leaseEnd + std::chrono::seconds(2));
         }
 
+        const Instant leaseEnd { std::chrono::hours(1) }; // on the first worker
         const WorkerId first { "i-1" };
         const WorkerId second { "i-2" };
         const TaskId firstTask { JobId("00000000000000a1"), 0, 0, 0 };
@@ -61,6 +62,13 @@
     CHECK(this->formerRuns.tasksOn(this->first).empty());
 }
 
+TEST_CASE_METHOD(FormerRunsFixture, "FormerRuns_leasesOfOneWorkerExpire_onlyItsTasksAreFree", "[takeover]")
+{
+    CHECK_FALSE(this->formerRuns.expire(this->leaseEnd - std::chrono::milliseconds(1)));
+    CHECK(this->formerRuns.expire(this->leaseEnd));
+    CHECK(this->formerRuns.tasks() == std::set<TaskId> { this->secondTask, this->otherTask });
+}
+
 TEST_CASE_METHOD(FormerRunsFixture, "FormerRuns_runOfUnknownWorkerAdopted_taskIsFree", "[takeover]")
 {
     this->formerRuns.runAdopted(this->otherTask);
@@ -70,7 +78,7 @@
 
 TEST_CASE_METHOD(FormerRunsFixture, "FormerRuns_taskOnTwoWorkersAndOneAccounted_taskIsKept", "[takeover]")
 {
-    this->formerRuns.inherit(this->second, { this->firstTask });
+    this->formerRuns.inherit(this->second, { this->firstTask }, this->leaseEnd);
     this->formerRuns.workerAccounted(this->first);
     this->formerRuns.reportComposed(2);
     this->formerRuns.reportStored(2, 5);
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -92,6 +92,8 @@
     TaskResources capacity;
     std::optional<std::set<TaskId>> possibleTasks {}; // the only ones that may have runs there, if the leader starts no more on the worker; nothing: any may
 
+    std::optional<Duration> maxLease {}; // for which leases there may last from now on, if the leader grants no more; nothing: it may grant more
+
     bool operator==(const RosterEntry&) const = default;
 };
 
