--- /dev/null
+++ b/packages/scheduling/deadly_task_test.cc
@@ -0,0 +1,243 @@
+// A task that crashes each worker that starts it must be given up after a few crashes. The tasks beside it, and those on workers
+// that crash for another reason, must be done all the same.
+
+#include "scheduling/scheduler_fixture.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    const std::string deadlyJob = "00000000000000d1";
+    const std::string otherJob = "00000000000000a1";
+    constexpr Duration takeoverTime = std::chrono::seconds(3);
+    constexpr Duration tickInterval = std::chrono::milliseconds(20);
+
+    // Recovery says what answers at the address of a worker that has crashed, once its outage is over.
+    enum class Recovery {
+        SameWorker,
+        OtherWorker,
+    };
+
+    // DeadlyTaskFixture crashes the worker of each run of a deadly job shortly after the run has begun.
+    struct DeadlyTaskFixture : SchedulerFixture {
+        DeadlyTaskFixture()
+        {
+            this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
+            for (int number = 1; number <= 8; ++number)
+                this->addWorker("w" + std::to_string(number), 16);
+            this->run({ "a" }, takeoverTime);
+        }
+
+        void runWatched(const std::vector<std::string>& names, Duration time)
+        {
+            for (const Instant end = this->now + time; this->now < end;) {
+                this->run(names, tickInterval);
+                this->restoreWorkers();
+                this->crashWorkersOfDeadlyRuns();
+            }
+        }
+
+        void crashWorkersOfDeadlyRuns()
+        {
+            for (; this->watchedRuns < this->begunRuns.size(); ++this->watchedRuns) {
+                const StartTask& call = this->begunRuns[this->watchedRuns].start.call;
+                if (!this->deadlyJobs.contains(call.run.task.job.value()) || this->crashed.contains(call.to.worker))
+                    continue;
+                this->crashingRuns.push_back(call.run);
+                this->crashForOutage(call.to.worker);
+            }
+        }
+
+        void crashForOutage(const WorkerId& id)
+        {
+            this->crashWorker(id);
+            this->outageEnds[id] = this->now + this->outage;
+        }
+
+        void restoreWorkers()
+        {
+            for (auto entry = this->outageEnds.begin(); entry != this->outageEnds.end();) {
+                const auto [id, outageEnd] = *entry;
+                if (outageEnd > this->now) {
+                    ++entry;
+                    continue;
+                }
+                entry = this->outageEnds.erase(entry);
+                if (this->recovery == Recovery::SameWorker)
+                    this->restoreWorker(id);
+                else
+                    this->replaceWorker(id, id.value() + "-next");
+            }
+        }
+
+        std::size_t crashesBy(const std::string& job) const
+        {
+            return static_cast<std::size_t>(std::count_if(this->crashingRuns.begin(), this->crashingRuns.end(), [&](const TaskRunId& run) { return run.task.job.value() == job; }));
+        }
+
+        std::set<std::string> deadlyJobs { deadlyJob };
+        Recovery recovery { Recovery::SameWorker };
+        Duration outage { std::chrono::seconds(3) };
+        std::map<WorkerId, Instant> outageEnds;
+        std::size_t watchedRuns { 0 };
+        std::vector<TaskRunId> crashingRuns; // in the order of time
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_twoWorkersHaveCrashed_jobFails", "[deadly]")
+{
+    this->recovery = GENERATE(Recovery::SameWorker, Recovery::OtherWorker);
+    this->workerStartTime = GENERATE(0, 1);
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->runWatched({ "a" }, std::chrono::seconds(30));
+    CHECK(this->crashesBy(deadlyJob) == 2);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_otherTasksBesideIt_onlyItsJobFails", "[deadly]")
+{
+    this->recovery = GENERATE(Recovery::SameWorker, Recovery::OtherWorker);
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(24, 4) }) == ReplyStatus::Accepted);
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->runWatched({ "a" }, std::chrono::seconds(30));
+    CHECK(this->crashesBy(deadlyJob) == 2);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+    CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTasks_severalBesideOtherJobs_onlyTheirJobsFail", "[deadly]")
+{
+    this->recovery = Recovery::OtherWorker;
+    constexpr int jobs = 24;
+    std::vector<std::string> innocentJobs;
+    for (int number = 10; number < 10 + jobs; ++number) {
+        const std::string id = "00000000000000" + std::to_string(number);
+        const bool isDeadly = number % 6 == 0;
+        if (isDeadly)
+            this->deadlyJobs.insert(id);
+        else
+            innocentJobs.push_back(id);
+        REQUIRE(this->submit("a", id, { stepOfTasks(3, 4) }) == ReplyStatus::Accepted);
+        this->runWatched({ "a" }, std::chrono::milliseconds(200));
+    }
+    this->runWatched({ "a" }, std::chrono::seconds(40));
+    for (const std::string& id : innocentJobs) {
+        CAPTURE(id);
+        CHECK(this->phaseOf(id) == JobPhase::Completed);
+    }
+    this->deadlyJobs.erase(deadlyJob);
+    for (const std::string& id : this->deadlyJobs) {
+        CAPTURE(id);
+        CHECK(this->phaseOf(id) == JobPhase::Failed);
+        std::map<TaskId, int> crashes;
+        for (const TaskRunId& run : this->crashingRuns) {
+            if (run.task.job.value() == id)
+                ++crashes[run.task];
+        }
+        for (const auto& [task, count] : crashes)
+            CHECK(count <= 2);
+    }
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_leaderChangesAfterFirstCrash_jobFailsAfterSecond", "[deadly]")
+{
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    while (this->crashingRuns.empty())
+        this->runWatched({ "a" }, tickInterval);
+    while (this->outageEnds.size() == 1 && this->crashingRuns.size() == 1)
+        this->runWatched({ "a" }, tickInterval);
+    this->runWatched({ "a" }, std::chrono::milliseconds(200));
+    this->runWatched({ "b" }, std::chrono::seconds(40));
+    CHECK(this->crashesBy(deadlyJob) == 2);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_longRunning_jobFails", "[deadly]")
+{
+    StepDefinition step = stepOfTasks(1, 4);
+    step.isLongRunning = true;
+    REQUIRE(this->submit("a", deadlyJob, { step }) == ReplyStatus::Accepted);
+    this->runWatched({ "a" }, std::chrono::seconds(30));
+    CHECK(this->crashesBy(deadlyJob) == 2);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyGang_twoRunsHaveCrashedWorkers_jobFails", "[deadly]")
+{
+    StepDefinition step = stepOfTasks(3, 4);
+    step.isGang = true;
+    REQUIRE(this->submit("a", deadlyJob, { step }) == ReplyStatus::Accepted);
+    this->runWatched({ "a" }, std::chrono::seconds(30));
+    std::set<std::uint64_t> runs;
+    for (const TaskRunId& run : this->crashingRuns)
+        runs.insert(run.run);
+    CHECK(runs.size() == 2);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_workersAreNeverIdle_otherJobsGoOnAndItsJobFails", "[deadly]")
+{
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    std::vector<std::string> jobs;
+    for (int number = 100; number < 160; ++number) {
+        jobs.push_back("0000000000000" + std::to_string(number));
+        REQUIRE(this->submit("a", jobs.back(), { stepOfTasks(6, 4) }) == ReplyStatus::Accepted);
+        this->runWatched({ "a" }, std::chrono::milliseconds(250));
+    }
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+    this->runWatched({ "a" }, std::chrono::seconds(20));
+    for (const std::string& id : jobs) {
+        CAPTURE(id);
+        CHECK(this->phaseOf(id) == JobPhase::Completed);
+    }
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "Workers_allCrashAgainAndAgain_noJobFails", "[deadly]")
+{
+    this->recovery = GENERATE(Recovery::SameWorker, Recovery::OtherWorker);
+    this->taskDuration = std::chrono::seconds(3);
+    StepDefinition longRunning = stepOfTasks(4, 2);
+    longRunning.isLongRunning = true;
+    StepDefinition gang = stepOfTasks(3, 2);
+    gang.isGang = true;
+    const std::string longRunningJob = "00000000000000b1";
+    const std::string gangJob = "00000000000000b2";
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(16, 4) }) == ReplyStatus::Accepted);
+    REQUIRE(this->submit("a", longRunningJob, { longRunning }) == ReplyStatus::Accepted);
+    REQUIRE(this->submit("a", gangJob, { gang }) == ReplyStatus::Accepted);
+    for (int crash = 0; crash < 3; ++crash) {
+        this->runWatched({ "a" }, std::chrono::milliseconds(2400));
+        std::vector<WorkerId> running;
+        for (const auto& [id, worker] : this->workers) {
+            if (!this->crashed.contains(id) && !this->replaced.contains(id))
+                running.push_back(id);
+        }
+        for (const WorkerId& id : running)
+            this->crashForOutage(id);
+        this->runWatched({ "a" }, std::chrono::seconds(8));
+    }
+    this->runWatched({ "a" }, std::chrono::seconds(20));
+    CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
+    CHECK(this->phaseOf(gangJob) == JobPhase::Completed);
+    CHECK(this->phaseOf(longRunningJob) == JobPhase::Running);
+    CHECK(this->runningOf(longRunningJob).size() == 4);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "Workers_silentAndBack_noCrashIsAttributed", "[deadly]")
+{
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(8, 4) }) == ReplyStatus::Accepted);
+    for (int cut = 0; cut < 3; ++cut) {
+        for (const auto& [id, worker] : this->workers)
+            this->cutLinks.insert({ "a", id });
+        this->runWatched({ "a" }, std::chrono::seconds(7));
+        this->cutLinks.clear();
+        this->runWatched({ "a" }, std::chrono::milliseconds(500));
+    }
+    this->runWatched({ "a" }, std::chrono::seconds(20));
+    CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -225,6 +225,16 @@
     this->workers.at(id).list(this->now);
 }
 
+void SchedulerFixture::replaceWorker(const WorkerId& id, const std::string& successor)
+{
+    this->crashed.erase(id);
+    this->replaced.insert(id);
+    this->workers.at(id).unlist(this->now);
+    SimulatedWorker& worker = this->addWorker(successor, this->workers.at(id).entry().capacity.millicores / 1000);
+    worker.unlist(Instant());
+    worker.list(this->now);
+}
+
 std::string SchedulerFixture::leader() const
 {
     const StoredRowChange* row = this->store.find({ StoredRowKind::CellLease, "whole" });
@@ -296,6 +306,8 @@
     Duration delay = tickInterval;
     if (this->unreachable.contains(effect.to.worker)) {
         end.status = WorkerCallStatus::NotSent;
+    } else if (this->replaced.contains(effect.to.worker)) {
+        end.status = WorkerCallStatus::OtherIncarnation;
     } else if (this->canReach(name, effect.to.worker) && !this->unresponsive.contains(effect.to.worker)) {
         PollEnded answer = this->workers.at(effect.to.worker).poll(effect, this->now);
         if (this->pollsToLose > 0)
@@ -334,6 +346,10 @@
     SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
     TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Unclear };
+    if (this->replaced.contains(effect.to.worker)) {
+        end.status = WorkerCallStatus::OtherIncarnation;
+        return this->send(name, end);
+    }
     if (!this->canReach(name, effect.to.worker))
         return this->deliverAfter(callTimeout, name, end);
     if (this->startsToDelay > 0) {
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -50,6 +50,9 @@
     void crashWorker(const WorkerId& id);
     void restoreWorker(const WorkerId& id);
 
+    // replaceWorker() removes a worker that has crashed from the list, and adds another one at its address.
+    void replaceWorker(const WorkerId& id, const std::string& successor);
+
     // leader() returns the holder of the lease in the store; empty: none.
     std::string leader() const;
 
@@ -141,6 +144,7 @@
     std::set<WorkerId> unlisted; // workers that are missing from the list
     std::set<WorkerId> unreachable; // workers to which polls can't be sent
     std::set<WorkerId> crashed; // workers whose process does not run
+    std::set<WorkerId> replaced; // workers at whose address another one answers
     std::set<std::pair<std::string, WorkerId>> cutLinks; // hosts and workers between which calls have no effect and no answer
     WallTime workerStartTime { 1 }; // of workers that are added later; 0: they never give one
     std::vector<DelayedReport> delayedReports;
