scheduling: a task under which two workers have crashed is given up

Nothing counted the end of a run with its worker.

A crash is now attributed to the runs that may have caused it: those that no report has named 500 ms after their start was confirmed. Evidence is only another incarnation that answers; silence, a lapsed lease and absence from the list attribute nothing, nor does a worker that leaves after it has drained. If one of the runs was a suspect before, it alone is blamed. A suspect starts only once its crash is stored, on a worker whose other runs are settled, and nothing else starts there until it is settled, so that the second crash is its own. The task is given up then and its job fails. A run that settles acquits its task.

The run numbers of the crashes are in the progress row, behind what the former release reads; rows without them are read.

DeadlyTask_leaderChangesAfterFirstCrash_jobFailsAfterSecond let the first leader go on for 200 ms after the outage, in which it started the task again: a crash in progress at the change is not known to the successor. The test now stops the leader once the crash is stored, as its name says, and DeadlyTask_leaderChangesDuringEachOutage_jobFailsWithinBudget holds the other case to the rule.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -168,12 +168,15 @@
             Json checkpoints = Json::array();
             for (const auto& [index, checkpoint] : stepProgress.checkpoints)
                 checkpoints.push_back({ index, checkpoint });
-            steps.push_back({ number, encodeBits(stepProgress.done), std::move(failures), std::move(checkpoints) });
+            Json crashes = Json::array();
+            for (const auto& [index, crashed] : stepProgress.crashes)
+                crashes.push_back({ index, crashed });
+            steps.push_back({ number, encodeBits(stepProgress.done), std::move(failures), std::move(checkpoints), std::move(crashes) });
         }
         return { { "phase", jobPhaseNames.nameOf(progress.phase) }, { "epoch", progress.epoch }, { "generation", progress.generation }, { "ended", progress.endedAt }, { "units", std::move(steps) } };
     }
 
-    TaskFailures decodeFailures(const Json& json)
+    TaskFailures decodeRunNumbers(const Json& json)
     {
         TaskFailures failures;
         for (const Json& run : json)
@@ -187,9 +190,13 @@
         for (const char bit : json.at(1).get<std::string>())
             stepProgress.done.push_back(bit == '1');
         for (const Json& failed : json.at(2))
-            stepProgress.failures[smallNumberOf(failed.at(0))] = decodeFailures(failed.at(1));
+            stepProgress.failures[smallNumberOf(failed.at(0))] = decodeRunNumbers(failed.at(1));
         for (const Json& checkpoint : json.at(3))
             stepProgress.checkpoints[smallNumberOf(checkpoint.at(0))] = checkpoint.at(1);
+        if (constexpr std::size_t sizeWithoutCrashes = 4; json.size() > sizeWithoutCrashes) {
+            for (const Json& crashed : json.at(sizeWithoutCrashes))
+                stepProgress.crashes[smallNumberOf(crashed.at(0))] = decodeRunNumbers(crashed.at(1));
+        }
         return stepProgress;
     }
 
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -19,6 +19,7 @@
             return std::get<Row>(*read);
         }
 
+        JobProgress progress { .phase = JobPhase::Running, .epoch = 3, .generation = 9, .endedAt = 0, .stepProgress = { { 2, { .done = { true, false }, .failures = { { 1, { 4 } } }, .checkpoints = { { 1, "c" } }, .crashes = { { 0, { 2 } }, { 1, { 3, 1004 } } } } } } };
         CellLease lease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true };
     };
 
@@ -48,6 +49,25 @@
     CHECK(this->readBack(StoredRowKind::WorkerRoster, roster) == roster);
 }
 
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_progressWithCrashes_isReadBack")
+{
+    CHECK(this->readBack(StoredRowKind::Progress, this->progress) == this->progress);
+}
+
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_progressOfReleaseWithoutCrashes_isRead")
+{
+    nlohmann::json json = nlohmann::json::from_cbor(encodeRow(this->progress));
+    REQUIRE(json.at("units").at(0).size() == 5);
+    json.at("units").at(0).erase(4);
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const auto read = decodeRow(StoredRowKind::Progress, bytes);
+    REQUIRE(read);
+    JobProgress expected = this->progress;
+    expected.stepProgress.at(2).crashes.clear();
+    CHECK(std::get<JobProgress>(*read) == expected);
+}
+
 TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseOfReleaseWithoutRoster_rosterIsIncomplete")
 {
     nlohmann::json json = nlohmann::json::from_cbor(encodeRow(this->lease));
--- /dev/null
+++ b/packages/scheduling/crash_suspects_test.cc
@@ -0,0 +1,108 @@
+// The runs that are suspected of a crash are those that were started last, and a suspect is not mixed with other new runs.
+
+#include "scheduling/crash_suspects.h"
+
+#include <catch2/catch.hpp>
+
+namespace dragonflytray {
+
+namespace {
+
+    // CrashSuspectsFixture has one worker.
+    struct CrashSuspectsFixture {
+        CrashSuspectsFixture()
+        {
+            const DataCentreName dataCentre("rs-poa");
+            this->fleet.updateList({ { { .id = WorkerId("w1"), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", 1 }, .dataCentre = dataCentre, .labels = {}, .rack = "r1", .capacity = { 16000, 1000, 0 } } }, {}, true, 1 }, this->now);
+        }
+
+        FleetWorker& worker() { return *this->fleet.find(WorkerId("w1")); }
+
+        static TaskId taskOf(std::uint32_t index) { return { JobId("00000000000000a1"), 0, 0, index }; }
+
+        // addRun() adds a run whose start is confirmed.
+        TaskRunId addRun(std::uint32_t index)
+        {
+            const TaskRunId run { taskOf(index), 1 };
+            this->fleet.allocate(this->worker(), run, { .need = { 1000, 0, 0 }, .firstConfirmedAt = this->now, .lastConfirmedAt = this->now });
+            return run;
+        }
+
+        // report() handles a report that names all runs.
+        std::vector<TaskRunId> report()
+        {
+            ++this->worker().reportCount;
+            for (auto& [run, allocation] : this->worker().runs)
+                allocation.lastReportNumber = this->worker().reportCount;
+            return this->suspects.settle(this->worker(), this->now);
+        }
+
+        Instant now { std::chrono::hours(1) };
+        CrashSuspects::Options options;
+        CrashSuspects suspects { options };
+        Fleet fleet { {}, { { DataCentreName("rs-poa"), CellName("whole") } } };
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_reportWithinWindow_runIsNotSettled")
+{
+    const TaskRunId run = this->addRun(0);
+    this->now += this->options.crashWindow - std::chrono::milliseconds(1);
+    CHECK(this->report().empty());
+    CHECK(CrashSuspects::unsettledRuns(this->worker()) == std::vector<TaskRunId> { run });
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_reportAfterWindow_onlyReportedRunsAreSettled")
+{
+    const TaskRunId older = this->addRun(0);
+    this->now += this->options.crashWindow;
+    const TaskRunId newer = this->addRun(1);
+    CHECK(this->report() == std::vector<TaskRunId> { older });
+    CHECK(CrashSuspects::unsettledRuns(this->worker()) == std::vector<TaskRunId> { newer });
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_workerHasUnsettledRun_admitsNoSuspect")
+{
+    this->addRun(0);
+    CHECK(this->suspects.admits(this->worker(), { taskOf(1), false }));
+    CHECK_FALSE(this->suspects.admits(this->worker(), { taskOf(1), true }));
+    this->now += this->options.crashWindow;
+    this->report();
+    CHECK(this->suspects.admits(this->worker(), { taskOf(1), true }));
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_workerIsIsolated_admitsNothingElseUntilSuspectSettles")
+{
+    this->suspects.isolate(WorkerId("w1"), taskOf(0));
+    this->addRun(0);
+    this->suspects.releaseWorkers(this->fleet, this->now);
+    CHECK_FALSE(this->suspects.admits(this->worker(), { taskOf(1), false }));
+    CHECK_FALSE(this->suspects.admits(this->worker(), { taskOf(1), true }));
+    this->now += this->options.crashWindow;
+    this->report();
+    this->suspects.releaseWorkers(this->fleet, this->now);
+    CHECK(this->suspects.admits(this->worker(), { taskOf(1), false }));
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_reservationTimesOut_workerIsReleased")
+{
+    this->suspects.reserve(WorkerId("w1"), taskOf(0), this->now);
+    CHECK(this->suspects.hasReservation(taskOf(0)));
+    this->suspects.releaseWorkers(this->fleet, this->now);
+    CHECK_FALSE(this->suspects.admits(this->worker(), { taskOf(1), false }));
+    this->now += this->options.reservationTimeout;
+    this->suspects.releaseWorkers(this->fleet, this->now);
+    CHECK_FALSE(this->suspects.hasReservation(taskOf(0)));
+    CHECK(this->suspects.admits(this->worker(), { taskOf(1), false }));
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_quarterOfWorkersIsReserved_noMoreAreReserved")
+{
+    CHECK(this->suspects.mayReserve(1));
+    this->suspects.reserve(WorkerId("w1"), taskOf(0), this->now);
+    CHECK_FALSE(this->suspects.mayReserve(7));
+    CHECK(this->suspects.mayReserve(8));
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/deadly_task_test.cc
+++ b/packages/scheduling/deadly_task_test.cc
@@ -77,6 +77,17 @@
             return static_cast<std::size_t>(std::count_if(this->crashingRuns.begin(), this->crashingRuns.end(), [&](const TaskRunId& run) { return run.task.job.value() == job; }));
         }
 
+        std::size_t storedCrashesOf(const std::string& job) const
+        {
+            const StoredRowChange* row = this->store.find({ StoredRowKind::Progress, job });
+            std::size_t crashes = 0;
+            for (const auto& [step, progress] : row ? std::get<JobProgress>(*row->value).stepProgress : std::map<std::uint32_t, StepProgress> {}) {
+                for (const auto& [index, runs] : progress.crashes)
+                    crashes += runs.size();
+            }
+            return crashes;
+        }
+
         std::set<std::string> deadlyJobs { deadlyJob };
         Recovery recovery { Recovery::SameWorker };
         Duration outage { std::chrono::seconds(3) };
@@ -145,16 +156,36 @@
 TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_leaderChangesAfterFirstCrash_jobFailsAfterSecond", "[deadly]")
 {
     REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
-    while (this->crashingRuns.empty())
+    while (this->storedCrashesOf(deadlyJob) == 0 && this->crashingRuns.size() < 2)
         this->runWatched({ "a" }, tickInterval);
-    while (this->outageEnds.size() == 1 && this->crashingRuns.size() == 1)
-        this->runWatched({ "a" }, tickInterval);
-    this->runWatched({ "a" }, std::chrono::milliseconds(200));
+    REQUIRE(this->crashesBy(deadlyJob) == 1);
     this->runWatched({ "b" }, std::chrono::seconds(40));
     CHECK(this->crashesBy(deadlyJob) == 2);
     CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
 }
 
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_leaderChangesDuringEachOutage_jobFailsWithinBudget", "[deadly]")
+{
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    while (this->crashingRuns.empty())
+        this->runWatched({ "a" }, tickInterval);
+    while (this->crashingRuns.size() < 2)
+        this->runWatched({ "b" }, tickInterval);
+    this->runWatched({ "a" }, std::chrono::seconds(60));
+    CHECK(this->crashesBy(deadlyJob) < 6);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
+TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_workersAreBackAfterTheirLeases_jobFails", "[deadly]")
+{
+    this->recovery = GENERATE(Recovery::SameWorker, Recovery::OtherWorker);
+    this->outage = std::chrono::seconds(9);
+    REQUIRE(this->submit("a", deadlyJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->runWatched({ "a" }, std::chrono::seconds(80));
+    CHECK(this->crashesBy(deadlyJob) < 6);
+    CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
+}
+
 TEST_CASE_METHOD(DeadlyTaskFixture, "DeadlyTask_longRunning_jobFails", "[deadly]")
 {
     StepDefinition step = stepOfTasks(1, 4);
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -15,6 +15,7 @@
     , fleet(options.fleet, cellOf)
     , recorder(options.recorder)
     , bestEffortControl(options.bestEffort)
+    , crashSuspects(options.crashes)
 {
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -20,6 +20,7 @@
 #include "scheduling/cell_leadership.h"
 #include "scheduling/cell_roster.h"
 #include "scheduling/command_context.h"
+#include "scheduling/crash_suspects.h"
 #include "scheduling/fleet.h"
 #include "scheduling/former_runs.h"
 #include "scheduling/job_execution.h"
@@ -47,6 +48,7 @@
         Fleet::Options fleet {};
         Recorder::Options recorder {};
         BestEffortControl::Options bestEffort {};
+        CrashSuspects::Options crashes {};
         Duration formerLeaderTimeout { std::chrono::seconds(5) }; // for which a former leader may act after its lease; equals CellLeadership::Options::storeOutageTimeout
         Duration maxLeaseAfterTerm { std::chrono::seconds(2) }; // for which a lease of a worker may outlast the time in which its grantor may act
         Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
@@ -260,6 +262,19 @@
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
+    // Crashes of workers. crashSuspectsOn() returns the runs that may have crashed a worker, before these are given up;
+    // attributeCrash() counts the crash against their tasks, and giveUp() fails the job of a task that has crashed too many.
+    // settleRuns() acquits suspects. admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true
+    // if one is kept for a suspect. A suspect starts again only once isCrashRecorded().
+    std::vector<TaskRunId> crashSuspectsOn(const FleetWorker& worker, const PollEnded& end);
+    void attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context);
+    void giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context);
+    void settleRuns(FleetWorker& worker, const PollEnded& end);
+    static bool isCrashSuspect(const JobExecution& job, const TaskId& task);
+    static bool isCrashRecorded(JobExecution& job, const TaskId& task);
+    std::function<bool(const FleetWorker&)> admissionOf(const JobExecution& job, const TaskId& task) const;
+    bool reserveWorker(JobExecution& job, const TaskId& task, Instant now);
+
     // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
     // holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
     class PlannedRoom;
@@ -343,6 +358,7 @@
     Fleet fleet;
     Recorder recorder;
     BestEffortControl bestEffortControl;
+    CrashSuspects crashSuspects;
     JobExecutions jobExecutions;
     std::map<CellName, CellAcquired> acquiredCells; // until the store is followed up to their acquisition
     std::map<CellName, Cell> cells;
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -68,6 +68,8 @@
     const bool isLeased = context.now < worker.acceptsUntil; // tasks can be placed only after the answer to a poll with a lease
     if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline && isLeased)
         call.wait = this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
+    if (this->crashSuspects.isIsolated(worker.entry.id))
+        call.wait = std::min(call.wait, this->options.crashes.crashWindow);
     worker.isPollInFlight = true;
     worker.polledEndpoint = call.to.endpoint;
     context.add(std::move(call));
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -92,6 +92,7 @@
         return;
     this->needsPass = false;
     this->lastPass = context.now;
+    this->crashSuspects.releaseWorkers(this->fleet, context.now);
     PlacementPass pass;
     for (JobExecution* job : this->jobsInPlacementOrder(context.now)) {
         if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass)
@@ -165,6 +166,8 @@
         .mayIgnoreDataLocality = step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout,
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
+        .admits = this->admissionOf(job, task),
+        .isCrashSuspect = isCrashSuspect(job, task),
     };
 }
 
@@ -181,14 +184,16 @@
     const bool mayYield = this->mayYield(step, taskExecution, context.now);
     if (mayYield && this->isYielding(taskExecution, context.now))
         return PlacementOutcome::Deferred;
-    if (context.now < taskExecution.nextSearchAt)
-        return PlacementOutcome::NoRoom;
-    const bool hasOnlyResourceNeeds = step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
+    const bool isSuspect = isCrashSuspect(job, task);
+    const PlacementOutcome failure = isSuspect ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+    if (context.now < taskExecution.nextSearchAt || (isSuspect && !isCrashRecorded(job, task)))
+        return failure;
+    const bool hasOnlyResourceNeeds = !isSuspect && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
     const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
     const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
     const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+        return isRoomBeingFreed ? PlacementOutcome::Deferred : failure;
     const PlacementRequest request = this->requestFor(job, task, context.now);
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
@@ -200,6 +205,8 @@
         return PlacementOutcome::Started;
     }
     taskExecution.yieldingSince = {};
+    if (isSuspect && this->reserveWorker(job, task, context.now))
+        return PlacementOutcome::Deferred;
     if (!isKnownNotToFit)
         ++pass.unplacedCount;
     if (!isKnownNotToFit && hasOnlyResourceNeeds && taskExecution.lastFailedWorker.isEmpty())
@@ -207,9 +214,9 @@
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
     if (!maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+        return isRoomBeingFreed ? PlacementOutcome::Deferred : failure;
     ++pass.evictionSearches;
-    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::Deferred : failure;
 }
 
 bool Dispatcher::mayYield(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
@@ -229,7 +236,7 @@
     if (stepExecution.waiting < stepExecution.tasks.size() - stepExecution.done)
         return;
     const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
-    if (!mayStart)
+    if (!mayStart || !isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
         return;
     // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
     std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
@@ -238,7 +245,7 @@
     for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
         run = std::max(run, job.nextRun(stepExecution.tasks[index]));
-        PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = context.now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); } };
+        PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = context.now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = this->admissionOf(job, task) };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
@@ -275,6 +282,8 @@
     job.setStage(task, TaskStage::Starting, context.now);
     const TaskRunId id { task, run };
     this->fleet.allocate(worker, id, this->allocationFor(job, step));
+    if (isCrashSuspect(job, task))
+        this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
     context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
@@ -300,7 +309,7 @@
     const int priority = this->queueRuleOf(job).priority;
     const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds });
     if (!eviction) {
-        const bool hasOnlyResourceNeeds = request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
+        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
             this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
         return false;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -29,6 +29,7 @@
             this->handleEnd(*worker, run, context);
     }
     this->reconcileRuns(*worker, end, context);
+    this->settleRuns(*worker, end);
     this->throttleBestEffort(*worker, context);
     this->acknowledge(*worker, context);
     worker->nextPollAt = worker->unacknowledgedEnds.empty() ? context.now : context.now + this->options.unrecordedPollInterval;
@@ -42,8 +43,10 @@
     const bool isOtherStart = end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt;
     const bool isClockReset = end.startedAt == 0 && worker.isClockReset(end.clock, end.sentAt, this->options.fleet.clockMargin, this->options.fleet.maxClockDrift);
     if (isOtherStart || isClockReset) {
+        const std::vector<TaskRunId> suspects = this->crashSuspectsOn(worker, end);
         this->markFormerRunsLost(worker, end, context);
         this->expectLateStarts(worker, context);
+        this->attributeCrash(worker, suspects, context);
         worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
@@ -77,7 +80,9 @@
     }
     if (end.status == WorkerCallStatus::OtherIncarnation) {
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
+        const std::vector<TaskRunId> suspects = this->crashSuspectsOn(worker, end);
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
+        this->attributeCrash(worker, suspects, context);
         worker.isListed = false;
         this->accountForWorker(worker);
         worker.leaseEnd = context.now;
@@ -262,6 +267,7 @@
     RunAllocation allocation = job && id.step < job->definition().steps.size() ? this->allocationFor(*job, job->definition().steps[id.step]) : RunAllocation {};
     allocation.lastConfirmedAt = context.now;
     allocation.lastReportNumber = worker.reportCount;
+    allocation.isSettled = true; // it was started under a former leader
     this->fleet.allocate(worker, task.id, allocation);
     const bool isWanted = taskExecution && !isFinal(job->progress().phase) && (taskExecution->stage == TaskStage::Unaccounted || (taskExecution->stage == TaskStage::Waiting && taskExecution->run <= task.id.run && !this->hasOrphanedRun(id)));
     if (!isWanted) {
@@ -296,6 +302,7 @@
         this->fleet.release(*worker, run);
         this->fleet.allocate(*worker, run, this->allocationFor(job, job.definition().steps[run.task.step]));
         worker->runs.at(run).lastConfirmedAt = context.now;
+        worker->runs.at(run).isSettled = true;
         this->markRunning(job, run.task, context);
         adopted.push_back(run);
     }
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -24,6 +24,8 @@
     bool isLongRunning { false };
     bool isEvictable { false }; // may be stopped for a more urgent task
     bool isCheckpointing { false };
+    bool isGang { false };
+    bool isSettled { false }; // as CrashSuspects defines it
     int priority { 0 }; // of its queue; 0 comes first
     bool isStopping { false }; // a stop was requested
     bool isRoomReserved { false }; // what its stop frees is reserved for a task that evicted runs on the worker
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -112,6 +112,8 @@
                 taskExecution.checkpoint = saved->second;
             if (const auto failed = progress->failures.find(index); failed != progress->failures.end())
                 taskExecution.run = *failed->second.rbegin();
+            if (const auto crashed = progress->crashes.find(index); crashed != progress->crashes.end())
+                taskExecution.run = std::max(taskExecution.run, *crashed->second.rbegin());
         }
         stepExecution.done += taskExecution.stage == TaskStage::Done ? 1 : 0;
         stepExecution.waiting += taskExecution.stage == TaskStage::Waiting ? 1 : 0;
@@ -143,6 +145,14 @@
     return stepExecution && task.index < stepExecution->tasks.size() ? &stepExecution->tasks[task.index] : nullptr;
 }
 
+const TaskExecution* JobExecution::taskExecution(const TaskId& task) const
+{
+    if (task.step >= this->definition().steps.size())
+        return nullptr;
+    const auto found = this->stepExecutions.find(this->stepExecutionNumber(task.occurrence, task.step));
+    return found != this->stepExecutions.end() && task.index < found->second.tasks.size() ? &found->second.tasks[task.index] : nullptr;
+}
+
 void JobExecution::setStage(const TaskId& task, TaskStage stage, Instant now)
 {
     StepExecution* stepExecution = this->stepExecution(task.occurrence, task.step);
@@ -191,6 +201,23 @@
     return true;
 }
 
+bool JobExecution::countCrash(const TaskId& suspect, std::uint64_t run)
+{
+    if (!this->progressOf(suspect.occurrence, suspect.step).crashes[suspect.index].insert(run).second)
+        return false;
+    this->incrementGeneration();
+    if (TaskExecution* taskExecution = this->taskExecution(suspect))
+        taskExecution->crashGeneration = this->generation();
+    return true;
+}
+
+void JobExecution::acquit(const TaskId& task)
+{
+    TaskExecution* taskExecution = this->definition().steps[task.step].isGang ? nullptr : this->taskExecution(task);
+    if (taskExecution)
+        taskExecution->acquittedCrashes += this->suspectedCrashes(task);
+}
+
 void JobExecution::updateCheckpoint(const TaskId& task, const std::string& checkpoint)
 {
     TaskExecution* taskExecution = this->taskExecution(task);
@@ -213,6 +240,26 @@
     return found == progress->failures.end() ? 0 : static_cast<std::uint32_t>(found->second.size());
 }
 
+TaskId JobExecution::crashSuspectOf(const TaskId& task) const
+{
+    TaskId suspect = task;
+    if (this->definition().steps[task.step].isGang)
+        suspect.index = 0;
+    return suspect;
+}
+
+std::uint32_t JobExecution::suspectedCrashes(const TaskId& suspect) const
+{
+    const StepProgress* progress = this->findProgress(suspect.occurrence, suspect.step);
+    if (!progress || progress->crashes.empty())
+        return 0;
+    const auto found = progress->crashes.find(suspect.index);
+    if (found == progress->crashes.end())
+        return 0;
+    const TaskExecution* taskExecution = this->taskExecution(suspect);
+    return static_cast<std::uint32_t>(found->second.size()) - (taskExecution ? taskExecution->acquittedCrashes : 0);
+}
+
 bool JobExecution::isDone(const TaskId& task) const
 {
     const StepProgress* progress = this->findProgress(task.occurrence, task.step);
@@ -263,6 +310,8 @@
         }
         for (const auto& [index, failures] : stepProgress.failures)
             this->progressOf(task.occurrence, task.step).failures[index].insert(failures.begin(), failures.end());
+        for (const auto& [index, crashes] : stepProgress.crashes)
+            this->progressOf(task.occurrence, task.step).crashes[index].insert(crashes.begin(), crashes.end());
     }
     if (isFinal(other.phase)) {
         this->currentProgress.phase = other.phase;
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -55,6 +55,8 @@
     Instant yieldingSince; // since when a long-running task leaves available room to short tasks; default: it does not
     Instant nextSearchAt; // no search for a worker before this, after one whose failure says nothing about other tasks
     bool isRunGivenUp { false }; // the last run was given up without a report of its worker
+    std::uint64_t crashGeneration { 0 }; // JobExecution::generation() that contains the last crash attributed to the task
+    std::uint32_t acquittedCrashes { 0 }; // crashes attributed to earlier runs than one that has settled
     WorkerId lastFailedWorker; // worker of the last failed run; empty: none
     int speedPercent { 0 }; // as last reported by the worker
 };
@@ -91,6 +93,7 @@
 
     // taskExecution() returns the task, or null if its step is not open.
     TaskExecution* taskExecution(const TaskId& task);
+    const TaskExecution* taskExecution(const TaskId& task) const;
 
     // setStage() changes the stage of a task of an open step and updates the counts of waiting tasks.
     void setStage(const TaskId& task, TaskStage stage, Instant now);
@@ -105,6 +108,11 @@
     // more than once.
     bool countFailure(const TaskId& task, std::uint64_t run);
 
+    // countCrash() records a crash of the worker of a run, of a suspect as crashSuspectOf() names it. It returns false if this run
+    // was counted already. acquit() records that a run of the task has settled; it has no effect on a gang.
+    bool countCrash(const TaskId& suspect, std::uint64_t run);
+    void acquit(const TaskId& task);
+
     // updateCheckpoint() stores the most recent checkpoint of a task for its next run. It has no effect if `checkpoint` is
     // empty, or if the task is done or its step is not open.
     void updateCheckpoint(const TaskId& task, const std::string& checkpoint);
@@ -112,6 +120,12 @@
     // failures() returns the number of failed runs of the task.
     std::uint32_t failures(const TaskId& task) const;
 
+    // crashSuspectOf() returns the task that stands for `task` where crashes are counted: the first one of its gang, or itself.
+    TaskId crashSuspectOf(const TaskId& task) const;
+
+    // suspectedCrashes() returns the number of crashes attributed to a suspect since a run of it has settled.
+    std::uint32_t suspectedCrashes(const TaskId& suspect) const;
+
     // isDone() returns true if the task is recorded as done.
     bool isDone(const TaskId& task) const;
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -36,6 +36,8 @@
             return false;
         if (!request.rack.empty() && worker.entry.rack != request.rack)
             return false;
+        if (request.admits && !request.admits(worker))
+            return false;
         if (worker.entry.id == request.avoidedWorker || (request.avoidsFailingWorkers && worker.consecutiveFailures > 0))
             return false;
         return step.maxPerWorker == 0 || !request.countRunsOfStep || request.countRunsOfStep(worker.entry.id) < step.maxPerWorker;
@@ -90,6 +92,7 @@
     allocation.image = step.image;
     allocation.isLongRunning = step.isLongRunning;
     allocation.isCheckpointing = step.isCheckpointing;
+    allocation.isGang = step.isGang;
     allocation.isEvictable = !step.isGang && !step.isBestEffort && step.disruptionBudget == 0;
     allocation.bestEffortMillicores = step.isBestEffort ? step.need.millicores : 0;
     return allocation;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -27,6 +27,8 @@
     bool mayIgnoreDataLocality { true }; // may run outside the rack that holds its data
     std::string rack; // the only rack allowed; empty: any
     std::function<std::uint32_t(const WorkerId&)> countRunsOfStep; // on a worker, for StepDefinition::maxPerWorker; may be empty
+    std::function<bool(const FleetWorker&)> admits {}; // whether the task may be placed on a worker, apart from the rest; empty: on all
+    bool isCrashSuspect { false }; // its failure to find a worker says nothing about other tasks
 };
 
 // needOf() is what a task of `step` reserves of a worker's capacity. A best-effort task reserves no processor.
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -174,6 +174,9 @@
     CellReconciled, // every run of former leaders is accounted for, so that tasks may be started again
     EndIgnored, // a worker reported the end of a run of a job that is not in execution here
     CancellationsChecked, // the change feed is late, and the cancellations of running jobs were read from the store
+    WorkerCrashed, // another incarnation has answered where a worker was
+    TaskSuspected, // the crash of a worker is attributed to a run
+    TaskGivenUp,
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -203,8 +206,11 @@
     { DecisionEvent::CellReconciled, "cell-reconciled" },
     { DecisionEvent::EndIgnored, "end-ignored" },
     { DecisionEvent::CancellationsChecked, "cancellations-checked" },
+    { DecisionEvent::WorkerCrashed, "worker-crashed" },
+    { DecisionEvent::TaskSuspected, "task-suspected" },
+    { DecisionEvent::TaskGivenUp, "task-given-up" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::CancellationsChecked));
+static_assert(decisionEventNames.isWhole(DecisionEvent::TaskGivenUp));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -219,6 +225,8 @@
     HasAnswered, // 1: the worker has answered this leader
     EndNumber,
     CancelledJobs,
+    Suspects, // runs to which the crash of a worker is attributed
+    Crashes, // attributed to the task
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -233,8 +241,10 @@
     { DecisionInput::HasAnswered, "hasAnswered" },
     { DecisionInput::EndNumber, "endNumber" },
     { DecisionInput::CancelledJobs, "cancelled" },
+    { DecisionInput::Suspects, "suspects" },
+    { DecisionInput::Crashes, "crashes" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::CancelledJobs));
+static_assert(decisionInputNames.isWhole(DecisionInput::Crashes));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -59,11 +59,15 @@
 // can be reported in any order and more than once.
 using TaskFailures = std::set<std::uint64_t>;
 
+// TaskCrashes contains the numbers of the runs of one task to which a crash of their worker was attributed.
+using TaskCrashes = std::set<std::uint64_t>;
+
 // StepProgress is the recorded progress of one step in one occurrence.
 struct StepProgress {
     std::vector<bool> done {}; // by index of the task
     std::map<std::uint32_t, TaskFailures> failures {}; // by index of the task; only tasks with failures
     std::map<std::uint32_t, std::string> checkpoints {}; // by index of the task; of runs that were lost or stopped
+    std::map<std::uint32_t, TaskCrashes> crashes {}; // by index of the task, of a gang by that of its first one; only tasks with crashes
 
     bool operator==(const StepProgress&) const = default;
 };
