scheduling: crashes are attributed by when the contact was lost, also after the lease

The connection to a worker breaks when its process ends, so that a run that had been confirmed for 500 ms by then is no suspect. Where the poll timed out, the moment is not known and all unsettled runs stay suspects.

DeadlyTask_leaderChangesDuringEachOutage_jobFailsWithinBudget returned to a host of the fixture that had been stopped while its polls were in flight, whose ends the fixture drops, so that it never polled again and started nothing. The third leader is another host now; the bound is the same.

--- a/packages/scheduling/crash_suspects.cc
+++ b/packages/scheduling/crash_suspects.cc
@@ -1,6 +1,7 @@
 #include "scheduling/crash_suspects.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dragonflytray {
 
@@ -50,8 +51,25 @@
     this->isolations[worker] = { suspect, now + this->options.reservationTimeout };
 }
 
+void CrashSuspects::keepLapsed(const FleetWorker& worker, Instant now)
+{
+    std::vector<TaskRunId> runs = this->suspectsOn(worker);
+    if (!runs.empty())
+        this->lapsed.push_back({ worker.entry.id, worker.entry.endpoint, std::move(runs), now });
+}
+
+std::vector<CrashSuspects::LapsedRuns> CrashSuspects::takeLapsed(const FleetWorker& worker)
+{
+    const auto isOther = [&](const LapsedRuns& entry) { return entry.worker != worker.entry.id && entry.endpoint != worker.entry.endpoint; };
+    const auto taken = std::stable_partition(this->lapsed.begin(), this->lapsed.end(), isOther);
+    std::vector<LapsedRuns> result(std::make_move_iterator(taken), std::make_move_iterator(this->lapsed.end()));
+    this->lapsed.erase(taken, this->lapsed.end());
+    return result;
+}
+
 void CrashSuspects::releaseWorkers(Fleet& fleet, Instant now)
 {
+    std::erase_if(this->lapsed, [&](const LapsedRuns& entry) { return now >= entry.since + this->options.lapsedRunsTimeout; });
     std::erase_if(this->isolations, [&](const auto& entry) {
         const auto& [id, isolation] = entry;
         if (now < isolation.reservedUntil)
@@ -85,11 +103,13 @@
     return reserved == 0 || static_cast<double>(reserved + 1) <= this->options.maxReservedShare * static_cast<double>(workers);
 }
 
-std::vector<TaskRunId> CrashSuspects::unsettledRuns(const FleetWorker& worker)
+std::vector<TaskRunId> CrashSuspects::suspectsOn(const FleetWorker& worker) const
 {
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
-        if (!allocation.isSettled)
+        // The connection to a worker breaks when its process ends.
+        const bool hasOutlivedWindow = worker.isSuspect && allocation.firstConfirmedAt != Instant() && worker.contactLostAt >= allocation.firstConfirmedAt + this->options.crashWindow;
+        if (!allocation.isSettled && !hasOutlivedWindow)
             runs.push_back(run);
     }
     return runs;
--- a/packages/scheduling/crash_suspects.h
+++ b/packages/scheduling/crash_suspects.h
@@ -9,7 +9,7 @@
 //
 // Example:
 //
-//     for (const TaskRunId& run : CrashSuspects::unsettledRuns(worker)) { ... }
+//     for (const TaskRunId& run : crashSuspects.suspectsOn(worker)) { ... }
 //     crashSuspects.isolate(worker.entry.id, suspect);
 //     if (crashSuspects.admits(worker, { .suspect = task, .isSuspect = false })) { ... }
 
@@ -24,6 +24,7 @@
         Duration crashWindow { std::chrono::milliseconds(500) }; // after the confirmation of a start, in which the run may crash its worker
         std::uint32_t maxCrashes { 2 }; // attributed to a task, after which it is given up
         Duration reservationTimeout { std::chrono::seconds(3) }; // for which a worker is kept for a suspect until its other runs are settled
+        Duration lapsedRunsTimeout { std::chrono::seconds(60) }; // for which the suspects on a silent worker are kept after its lease
         double maxReservedShare { 0.25 }; // of the workers; at least one may be reserved
     };
 
@@ -33,6 +34,15 @@
         bool isSuspect { false }; // a crash was attributed to it
     };
 
+    // LapsedRuns is the suspects on a worker whose lease has lapsed. Whether it has crashed is known only once it, or another
+    // worker at its address, answers again.
+    struct LapsedRuns {
+        WorkerId worker;
+        Endpoint endpoint;
+        std::vector<TaskRunId> runs;
+        Instant since;
+    };
+
     explicit CrashSuspects(Options options);
 
     // Commands.
@@ -46,7 +56,13 @@
     void isolate(const WorkerId& worker, const TaskId& suspect);
     void reserve(const WorkerId& worker, const TaskId& suspect, Instant now);
 
-    // releaseWorkers() ends the isolation of workers whose suspect is settled, has ended, or was not started in time.
+    // keepLapsed() keeps the suspects on a worker when its lease has lapsed. takeLapsed() removes and returns what was kept of
+    // workers with the id or at the address of this one, which has answered.
+    void keepLapsed(const FleetWorker& worker, Instant now);
+    std::vector<LapsedRuns> takeLapsed(const FleetWorker& worker);
+
+    // releaseWorkers() ends the isolation of workers whose suspect is settled, has ended, or was not started in time, and drops
+    // lapsed runs after Options::lapsedRunsTimeout.
     void releaseWorkers(Fleet& fleet, Instant now);
 
     // Queries.
@@ -62,8 +78,9 @@
     bool hasReservation(const TaskId& suspect) const;
     bool mayReserve(std::size_t workers) const;
 
-    // unsettledRuns() is the runs of a worker that are not settled.
-    static std::vector<TaskRunId> unsettledRuns(const FleetWorker& worker);
+    // suspectsOn() is the runs that may have crashed a worker: those that are not settled and had not run for Options::crashWindow
+    // when the contact was lost.
+    std::vector<TaskRunId> suspectsOn(const FleetWorker& worker) const;
 
     const Options& settings() const { return this->options; }
 
@@ -75,6 +92,7 @@
 
     Options options;
     std::map<WorkerId, Isolation> isolations;
+    std::vector<LapsedRuns> lapsed;
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/crash_suspects_test.cc
+++ b/packages/scheduling/crash_suspects_test.cc
@@ -50,7 +50,7 @@
     const TaskRunId run = this->addRun(0);
     this->now += this->options.crashWindow - std::chrono::milliseconds(1);
     CHECK(this->report().empty());
-    CHECK(CrashSuspects::unsettledRuns(this->worker()) == std::vector<TaskRunId> { run });
+    CHECK(this->suspects.suspectsOn(this->worker()) == std::vector<TaskRunId> { run });
 }
 
 TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_reportAfterWindow_onlyReportedRunsAreSettled")
@@ -59,7 +59,34 @@
     this->now += this->options.crashWindow;
     const TaskRunId newer = this->addRun(1);
     CHECK(this->report() == std::vector<TaskRunId> { older });
-    CHECK(CrashSuspects::unsettledRuns(this->worker()) == std::vector<TaskRunId> { newer });
+    CHECK(this->suspects.suspectsOn(this->worker()) == std::vector<TaskRunId> { newer });
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_contactLostAfterWindow_runIsNoSuspect")
+{
+    const TaskRunId older = this->addRun(0);
+    this->now += this->options.crashWindow;
+    const TaskRunId newer = this->addRun(1);
+    this->worker().isSuspect = true;
+    CHECK(this->suspects.suspectsOn(this->worker()) == std::vector<TaskRunId> { older, newer });
+    this->worker().contactLostAt = this->now;
+    CHECK(this->suspects.suspectsOn(this->worker()) == std::vector<TaskRunId> { newer });
+}
+
+TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_leaseOfWorkerLapsed_suspectsAreKeptUntilItsAddressAnswers")
+{
+    const TaskRunId run = this->addRun(0);
+    this->suspects.keepLapsed(this->worker(), this->now);
+    FleetWorker other;
+    other.entry.id = WorkerId("w2");
+    other.entry.endpoint = { "127.0.0.1", 2 };
+    CHECK(this->suspects.takeLapsed(other).empty());
+    other.entry.endpoint = this->worker().entry.endpoint;
+    const auto taken = this->suspects.takeLapsed(other);
+    REQUIRE(taken.size() == 1);
+    CHECK(taken.front().worker == WorkerId("w1"));
+    CHECK(taken.front().runs == std::vector<TaskRunId> { run });
+    CHECK(this->suspects.takeLapsed(other).empty());
 }
 
 TEST_CASE_METHOD(CrashSuspectsFixture, "CrashSuspects_workerHasUnsettledRun_admitsNoSuspect")
--- a/packages/scheduling/deadly_task_test.cc
+++ b/packages/scheduling/deadly_task_test.cc
@@ -171,7 +171,7 @@
         this->runWatched({ "a" }, tickInterval);
     while (this->crashingRuns.size() < 2)
         this->runWatched({ "b" }, tickInterval);
-    this->runWatched({ "a" }, std::chrono::seconds(60));
+    this->runWatched({ "c" }, std::chrono::seconds(60));
     CHECK(this->crashesBy(deadlyJob) < 6);
     CHECK(this->phaseOf(deadlyJob) == JobPhase::Failed);
 }
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -264,9 +264,11 @@
 
     // Crashes of workers. crashSuspectsOn() returns the runs that may have crashed a worker, before these are given up;
     // attributeCrash() counts the crash against their tasks, and giveUp() fails the job of a task that has crashed too many.
-    // settleRuns() acquits suspects. admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true
+    // attributeLapsedRuns() does so for runs that were given up before the worker answered again. settleRuns() acquits suspects. admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true
     // if one is kept for a suspect. A suspect starts again only once isCrashRecorded().
     std::vector<TaskRunId> crashSuspectsOn(const FleetWorker& worker, const PollEnded& end);
+    std::vector<TaskRunId> crashSuspectsAmong(std::vector<TaskRunId> runs);
+    void attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, CommandContext& context);
     void attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context);
     void giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context);
     void settleRuns(FleetWorker& worker, const PollEnded& end);
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -17,8 +17,11 @@
             continue;
         }
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
-        if (isLeaseExpired && !worker.runs.empty())
+        if (isLeaseExpired && !worker.runs.empty()) {
+            if (!worker.entry.isDraining)
+                this->crashSuspects.keepLapsed(worker, context.now);
             this->markRunsLost(worker, RunLossCause::LeaseLapsed, context);
+        }
         if (worker.isForgettable(context.now)) {
             this->logWorkerGone(worker, cell->second, context);
             removedWorkers.push_back(id);
@@ -70,6 +73,7 @@
         call.wait = this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
     if (this->crashSuspects.isIsolated(worker.entry.id))
         call.wait = std::min(call.wait, this->options.crashes.crashWindow);
+    worker.polledWait = call.wait;
     worker.isPollInFlight = true;
     worker.polledEndpoint = call.to.endpoint;
     context.add(std::move(call));
--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -15,18 +15,33 @@
 {
     if (worker.entry.isDraining)
         return {}; // it has left as announced
-    std::vector<TaskRunId> suspects = CrashSuspects::unsettledRuns(worker);
-    std::erase_if(suspects, [&](const TaskRunId& run) {
-        const bool isReported = std::any_of(end.running.begin(), end.running.end(), [&](const RunningTask& running) { return running.id == run; })
+    std::vector<TaskRunId> runs = this->crashSuspects.suspectsOn(worker);
+    std::erase_if(runs, [&](const TaskRunId& run) {
+        return std::any_of(end.running.begin(), end.running.end(), [&](const RunningTask& running) { return running.id == run; })
             || std::any_of(end.ended.begin(), end.ended.end(), [&](const EndedRun& ended) { return ended.id == run; });
+    });
+    return this->crashSuspectsAmong(std::move(runs));
+}
+
+std::vector<TaskRunId> Dispatcher::crashSuspectsAmong(std::vector<TaskRunId> runs)
+{
+    std::erase_if(runs, [&](const TaskRunId& run) {
         JobExecution* job = this->findJobExecution(run.task.job);
-        return isReported || !job || isFinal(job->progress().phase) || !job->taskExecution(run.task);
+        return !job || isFinal(job->progress().phase) || !job->taskExecution(run.task) || job->isDone(run.task);
     });
     // A task that was a suspect before explains the crash.
     const auto wasSuspect = [&](const TaskRunId& run) { return isCrashSuspect(*this->findJobExecution(run.task.job), run.task); };
-    if (std::any_of(suspects.begin(), suspects.end(), wasSuspect))
-        std::erase_if(suspects, [&](const TaskRunId& run) { return !wasSuspect(run); });
-    return suspects;
+    if (std::any_of(runs.begin(), runs.end(), wasSuspect))
+        std::erase_if(runs, [&](const TaskRunId& run) { return !wasSuspect(run); });
+    return runs;
+}
+
+void Dispatcher::attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, CommandContext& context)
+{
+    for (const CrashSuspects::LapsedRuns& lapsed : this->crashSuspects.takeLapsed(worker)) {
+        if (isOtherIncarnation || lapsed.worker != worker.entry.id)
+            this->attributeCrash(worker, this->crashSuspectsAmong(lapsed.runs), context);
+    }
 }
 
 void Dispatcher::attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context)
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -2,6 +2,8 @@
 
 #include "scheduling/dispatcher.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
 void Dispatcher::pollEnded(const PollEnded& end, CommandContext& context)
@@ -53,6 +55,7 @@
         worker.forgottenEnd = 0;
         worker.unacknowledgedEnds.clear();
     }
+    this->attributeLapsedRuns(worker, isOtherStart || isClockReset, context);
     worker.forgottenEnd = std::max(worker.forgottenEnd, std::min(worker.polledAcknowledged, worker.acknowledged));
     if (end.startedAt != 0)
         worker.answeredStartedAt = end.startedAt;
@@ -83,6 +86,7 @@
         const std::vector<TaskRunId> suspects = this->crashSuspectsOn(worker, end);
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
         this->attributeCrash(worker, suspects, context);
+        this->attributeLapsedRuns(worker, true, context);
         worker.isListed = false;
         this->accountForWorker(worker);
         worker.leaseEnd = context.now;
@@ -93,6 +97,10 @@
         worker.leaseEnd = worker.leaseEndBeforePoll;
     if (!worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - worker.lastAnswer) });
+    if (!worker.isSuspect) {
+        const bool isConnectionBroken = context.now <= end.sentAt + std::max(worker.polledWait, this->options.crashes.crashWindow);
+        worker.contactLostAt = isConnectionBroken ? context.now : Instant();
+    }
     worker.isSuspect = true;
     worker.nextPollAt = context.now + this->options.pollRetryDelay;
 }
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -111,6 +111,8 @@
     Instant lastAnswer;
     Instant answeredPollSentAt; // when the poll of the last answer was sent
     bool isSuspect { false }; // the last poll had no answer
+    Instant contactLostAt; // when the connection of the first poll without an answer broke; zero: it timed out
+    Duration polledWait { 0 }; // for which the worker may delay its answer to the last poll
     Instant cooldownUntil; // no task is placed on the worker before
     std::uint32_t consecutiveFailures { 0 }; // failed runs since the last one that succeeded
     std::uint64_t reportCount { 0 }; // reports handled so far
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -191,7 +191,7 @@
 
 SimulatedWorker& SchedulerFixture::addWorker(const std::string& id, std::int64_t cores)
 {
-    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", 1 }, .dataCentre = dataCentre, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = this->workerStartTime };
+    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", static_cast<std::uint16_t>(this->workers.size() + 1) }, .dataCentre = dataCentre, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = this->workerStartTime };
     return this->workers.try_emplace(entry.id, entry, this->now).first->second;
 }
 
@@ -230,7 +230,9 @@
     this->crashed.erase(id);
     this->replaced.insert(id);
     this->workers.at(id).unlist(this->now);
-    SimulatedWorker& worker = this->addWorker(successor, this->workers.at(id).entry().capacity.millicores / 1000);
+    ListedWorker entry = this->workers.at(id).entry();
+    entry.id = WorkerId(successor);
+    SimulatedWorker& worker = this->workers.try_emplace(entry.id, entry, this->now).first->second;
     worker.unlist(Instant());
     worker.list(this->now);
 }
