--- a/packages/scheduling/crash_suspects_test.cc
+++ b/packages/scheduling/crash_suspects_test.cc
@@ -23,7 +23,7 @@
         // addRun() adds a run whose start is confirmed.
         TaskRunId addRun(std::uint32_t index)
         {
-            const TaskRunId run { taskOf(index), 1 };
+            TaskRunId run { taskOf(index), 1 };
             this->fleet.allocate(this->worker(), run, { .need = { 1000, 0, 0 }, .firstConfirmedAt = this->now, .lastConfirmedAt = this->now });
             return run;
         }
