scheduling: a new leader counts the deadlines of jobs from their acceptance

Callers saw jobs that were accepted after a change of the leader wait behind jobs that were late already: with each change the objective of every open job began anew, so that late jobs counted as on time.

--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -28,7 +28,7 @@
     return longest;
 }
 
-JobExecution::JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant now)
+JobExecution::JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant acceptedAt)
     : record(&record)
     , epoch(epoch)
     , mayHaveFormerRuns(mayHaveFormerRuns)
@@ -40,8 +40,8 @@
     const QueueRule& queue = record.definition.queue;
     const auto criticalPath = std::chrono::duration<double, std::nano>(criticalPathOf(record.definition));
     const auto objective = std::chrono::duration_cast<Duration>(criticalPath * queue.slackFactor) + queue.targetLatency;
-    this->objectiveDeadline = now + objective;
-    this->lateDeadline = now + lateDeadlineFactor * objective;
+    this->objectiveDeadline = acceptedAt + objective;
+    this->lateDeadline = acceptedAt + lateDeadlineFactor * objective;
     this->slack = std::max(objective - criticalPathOf(record.definition), Duration(0));
 }
 
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -5,7 +5,7 @@
 //
 // Example:
 //
-//     JobExecution execution(record, epoch, mayHaveFormerRuns, now);
+//     JobExecution execution(record, epoch, mayHaveFormerRuns, acceptedAt);
 //     execution.openDueSteps(wallTime, now);
 //     for (auto& [number, stepExecution] : execution.openSteps()) { ... }
 
@@ -74,8 +74,8 @@
 class JobExecution {
 public:
     // The constructor continues from the recorded progress. With `mayHaveFormerRuns`, which is for jobs that were accepted
-    // under an earlier leader, tasks begin as Unaccounted until reconcile() is called.
-    JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant now);
+    // under an earlier leader, tasks begin as Unaccounted until reconcile() is called. The deadlines count from `acceptedAt`.
+    JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant acceptedAt);
 
     // openDueSteps() opens every step whose occurrence is due and whose preceding steps are done. It returns the time at
     // which the next occurrence is due, or nothing if all are.
--- a/packages/scheduling/planned_stop_test.cc
+++ b/packages/scheduling/planned_stop_test.cc
@@ -126,6 +126,26 @@
         CHECK(this->begunRuns[index].start.call.run.task.job.value() == waitingJob);
 }
 
+TEST_CASE_METHOD(PlannedStopFixture, "Takeover_lateJobWaitsBesideNewOne_newOneIsStartedFirst", "[takeover]")
+{
+    const std::string lateJob = "00000000000000a3";
+    const std::string newJob = "00000000000000a4";
+    this->run({ "a" }, std::chrono::seconds(7));
+    REQUIRE(this->runningOf(waitingJob).size() == 8);
+    this->submitTasks(lateJob, 4);
+    this->run({ "a" }, std::chrono::seconds(5));
+    this->stopLeader();
+    while (this->leader() != "b")
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    REQUIRE(this->submit("b", newJob, { stepOfTasks(4, 4) }) == ReplyStatus::Accepted);
+    this->run({ "b" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf(lateJob).empty());
+    REQUIRE(this->runningOf(newJob).empty());
+    this->addWorker("w3", 16).list(this->now);
+    this->run({ "b" }, std::chrono::seconds(1));
+    CHECK(this->runningOf(newJob).size() == 4);
+}
+
 TEST_CASE_METHOD(PlannedStopFixture, "PlannedStop_eachLeaderStopsSoon_waitingTasksAreStarted", "[takeover]")
 {
     this->leaveFirstWorker();
