--- a/packages/scheduling/long_running_yield_test.cc
+++ b/packages/scheduling/long_running_yield_test.cc
@@ -93,6 +93,22 @@
     CHECK(execution.absentSince == Instant());
 }
 
+TEST_CASE_METHOD(YieldFixture, "LongRunningTask_absentForLong_isStartedBeforeShortTasks")
+{
+    REQUIRE(this->submit("a", id.value(), { longRunningStep() }) == ReplyStatus::Accepted);
+    this->addWorker("w2", 4).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(5));
+    REQUIRE(this->runningOf(id.value()).size() == 1);
+    this->crashWorker(WorkerId("w2"));
+    this->workers.at(WorkerId("w2")).unlist(this->now);
+    this->run({ "a" }, std::chrono::seconds(9)); // its lease expires after 5 s
+    this->addWorker("w3", 4).list(this->now);
+    for (int job = 0; job < 20; ++job)
+        (void)this->submit("a", std::to_string(++this->lastShortJob), { stepOfTasks(1, 4) });
+    this->run({ "a" }, std::chrono::seconds(2));
+    CHECK(this->runningOf(id.value()).size() == 1);
+}
+
 TEST_CASE_METHOD(YieldFixture, "Takeover_longRunningTaskWaitsBesideShortTasks_doesNotYieldAnew", "[takeover]")
 {
     REQUIRE(this->submit("a", id.value(), { longRunningStep() }) == ReplyStatus::Accepted);
