--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -264,8 +264,9 @@
 
     // Crashes of workers. crashSuspectsOn() returns the runs that may have crashed a worker, before these are given up;
     // attributeCrash() counts the crash against their tasks, and giveUp() fails the job of a task that has crashed too many.
-    // attributeLapsedRuns() does so for runs that were given up before the worker answered again. settleRuns() acquits suspects. admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true
-    // if one is kept for a suspect. A suspect starts again only once isCrashRecorded().
+    // attributeLapsedRuns() does so for runs that were given up before the worker answered again. settleRuns() acquits suspects.
+    // admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true if one is kept for a suspect. A
+    // suspect starts again only once isCrashRecorded().
     std::vector<TaskRunId> crashSuspectsOn(const FleetWorker& worker, const PollEnded& end);
     std::vector<TaskRunId> crashSuspectsAmong(std::vector<TaskRunId> runs);
     void attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, CommandContext& context);
@@ -278,7 +279,8 @@
     bool reserveWorker(JobExecution& job, const TaskId& task, Instant now);
 
     // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
-    // holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the long-running tasks that wait or are being stopped.
+    // holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the long-running tasks that
+    // wait or are being stopped.
     class PlannedRoom;
     void evacuateWorkers(CommandContext& context);
     void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
@@ -317,12 +319,13 @@
 
     // Runs of former leaders. A cell is reconciled when all workers on which any task may run are fenced and the store is followed
     // beyond that, or when the leases of former leaders have expired. Then tasks may be started that have no known run and are not
-    // in Cell::formerRuns. accountForWorker() records that the runs on a worker are known.
+    // in Cell::formerRuns. accountForWorker() records that the runs on a worker are known, accountForTasks() applies what is left
+    // in Cell::formerRuns to the jobs.
     void accountForWorker(FleetWorker& worker);
+    void accountForTasks(const CellName& name, const Cell& cell, Instant now);
     // boundLease() sets FleetWorker::reportedLease for a report that closes the worker, or takes it back. Leases are bounded on workers
     // that don't answer for a while or, when this leader hands over, that may be gone.
     void boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const;
-    void accountForTasks(const CellName& name, const Cell& cell, Instant now);
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
