--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -46,6 +46,8 @@
 
 void Dispatcher::attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context)
 {
+    if (suspects.empty() && worker.entry.isDraining)
+        return;
     LogDecision crashed { DecisionEvent::WorkerCrashed, worker.entry.id.value(), {}, "other-incarnation", this->addressOf(worker).epoch, toMilliseconds(context.now - worker.lastAnswer) };
     crashed.inputs = { { DecisionInput::Suspects, static_cast<std::int64_t>(suspects.size()) } };
     context.add(std::move(crashed));
