scheduling: only jobs of former leaders count their age by the clock of another host

A leader whose clock is ahead would have taken new jobs for older than they are, and started them after others. Found on reading; Takeover_lateJobWaitsBesideNewOne_newOneIsStartedFirst guards the case of former jobs.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -114,8 +114,9 @@
     if (!record.isDefined() || isFinal(record.progress.phase))
         return;
     const bool mayHaveRuns = record.definitionVersion < cell.acquiredAt && !cell.isReconciled;
-    // The times of a repeated job are due long after it was accepted.
-    const WallTime age = record.definition.repetitions == 0 ? std::max<WallTime>(context.wallTime - record.definition.acceptedAt, 0) : 0;
+    // The time of acceptance is from the clock of another host, so it counts only where the job was not seen at once; the times of a
+    // repeated job are due long after it.
+    const WallTime age = mayHaveRuns && record.definition.repetitions == 0 ? std::max<WallTime>(context.wallTime - record.definition.acceptedAt, 0) : 0;
     auto execution = std::make_unique<JobExecution>(record, cell.epoch, mayHaveRuns, context.now - std::chrono::milliseconds(age));
     JobExecution& job = *execution;
     this->jobExecutions[record.definition.id] = std::move(execution);
