dispatch: starts are decided only while they can be delivered

Callers on small hosts got nothing: with a leader behind a link of 2 Mbit/s every start was decided at once, waited behind the others without bound, expired or arrived too late, and was decided again, while the polls that extend leases waited behind them.

DeliveryWindow (packages/dispatch, pure) bounds the bytes of starts under way to all workers by their measured time of delivery; the dispatcher decides a start only if the window has room. Calls to one worker wait in a bounded lane in the order stop, start, speed, and a newer speed of a run replaces one that waits: CallLane instead of an unbounded queue.

What is left is the capacity of the link.

--- a/packages/entry/duties/worker_call_duty.cc
+++ b/packages/entry/duties/worker_call_duty.cc
@@ -35,44 +35,55 @@
 
 void WorkerCallDuty::perform(const StartTask& call)
 {
-    this->enqueue({ { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call), call.expiresAt });
+    this->enqueue(CallImportance::Start, { { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call), call.expiresAt });
 }
 
 void WorkerCallDuty::perform(const StopTask& call)
 {
-    this->enqueue({ { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call), {} });
+    this->enqueue(CallImportance::Stop, { { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call), {} });
 }
 
 void WorkerCallDuty::perform(const SetTaskSpeed& call)
 {
-    this->enqueue({ { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call), {} });
+    this->enqueue(CallImportance::Speed, { { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call), {} });
 }
 
-void WorkerCallDuty::enqueue(TaskCall call)
+void WorkerCallDuty::enqueue(CallImportance importance, TaskCall call)
 {
-    Lane& lane = this->lanes[call.endpoint];
-    lane.waiting.push_back(std::move(call));
-    this->advance(lane);
+    const Endpoint endpoint = call.endpoint;
+    const TaskRunId run = call.end.run;
+    Lane& lane = this->lanes.try_emplace(endpoint, Lane::Options { .maxInFlight = callsInFlight }).first->second;
+    if (auto dropped = lane.push(importance, run, std::move(call)))
+        this->endUnsent(std::move(*dropped), WorkerCallStatus::NotSent);
+    this->advance(endpoint);
 }
 
-void WorkerCallDuty::advance(Lane& lane)
+void WorkerCallDuty::advance(const Endpoint& endpoint)
 {
-    while (lane.inFlight < callsInFlight && !lane.waiting.empty()) {
-        TaskCall call = std::move(lane.waiting.front());
-        lane.waiting.pop_front();
-        if (call.expiresAt && BootClock::now() >= *call.expiresAt) {
-            call.end.status = WorkerCallStatus::Expired;
-            this->outbox.send(std::move(call.end));
+    const auto lane = this->lanes.find(endpoint);
+    if (lane == this->lanes.end())
+        return;
+    while (auto call = lane->second.next()) {
+        if (call->expiresAt && BootClock::now() >= *call->expiresAt) {
+            lane->second.ended();
+            this->endUnsent(std::move(*call), WorkerCallStatus::Expired);
             continue;
         }
-        ++lane.inFlight;
-        this->client.send(call.endpoint, std::move(call.request), callTimeout, [this, &lane, end = call.end](HttpOutcome outcome) mutable {
+        this->client.send(endpoint, std::move(call->request), callTimeout, [this, endpoint, end = call->end](HttpOutcome outcome) mutable {
             end.status = this->protocol.decodeCall(outcome);
-            --lane.inFlight;
             this->outbox.send(std::move(end));
-            this->advance(lane);
+            this->lanes.at(endpoint).ended();
+            this->advance(endpoint);
         });
     }
+    if (lane->second.isIdle())
+        this->lanes.erase(lane);
+}
+
+void WorkerCallDuty::endUnsent(TaskCall call, WorkerCallStatus status)
+{
+    call.end.status = status;
+    this->outbox.send(std::move(call.end));
 }
 
 } // namespace dragonflytray
--- a/packages/entry/duties/worker_call_duty.h
+++ b/packages/entry/duties/worker_call_duty.h
@@ -2,8 +2,8 @@
 
 // The duty towards workers: it carries out polls, starts, stops and changes of speed.
 
+#include "dispatch/dispatch.h"
 #include "entry/outbox.h"
-#include <deque>
 #include <optional>
 
 namespace dragonflytray {
@@ -24,24 +24,23 @@
         HttpRequest request;
         std::optional<Instant> expiresAt; // the call is not sent after this
     };
-    // Lane holds the task calls to one endpoint.
-    struct Lane {
-        std::deque<TaskCall> waiting;
-        std::size_t inFlight { 0 };
-    };
+    using Lane = CallLane<TaskRunId, TaskCall>;
 
     void perform(const PollWorker& call);
     void perform(const StartTask& call);
     void perform(const StopTask& call);
     void perform(const SetTaskSpeed& call);
-    void enqueue(TaskCall call);
-    void advance(Lane& lane);
+    // enqueue() adds a call to the lane of its endpoint; a call that the lane drops ends as not sent. advance() sends what the lane
+    // allows.
+    void enqueue(CallImportance importance, TaskCall call);
+    void advance(const Endpoint& endpoint);
+    void endUnsent(TaskCall call, WorkerCallStatus status);
 
     const WorkerProtocol& protocol;
     IoLoop loop;
     Outbox outbox;
     HttpClient client;
-    std::map<Endpoint, Lane> lanes;
+    std::map<Endpoint, Lane> lanes; // that are not idle
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -14,6 +14,7 @@
     : options(options)
     , fleet(options.fleet, cellOf)
     , recorder(options.recorder)
+    , startWindow(options.startWindow)
     , bestEffortControl(options.bestEffort)
     , crashSuspects(options.crashes)
 {
@@ -56,6 +57,10 @@
 {
     this->acquiredCells.erase(cell);
     this->cells.erase(cell);
+    if (this->cells.empty()) {
+        this->startsUnderWay.clear();
+        this->startWindow.reset();
+    }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -16,6 +16,7 @@
 //     dispatcher.pollEnded(end, context);
 //     dispatcher.tick(context);
 
+#include "dispatch/dispatch.h"
 #include "scheduling/best_effort_control.h"
 #include "scheduling/cell_leadership.h"
 #include "scheduling/cell_roster.h"
@@ -63,6 +64,8 @@
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
         Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
+        DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is a quarter of startValidity
+        std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
         Duration unhealthyCooldown { std::chrono::milliseconds(1500) }; // of a worker that reported itself unhealthy, rejected a start or could not be reached
@@ -288,6 +291,8 @@
     void planAbsentTasks(JobExecution& job, const StepExecution& stepExecution, PlannedRoom& plannedRoom, Instant now);
 
     // Calls to workers.
+    // endDelivery() takes a start from those under way.
+    void endDelivery(const TaskCallEnded& end, CommandContext& context);
     void handleStartEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void handleStopEnded(FleetWorker& worker, const TaskCallEnded& end, CommandContext& context);
     void pollWorkers(CommandContext& context);
@@ -362,6 +367,13 @@
     Options options;
     Fleet fleet;
     Recorder recorder;
+    DeliveryWindow startWindow;
+    // StartUnderWay is a start whose call has not ended.
+    struct StartUnderWay {
+        std::size_t bytes { 0 };
+        Instant decidedAt;
+    };
+    std::map<TaskRunId, StartUnderWay> startsUnderWay;
     BestEffortControl bestEffortControl;
     CrashSuspects crashSuspects;
     JobExecutions jobExecutions;
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -102,8 +102,38 @@
     context.add(LogDecision { DecisionEvent::TaskStopped, formatRun(run), worker.entry.id.value(), cause, 0, 0 });
 }
 
+namespace {
+
+    DeliveryOutcome deliveryOutcomeOf(WorkerCallStatus status)
+    {
+        switch (status) {
+        case WorkerCallStatus::TooLate:
+        case WorkerCallStatus::Expired:
+            return DeliveryOutcome::Late;
+        case WorkerCallStatus::NotSent:
+        case WorkerCallStatus::Unclear:
+            return DeliveryOutcome::Unknown;
+        default:
+            return DeliveryOutcome::Delivered;
+        }
+    }
+
+} // namespace
+
+void Dispatcher::endDelivery(const TaskCallEnded& end, CommandContext& context)
+{
+    const auto start = this->startsUnderWay.find(end.run);
+    if (end.kind != TaskCallKind::Start || start == this->startsUnderWay.end())
+        return;
+    const bool hadRoom = this->startWindow.hasRoom();
+    this->startWindow.ended(start->second.bytes, deliveryOutcomeOf(end.status), context.now - start->second.decidedAt);
+    this->startsUnderWay.erase(start);
+    this->needsPass = this->needsPass || !hadRoom;
+}
+
 void Dispatcher::taskCallEnded(const TaskCallEnded& end, CommandContext& context)
 {
+    this->endDelivery(end, context);
     FleetWorker* worker = this->fleet.find(end.worker);
     const auto cell = worker ? this->cells.find(worker->cell) : this->cells.end();
     if (cell == this->cells.end() || cell->second.epoch != end.epoch)
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -94,8 +94,10 @@
     this->lastPass = context.now;
     this->crashSuspects.releaseWorkers(this->fleet, context.now);
     PlacementPass pass;
-    for (JobExecution* job : this->jobsInPlacementOrder(context.now)) {
-        if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass)
+    // What the window has no room for is decided later, when it can be delivered and by what is known then.
+    const std::vector<JobExecution*> jobs = this->startWindow.hasRoom() ? this->jobsInPlacementOrder(context.now) : std::vector<JobExecution*>();
+    for (JobExecution* job : jobs) {
+        if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass || !this->startWindow.hasRoom())
             break;
         for (auto& [number, stepExecution] : job->openSteps()) {
             if (stepExecution.waiting > 0)
@@ -119,7 +121,7 @@
     const StepDefinition& step = job.definition().steps[stepExecution.step];
     if (step.isGang)
         return this->placeGang(job, stepExecution, pass, context);
-    for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
+    for (std::uint32_t index = 0; index < stepExecution.tasks.size() && this->startWindow.hasRoom(); ++index) {
         const TaskExecution& taskExecution = stepExecution.tasks[index];
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
         if (taskExecution.stage != TaskStage::Waiting || this->hasOrphanedRun(task) || !this->mayStartAgain(job, taskExecution, context.now))
@@ -286,6 +288,9 @@
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
+    const std::size_t bytes = job.definition().spec.size() + taskExecution.checkpoint.size() + this->options.startOverheadBytes;
+    this->startWindow.sent(bytes);
+    this->startsUnderWay[id] = { bytes, context.now };
     context.add(StartTask { .to = this->addressOf(worker), .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
     context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, this->viewAge(context.now) });
 }
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -85,8 +85,20 @@
     }
 }
 
+void SchedulerFixture::carryOutSlowStarts()
+{
+    while (!this->slowStarts.empty() && this->slowStarts.front().due <= this->now) {
+        const SentStart start = this->slowStarts.front().start;
+        this->slowStarts.pop_front();
+        const bool isExpired = this->now >= start.call.expiresAt;
+        const WorkerCallStatus status = isExpired ? WorkerCallStatus::Expired : this->startOn(start);
+        this->send(start.host, TaskCallEnded { TaskCallKind::Start, start.call.to.worker, start.call.to.epoch, start.call.run, status });
+    }
+}
+
 void SchedulerFixture::carryOutDelayedCalls()
 {
+    this->carryOutSlowStarts();
     std::erase_if(this->delayedStarts, [&](const DelayedStart& start) {
         if (start.due <= this->now && !this->crashed.contains(start.start.call.to.worker))
             (void)this->startOn(start.start);
@@ -354,6 +366,10 @@
     }
     if (!this->canReach(name, effect.to.worker))
         return this->deliverAfter(callTimeout, name, end);
+    if (this->startTransmission > Duration(0)) {
+        const Instant freeAt = this->slowStarts.empty() ? this->now : this->slowStarts.back().due;
+        return this->slowStarts.push_back({ start, std::max(freeAt, this->now) + this->startTransmission });
+    }
     if (this->startsToDelay > 0) {
         --this->startsToDelay;
         this->delayedStarts.push_back({ start, this->now + this->startDelay });
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -105,6 +105,7 @@
     void applyToStore(const std::string& name, const WriteStoredRows& write, const WriteFault& fault);
     void runHost(const std::string& name);
     void carryOutDelayedCalls();
+    void carryOutSlowStarts();
     void deliverDelayedCommands(const std::vector<std::string>& names);
     void deliverHeldCommands(const std::string& name);
     bool isFrozen(const std::string& name) const;
@@ -154,6 +155,13 @@
         Instant due;
     };
     std::vector<DelayedStart> delayedStarts;
+    // SlowStart is a start that waits for the link of its host.
+    struct SlowStart {
+        SentStart start;
+        Instant due;
+    };
+    std::deque<SlowStart> slowStarts;
+    Duration startTransmission { 0 }; // time for which a start occupies the link of its host, on which they follow each other
     // DelayedStop is a stop that its worker has answered and not carried out yet.
     struct DelayedStop {
         StopTask call;
--- /dev/null
+++ b/packages/scheduling/start_window_test.cc
@@ -0,0 +1,51 @@
+// A leader whose link is slower than its decisions: starts that wait behind each other expire, take the link for nothing, and are
+// decided again.
+
+#include "scheduling/scheduler_fixture.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    const std::string job = "00000000000000a1";
+
+    // SlowLinkFixture has host "a" as the leader, workers with room for every task, and a link that takes 200 starts a second.
+    struct SlowLinkFixture : SchedulerFixture {
+        SlowLinkFixture()
+        {
+            for (int number = 0; number < 20; ++number)
+                this->addWorker("w" + std::to_string(number), 64);
+            this->run({ "a" }, std::chrono::seconds(3));
+            this->startTransmission = std::chrono::milliseconds(5);
+        }
+
+        std::size_t lostStarts() const
+        {
+            return static_cast<std::size_t>(std::count_if(this->log.begin(), this->log.end(), [](const LogDecision& line) { return line.event == DecisionEvent::TaskLost; }));
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(SlowLinkFixture, "Leader_moreStartsThanLinkTakes_noneExpires", "[start-window]")
+{
+    REQUIRE(this->submit("a", job, { stepOfTasks(400, 1) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(6));
+    CHECK(this->lostStarts() == 0);
+    CHECK(this->starts.size() == 400);
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
+TEST_CASE_METHOD(SlowLinkFixture, "Leader_urgentJobBehindLargeOne_isStartedBeforeItsRest", "[start-window]")
+{
+    const std::string urgent = "00000000000000b1";
+    REQUIRE(this->submit("a", job, { stepOfTasks(600, 1) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(2200)); // the objective of the large job has passed
+    REQUIRE(this->submit("a", urgent, { stepOfTasks(4, 1) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(1000));
+    CHECK(this->runningOf(urgent).size() == 4);
+}
+
+} // namespace dragonflytray
