entry, scheduling, dispatch: hosts near the workers deliver the orders of a small leader

Callers of a cell whose leader is a small host were served by what one link carries: every poll, start, stop and change of speed of all workers passed through it, each start with the whole spec of its job.

A leader whose link or processor is too small for its fleet (AgentChoice, by what each worker needs of both) hands its calls to hosts in the data centre of each worker. Hosts say in a row of the store where they take orders (HostRegistration); the leader tries them, leaves out for a while what does not answer, delivers itself where none is left, and removes rows of hosts that have not answered for five minutes. AgentClient gathers calls into exchanges, in which a spec crosses once; AgentDuty delivers them and hands back results, reports of workers as the difference from the last one. Epochs, run numbers, deadlines and leases stay the leader's: an agent that delivers late, twice or for a former leader is rejected by the worker, and one that was held up for longer than a start is valid delivers nothing of what it was given. A call without a result ends as unclear, like one to a silent worker; one that surely did not arrive is delivered by the leader.

At full size, with large hosts, leaders deliver themselves as before.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -30,6 +30,8 @@
         settings.readiness = readEndpoint(map, "readiness", Presence::Required);
         settings.metrics = readEndpoint(map, "metrics", Presence::Optional);
         settings.store = readEndpoint(map, "store", Presence::Required);
+        settings.agent = readEndpoint(map, "agent", Presence::Optional);
+        settings.linkMegabits = map.number("linkMegabits", { .maximum = 1e6, .fallback = settings.linkMegabits });
         settings.dataCentres = readDataCentres(map);
         settings.leadershipScope = map.choice("leadershipScope", leadershipScopeNames, settings.leadershipScope);
         settings.processorShare = map.number("processorShare", { .maximum = 1024, .fallback = settings.processorShare });
@@ -75,7 +77,10 @@
         .dataCentres = settings.dataCentres,
         .scope = settings.leadershipScope,
         .processorShare = settings.processorShare,
+        .ownEntry = { .dataCentre = settings.dataCentre, .agent = settings.agent, .linkMegabits = settings.linkMegabits, .processorShare = settings.processorShare },
     };
+    options.dispatcher.agents = { .self = settings.host, .linkMegabits = settings.linkMegabits, .processorShare = settings.processorShare };
+    options.dispatcher.startWindow.targetDelay = options.dispatcher.startValidity / 4;
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
     options.dispatcher.stopTimeout = settings.stopTimeout;
     options.dispatcher.maxJobsViewAge = settings.cancellationLimit - options.dispatcher.startValidity;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -22,6 +22,8 @@
     Endpoint readiness;
     Endpoint metrics; // port 0: not served
     Endpoint store;
+    Endpoint agent; // where orders of leaders on other hosts are taken; port 0: nowhere
+    double linkMegabits { 0 }; // of this host, a second; 0: not known
     std::vector<DataCentrePlace> dataCentres;
     LeadershipScope leadershipScope { LeadershipScope::Whole };
     double processorShare { 1 }; // of a core
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -25,6 +25,22 @@
     CHECK(isEntrySettings(this->text, "entry.yaml"));
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_agentAndLink_areWhatTheHostSaysOfItself")
+{
+    const std::string entry = "entry:\n";
+    std::string text = this->text;
+    text.insert(text.find(entry) + entry.size(), "  agent: 127.0.0.1:7720\n  linkMegabits: 20\n");
+    const auto settings = parseEntrySettings(text, "entry.yaml");
+    REQUIRE(settings);
+    const Scheduler::Options options = schedulerOptions(*settings);
+    CHECK(options.ownEntry.agent.port == 7720);
+    CHECK(options.ownEntry.dataCentre == DataCentreName("rs-poa"));
+    CHECK(options.dispatcher.agents.self == HostName("a"));
+    CHECK(options.dispatcher.agents.linkMegabits == 20);
+    text.replace(text.find("linkMegabits: 20"), 16, "linkMegabits: -2");
+    CHECK_FALSE(parseEntrySettings(text, "entry.yaml"));
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_severalFaults_areReportedTogether")
 {
     const auto settings = parseEntrySettings("host: a\ndataCentre: b\nentry:\n  callers: nowhere\n  store: 127.0.0.1:1\n  sorte: 1\n", "entry.yaml");
--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -283,8 +283,23 @@
         return roster;
     }
 
+    Json encode(const EntryHost& host)
+    {
+        return { { "dataCentre", host.dataCentre.value() }, { "address", host.agent.address }, { "port", host.agent.port }, { "link", host.linkMegabits }, { "processor", host.processorShare } };
+    }
+
+    StoredRow decodeEntryHost(const Json& json)
+    {
+        EntryHost host;
+        host.dataCentre = DataCentreName(json.at("dataCentre"));
+        host.agent = { json.at("address"), numberOf<std::uint16_t>(json.at("port"), maxPort) };
+        host.linkMegabits = numberOf<double>(json.at("link"), maxQuantity);
+        host.processorShare = numberOf<double>(json.at("processor"), maxQuantity);
+        return host;
+    }
+
     using Decoder = StoredRow (*)(const Json&);
-    constexpr std::array<Decoder, storedRowKindNames.size()> decoders { &decodeDefinition, &decodeProgress, &decodeCancellation, &decodeLease, &decodeRoster };
+    constexpr std::array<Decoder, storedRowKindNames.size()> decoders { &decodeDefinition, &decodeProgress, &decodeCancellation, &decodeLease, &decodeRoster, &decodeEntryHost };
 
 } // namespace
 
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -35,6 +35,8 @@
     const WorkerRoster roster { { { WorkerId("i-1"), { { "10.1.1.1", 8080 }, { 64000, 256000, 0 } } }, { WorkerId("i-2"), { { "10.1.1.2", 8081 }, { 96000, 256000, 2 } } } } };
     CHECK(this->readBack(StoredRowKind::WorkerRoster, roster) == roster);
     CHECK(this->readBack(StoredRowKind::WorkerRoster, WorkerRoster {}) == WorkerRoster {});
+    const EntryHost host { .dataCentre = DataCentreName("dc"), .agent = { "10.1.0.1", 7720 }, .linkMegabits = 20, .processorShare = 0.069 };
+    CHECK(this->readBack(StoredRowKind::EntryHost, host) == host);
 }
 
 TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_rosterOfWorkersThatGetNoMoreTasks_tasksAreReadBack")
--- a/packages/entry/row_fuzz_test.cc
+++ b/packages/entry/row_fuzz_test.cc
@@ -65,6 +65,7 @@
             { StoredRowKind::Cancellation, CancellationRequest { 1780000000000 } },
             { StoredRowKind::CellLease, CellLease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true } },
             { StoredRowKind::WorkerRoster, WorkerRoster { { { WorkerId("i-1"), { { "10.1.1.1", 8080 }, { 64000, 256000, 0 }, std::set<TaskId> { { JobId("00000000000000a1"), 0, 1, 2 } } } } } } },
+            { StoredRowKind::EntryHost, EntryHost { .dataCentre = DataCentreName("dc"), .agent = { "10.1.0.1", 7720 }, .linkMegabits = 20, .processorShare = 0.069 } },
         };
     };
 
--- a/packages/entry/scheduler_daemon.cc
+++ b/packages/entry/scheduler_daemon.cc
@@ -1,5 +1,6 @@
 #include "entry/scheduler_daemon.h"
 
+#include "entry/duties/agent_duty.h"
 #include "entry/duties/front_duty.h"
 #include "entry/duties/journal_duty.h"
 #include "entry/duties/scheduling_duty.h"
@@ -23,6 +24,7 @@
         : front(settings, this->rings, *protocols.callers)
         , scheduling(settings, this->rings)
         , workers(this->rings, *protocols.workers)
+        , agent(settings, this->rings, *protocols.workers)
         , store(settings, this->rings, *protocols.store)
         , journal(this->rings)
         , drainLimit(settings.shutdownLimit - stopReserve)
@@ -39,6 +41,7 @@
     FrontDuty front;
     SchedulingDuty scheduling;
     WorkerCallDuty workers;
+    AgentDuty agent;
     StoreDuty store;
     JournalDuty journal;
     Duration drainLimit;
@@ -56,8 +59,11 @@
 {
     if (auto started = this->duties->front.start(); !started)
         return started;
+    if (auto started = this->duties->agent.start(); !started)
+        return started;
     this->duties->launch("journal", this->duties->journal);
     this->duties->launch("workers", this->duties->workers);
+    this->duties->launch("agent", this->duties->agent);
     this->duties->launch("scheduling", this->duties->scheduling);
     this->duties->launch("front", this->duties->front);
     this->duties->launch("store", this->duties->store);
@@ -86,6 +92,7 @@
     rings.scheduling.close();
     this->duties->front.stop();
     this->duties->workers.stop();
+    this->duties->agent.stop();
     this->duties->store.stop();
     rings.journal.close();
     this->duties->threads.clear();
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -32,6 +32,8 @@
         return this->observeLease(change, context);
     if (change.key.kind == StoredRowKind::WorkerRoster)
         return this->dispatcher.rosterChanged(change);
+    if (change.key.kind == StoredRowKind::EntryHost)
+        return this->hostChanged(change);
     if (const JobRecord* record = this->jobCache.apply(change)) {
         if (record->isDefined())
             this->dispatcher.jobChanged(*record, context);
@@ -40,6 +42,18 @@
     }
 }
 
+void Scheduler::hostChanged(const StoredRowChange& change)
+{
+    const HostName host(change.key.name);
+    const auto* row = change.value ? std::get_if<EntryHost>(&*change.value) : nullptr;
+    if (host == this->options.self)
+        return this->registration.observe(row);
+    if (!row || row->agent.port == 0)
+        return this->dispatcher.agentChanged(host, nullptr);
+    const AgentCandidate candidate { .host = host, .dataCentre = row->dataCentre, .endpoint = row->agent, .linkMegabits = row->linkMegabits, .processorShare = row->processorShare };
+    this->dispatcher.agentChanged(host, &candidate);
+}
+
 void Scheduler::observeLease(const StoredRowChange& change, CommandContext& context)
 {
     const auto* row = change.value ? std::get_if<CellLease>(&*change.value) : nullptr;
@@ -70,6 +84,8 @@
             if (record && record->isDefined() && change->key.kind == StoredRowKind::Cancellation)
                 this->dispatcher.cancellationStored(*record, context);
         }
+    } else if (this->registration.owns(end.write)) {
+        this->registration.writeEnded(end, context.now);
     } else if (this->cancellationCheck.owns(end.write)) {
         this->cancellationsChecked(end, context);
     } else if (this->dispatcher.owns(end.write)) {
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -29,6 +29,8 @@
         leadership.release();
         leadership.renewImmediately();
     }
+    this->registration.withdraw();
+    this->registration.maintain(context);
     this->maintainLeases(context);
 }
 
@@ -40,6 +42,9 @@
     this->dispatcher.tick(context);
     this->checkCancellations(context);
     this->removeEndedJobs(context);
+    this->removeLostHosts(context);
+    if (this->hasReadStore)
+        this->registration.maintain(context);
 }
 
 void Scheduler::checkCancellations(CommandContext& context)
@@ -51,6 +56,20 @@
         context.add(std::move(write));
 }
 
+void Scheduler::removeLostHosts(CommandContext& context)
+{
+    if (!this->dispatcher.leadsAny() || context.now < this->nextHostRemovalAt)
+        return;
+    this->nextHostRemovalAt = context.now + this->options.removalInterval;
+    // A host that is alive writes its row again when it sees the removal.
+    for (const HostName& host : this->dispatcher.agentsFailedSince(context.now - this->options.lostHostRetention)) {
+        const StoredRowKey key { StoredRowKind::EntryHost, host.value() };
+        WriteStoredRows write { .write = context.nextWrite++, .partition = partitionOf(key), .conditions = {}, .puts = {}, .removals = { key } };
+        context.add(std::move(write));
+        context.add(LogDecision { DecisionEvent::HostForgotten, host.value(), {}, "no-answer", 0, toMilliseconds(this->options.lostHostRetention) });
+    }
+}
+
 void Scheduler::removeEndedJobs(CommandContext& context)
 {
     if (context.now < this->nextRemovalAt)
--- a/packages/scheduling/commands/worker_answers.cc
+++ b/packages/scheduling/commands/worker_answers.cc
@@ -23,4 +23,10 @@
     this->checkFencing(context);
 }
 
+void Scheduler::agentContact(const SchedulerCommand& command, CommandContext& context)
+{
+    const auto& contact = std::get<AgentContact>(command);
+    this->dispatcher.agentContact(contact.agent, contact.isAnswering, context);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -14,6 +14,7 @@
     : options(options)
     , fleet(options.fleet, cellOf)
     , recorder(options.recorder)
+    , agents(options.agents)
     , startWindow(options.startWindow)
     , bestEffortControl(options.bestEffort)
     , crashSuspects(options.crashes)
@@ -202,6 +203,7 @@
 void Dispatcher::workersListed(const WorkersListed& change, Instant now)
 {
     this->fleet.updateList(change, now);
+    this->countWorkers();
     this->workersView.followed(change.revision);
     this->needsPass = true;
 }
@@ -304,10 +306,29 @@
     return { jobs.begin(), jobs.end() };
 }
 
-WorkerAddress Dispatcher::addressOf(const FleetWorker& worker) const
+void Dispatcher::countWorkers()
 {
+    std::map<DataCentreName, std::size_t> counts;
+    for (const auto& [id, worker] : this->fleet.all()) {
+        if (worker.isListed)
+            ++counts[worker.entry.dataCentre];
+    }
+    this->agents.workersCounted(std::move(counts));
+}
+
+void Dispatcher::agentContact(const Endpoint& agent, bool isAnswering, CommandContext& context)
+{
+    if (isAnswering)
+        return this->agents.agentAnswered(agent);
+    this->agents.agentFailed(agent, context.now);
+    context.add(LogDecision { DecisionEvent::AgentLost, agent.address + ":" + std::to_string(agent.port), {}, "no-answer", 0, 0 });
+}
+
+WorkerAddress Dispatcher::addressOf(const FleetWorker& worker, Instant now)
+{
+    const AgentCandidate* agent = this->agents.agentFor(worker.entry.dataCentre, worker.entry.id.value(), now);
     const auto cell = this->cells.find(worker.cell);
-    return { worker.entry.id, worker.entry.endpoint, cell == this->cells.end() ? 0 : cell->second.epoch };
+    return { worker.entry.id, worker.entry.endpoint, cell == this->cells.end() ? 0 : cell->second.epoch, agent ? agent->endpoint : Endpoint() };
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -64,6 +64,7 @@
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
         Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
+        AgentChoice::Options agents {};
         DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is a quarter of startValidity
         std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
@@ -104,6 +105,10 @@
     // cellLost() drops a cell and the executions of its jobs.
     void cellLost(const CellName& cell);
 
+    // agentChanged() sets or removes a host that can deliver orders for this leader. agentContact() reports whether it has answered.
+    void agentChanged(const HostName& host, const AgentCandidate* candidate) { this->agents.hostChanged(host, candidate); }
+    void agentContact(const Endpoint& agent, bool isAnswering, CommandContext& context);
+
     // beginHandover() makes the next reports name the runs on all workers. No task is started on a worker after the first of them.
     void beginHandover() { this->isHandingOver = true; }
 
@@ -188,6 +193,16 @@
     // workers.
     bool isReportDue(const CellName& cell) const;
 
+    // agentsFailedSince() returns the hosts that have failed to deliver at every attempt since `time` or before.
+    std::vector<HostName> agentsFailedSince(Instant time) const { return this->agents.failedSince(time); }
+
+    // isDelegating() says whether other hosts deliver the orders of this leader.
+    bool isDelegating() const { return this->leadsAny() && this->agents.isDelegating(); }
+
+    // startWindowBytes() is the number of bytes of starts that may be under way, startBytesUnderWay() of those that are.
+    std::size_t startWindowBytes() const { return this->startWindow.bytes(); }
+    std::size_t startBytesUnderWay() const { return this->startWindow.bytesUnderWay(); }
+
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
     std::size_t unrecordedJobs() const { return this->recorder.unrecordedJobs(); }
 
@@ -308,7 +323,8 @@
     bool mayPoll(const FleetWorker& worker, Instant now) const;
     Duration grantableLease(const FleetWorker& worker, Instant now) const;
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
-    WorkerAddress addressOf(const FleetWorker& worker) const;
+    WorkerAddress addressOf(const FleetWorker& worker, Instant now);
+    void countWorkers();
 
     // Jobs. advance() completes a job or opens the steps that are due. markDirty() queues changed progress for recording.
     // queueRuleOf() is the configured rule of a job's queue, or the one under which the job was accepted.
@@ -367,6 +383,7 @@
     Options options;
     Fleet fleet;
     Recorder recorder;
+    AgentChoice agents;
     DeliveryWindow startWindow;
     // StartUnderWay is a start whose call has not ended.
     struct StartUnderWay {
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -57,7 +57,7 @@
     // Ends are acknowledged only until a poll that does so is answered, and to a worker that answers: another incarnation
     // counts its ends anew.
     const bool mayAcknowledge = !worker.isRestartListed() && !worker.isSuspect && worker.acknowledged > worker.forgottenEnd;
-    PollWorker call { .to = this->addressOf(worker), .deadline = {}, .acknowledged = mayAcknowledge ? worker.acknowledged : 0, .wait = Duration(0) };
+    PollWorker call { .to = this->addressOf(worker, context.now), .deadline = {}, .acknowledged = mayAcknowledge ? worker.acknowledged : 0, .wait = Duration(0) };
     worker.polledAcknowledged = call.acknowledged;
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
     const bool mayRenew = !worker.reportedLease && (!worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout);
@@ -98,7 +98,7 @@
         if (taskExecution && taskExecution->run == run.run && taskExecution->worker == worker.entry.id && isOnWorker(taskExecution->stage))
             job->setStage(run.task, TaskStage::Stopping, context.now);
     }
-    context.add(StopTask { this->addressOf(worker), run });
+    context.add(StopTask { this->addressOf(worker, context.now), run });
     context.add(LogDecision { DecisionEvent::TaskStopped, formatRun(run), worker.entry.id.value(), cause, 0, 0 });
 }
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -353,7 +353,7 @@
 {
     this->bestEffortControl.observe(worker, context.now);
     for (const SpeedChange& change : this->bestEffortControl.speedChangesFor(worker, context.now)) {
-        context.add(SetTaskSpeed { this->addressOf(worker), change.run, change.percent });
+        context.add(SetTaskSpeed { this->addressOf(worker, context.now), change.run, change.percent });
         context.add(LogDecision { DecisionEvent::TaskSpeedChanged, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
     }
 }
--- a/packages/scheduling/job_cache.cc
+++ b/packages/scheduling/job_cache.cc
@@ -31,7 +31,7 @@
 
 JobRecord* JobCache::apply(const StoredRowChange& change)
 {
-    if (change.key.kind == StoredRowKind::CellLease)
+    if (change.key.kind == StoredRowKind::CellLease || change.key.kind == StoredRowKind::EntryHost)
         return nullptr;
     const JobId id(change.key.name);
     if (!change.value) {
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -29,6 +29,7 @@
     &Scheduler::workersListed,
     &Scheduler::pollEnded,
     &Scheduler::taskCallEnded,
+    &Scheduler::agentContact,
     &Scheduler::configurationFollowed,
     &Scheduler::storeContact,
     &Scheduler::beginHandover,
@@ -60,6 +61,7 @@
     , clientRequests(this->options.clientRequests)
     , cancellationCheck(this->options.cancellationCheck)
     , dispatcher(this->options.dispatcher, cellsOf(this->options.dataCentres, this->options.scope))
+    , registration({ .self = this->options.self, .entry = this->options.ownEntry })
 {
     const std::map<DataCentreName, CellName> cells = cellsOf(this->options.dataCentres, this->options.scope);
     if (const auto home = cells.find(this->options.home); home != cells.end())
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include "scheduling/cell_leadership.h"
 #include "scheduling/client_requests.h"
 #include "scheduling/dispatcher.h"
+#include "scheduling/host_registration.h"
 #include "scheduling/scheduling_queries.h"
 #include <array>
 
@@ -53,6 +54,8 @@
         std::vector<DataCentrePlace> dataCentres; // of the whole platform
         LeadershipScope scope { LeadershipScope::Whole };
         double processorShare { 1 }; // of a core; larger hosts are preferred as leaders
+        EntryHost ownEntry {}; // what this host says of itself; without an agent it says nothing
+        Duration lostHostRetention { std::chrono::minutes(5) }; // of a host's row while its agent fails at every attempt
         Dispatcher::Options dispatcher {};
         CancellationCheck::Options cancellationCheck {};
         ClientRequests::Options clientRequests {};
@@ -96,6 +99,7 @@
     void workersListed(const SchedulerCommand& command, CommandContext& context);
     void pollEnded(const SchedulerCommand& command, CommandContext& context);
     void taskCallEnded(const SchedulerCommand& command, CommandContext& context);
+    void agentContact(const SchedulerCommand& command, CommandContext& context);
     void configurationFollowed(const SchedulerCommand& command, CommandContext& context);
     void storeContact(const SchedulerCommand& command, CommandContext& context);
     void beginHandover(const SchedulerCommand& command, CommandContext& context);
@@ -117,6 +121,7 @@
 
     // applyRow() applies one change of the store to the job cache, the dispatcher or the leadership of a cell.
     void applyRow(const StoredRowChange& change, CommandContext& context);
+    void hostChanged(const StoredRowChange& change);
     void observeLease(const StoredRowChange& change, CommandContext& context);
 
     // applyLeadershipChange() starts or ends the scheduling of a cell.
@@ -145,6 +150,7 @@
     double loadOf(const CellName& cell, const JobDefinition& job, Instant now) const;
 
     void removeEndedJobs(CommandContext& context);
+    void removeLostHosts(CommandContext& context);
 
     // checkCancellations() reads the cancellations of running jobs while the change feed is late. cancellationsChecked()
     // handles an answer to that.
@@ -156,6 +162,7 @@
     ClientRequests clientRequests;
     CancellationCheck cancellationCheck;
     Dispatcher dispatcher;
+    HostRegistration registration;
     std::map<CellName, CellLeadership> leaderships;
     CellName homeCell; // cell of this host's data centre
     SchedulingConfiguration configuration;
@@ -168,6 +175,7 @@
     std::uint64_t nextWrite { 1 }; // number
     std::map<std::uint64_t, Instant> writesInFlight; // when each was sent, by number
     Instant nextRemovalAt;
+    Instant nextHostRemovalAt;
     StageTimes stageTimes;
 };
 
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -112,6 +112,12 @@
     WorkerCallStatus status { WorkerCallStatus::Unclear };
 };
 
+// AgentContact reports whether a host that delivers orders to workers has answered.
+struct AgentContact {
+    Endpoint agent;
+    bool isAnswering { false };
+};
+
 // ConfigurationFollowed delivers the newest version of the operator's configuration.
 struct ConfigurationFollowed {
     SchedulingConfiguration configuration;
@@ -131,7 +137,7 @@
     WallTime wallTime { 0 };
 };
 
-using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, ConfigurationFollowed, StoreContact, BeginHandover, SchedulerTick>;
+using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, AgentContact, ConfigurationFollowed, StoreContact, BeginHandover, SchedulerTick>;
 
 // SchedulerCommandKind enumerates the alternatives of SchedulerCommand in the same order.
 enum class SchedulerCommandKind {
@@ -145,6 +151,7 @@
     WorkersListed,
     PollEnded,
     TaskCallEnded,
+    AgentContact,
     ConfigurationFollowed,
     StoreContact,
     BeginHandover,
@@ -162,6 +169,7 @@
     { SchedulerCommandKind::WorkersListed, "workers-listed" },
     { SchedulerCommandKind::PollEnded, "hold-ended" },
     { SchedulerCommandKind::TaskCallEnded, "task-call-ended" },
+    { SchedulerCommandKind::AgentContact, "agent-contact" },
     { SchedulerCommandKind::ConfigurationFollowed, "configuration-followed" },
     { SchedulerCommandKind::StoreContact, "store-contact" },
     { SchedulerCommandKind::BeginHandover, "begin-handover" },
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -45,6 +45,7 @@
     WorkerId worker; // another worker at the endpoint rejects the call
     Endpoint endpoint;
     Epoch epoch { 0 };
+    Endpoint agent {}; // host that delivers the call; port 0: this host does
 };
 
 // PollWorker is a long poll of a worker: it extends the lease of all its runs, acknowledges ends and asks for a report.
@@ -177,6 +178,8 @@
     WorkerCrashed, // another incarnation has answered where a worker was
     TaskSuspected, // the crash of a worker is attributed to a run
     TaskGivenUp,
+    AgentLost, // a host that delivers orders for this leader has failed, and others take over its workers
+    HostForgotten, // the row of a host that has not answered for long is removed
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -209,8 +212,10 @@
     { DecisionEvent::WorkerCrashed, "worker-crashed" },
     { DecisionEvent::TaskSuspected, "task-suspected" },
     { DecisionEvent::TaskGivenUp, "task-given-up" },
+    { DecisionEvent::AgentLost, "agent-lost" },
+    { DecisionEvent::HostForgotten, "host-forgotten" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::TaskGivenUp));
+static_assert(decisionEventNames.isWhole(DecisionEvent::HostForgotten));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -25,6 +25,7 @@
     Cancellation,
     CellLease,
     WorkerRoster,
+    EntryHost,
 };
 
 inline constexpr NameTable storedRowKindNames { std::to_array<NameEntry<StoredRowKind>>({
@@ -33,8 +34,9 @@
     { StoredRowKind::Cancellation, "cancellation" },
     { StoredRowKind::CellLease, "cell-lease" },
     { StoredRowKind::WorkerRoster, "worker-roster" },
+    { StoredRowKind::EntryHost, "entry-host" },
 }) };
-static_assert(storedRowKindNames.isWhole(StoredRowKind::WorkerRoster));
+static_assert(storedRowKindNames.isWhole(StoredRowKind::EntryHost));
 
 // jobPartitions is the number of partitions over which jobs are distributed. One partition takes 200 transactions per
 // second on the users' platform, and each commit contains everything that has accumulated for its partition.
@@ -46,7 +48,7 @@
 // StoredRowKey identifies one row.
 struct StoredRowKey {
     StoredRowKind kind { StoredRowKind::Definition };
-    std::string name; // the job's id, the cell's name for a lease, or rosterKey() for a part of a roster
+    std::string name; // the job's id, the cell's name for a lease, rosterKey() for a part of a roster, or the name of a host
 
     auto operator<=>(const StoredRowKey&) const = default;
 };
@@ -141,7 +143,18 @@
     bool operator==(const CellLease&) const = default;
 };
 
-using StoredRow = std::variant<JobDefinition, JobProgress, CancellationRequest, CellLease, WorkerRoster>;
+// EntryHost is what a host says of itself when it starts, so that leaders find hosts that deliver for them. A host that was lost
+// leaves its row behind: whether it still answers is for the reader to find out.
+struct EntryHost {
+    DataCentreName dataCentre;
+    Endpoint agent; // where it takes orders to workers; port 0: it takes none
+    double linkMegabits { 0 }; // a second
+    double processorShare { 0 }; // of a core
+
+    bool operator==(const EntryHost&) const = default;
+};
+
+using StoredRow = std::variant<JobDefinition, JobProgress, CancellationRequest, CellLease, WorkerRoster, EntryHost>;
 
 // StoredRowChange is one row as read from the store.
 struct StoredRowChange {
