entry: the spec of a job crosses to an agent once

Both ends keep the specs of a session in the same bounded order (SpecCache), and the leader sends only those that the agent does not have. A start whose spec is not there ends as not sent.

--- a/packages/entry/agent_client.cc
+++ b/packages/entry/agent_client.cc
@@ -108,6 +108,13 @@
 {
     const Instant now = BootClock::now();
     AgentRequest request { .session = entry.second.session, .sentAt = toMilliseconds(now.time_since_epoch()), .wait = wait, .calls = std::move(calls), .unreadable = {} };
+    for (const AgentCall& call : request.calls) {
+        const auto* start = std::get_if<StartTask>(&call.call);
+        if (!start || entry.second.specs.find(start->run.task.job))
+            continue;
+        request.specs.emplace(start->run.task.job, start->spec);
+        entry.second.specs.add(start->run.task.job, start->spec);
+    }
     HttpRequest message { .method = HttpMethod::Post, .target = "/agent/exchange", .headers = {}, .body = encodeAgentRequest(request, now) };
     this->client.send(entry.first, std::move(message), wait + workerCallTimeout, [this, &entry, wait, sent = std::move(request.calls)](const HttpOutcome& outcome) {
         if (wait > Duration(0))
@@ -126,6 +133,7 @@
             this->flush(entry);
         return;
     }
+    entry.second.specs.clear(); // those of this exchange may not have arrived
     this->giveBack(entry.second, std::exchange(entry.second.gathered, {}));
     // Any other status means that the agent has refused the exchange as a whole.
     const bool isRefused = outcome && outcome->status != statusOk;
@@ -143,6 +151,7 @@
     if (link.incarnation != 0 && link.incarnation != response.incarnation) {
         // What the former incarnation had taken may have been carried out, and nobody will say so.
         link.reports.clear();
+        link.specs.clear();
         const Instant now = BootClock::now();
         for (auto& [number, call] : link.open)
             call.deadline = std::min(call.deadline, now);
--- a/packages/entry/agent_client.h
+++ b/packages/entry/agent_client.h
@@ -12,6 +12,7 @@
 //     agents.send(agent, std::move(call));
 
 #include "entry/agent_encoding.h"
+#include "entry/spec_cache.h"
 #include "transport/transport.h"
 #include <functional>
 
@@ -55,6 +56,7 @@
         std::vector<AgentCall> gathered;
         std::map<std::uint64_t, OpenCall> open; // by number
         std::map<WorkerId, KnownReport> reports;
+        SpecCache specs { { .keepsText = false } }; // that the agent has
         bool isGathering { false };
         bool isCollecting { false }; // an exchange waits for results
         bool isSweeping { false };
--- a/packages/entry/agent_encoding.cc
+++ b/packages/entry/agent_encoding.cc
@@ -107,7 +107,7 @@
         row.push_back(call.percent);
     }
 
-    WorkerCall decodePollCall(RowReader& row, const Json&, Instant)
+    WorkerCall decodePollCall(RowReader& row, Instant)
     {
         PollWorker call { .to = row.address(), .deadline = {}, .acknowledged = 0 };
         if (const Json& deadline = row.next(); !deadline.is_null())
@@ -117,36 +117,35 @@
         return call;
     }
 
-    WorkerCall decodeStartCall(RowReader& row, const Json& specs, Instant now)
+    WorkerCall decodeStartCall(RowReader& row, Instant now)
     {
         StartTask call { .to = row.address(), .run = row.run(), .spec = {}, .checkpoint = {} };
         call.checkpoint = row.next().get<std::string>();
         call.deadline = clockOf(row.next());
         call.expiresAt = now + periodOf(row.next());
-        call.spec = specs.at(call.run.task.job.value()).get<std::string>();
         return call;
     }
 
-    WorkerCall decodeStopCall(RowReader& row, const Json&, Instant) { return StopTask { row.address(), row.run() }; }
+    WorkerCall decodeStopCall(RowReader& row, Instant) { return StopTask { row.address(), row.run() }; }
 
-    WorkerCall decodeSpeedCall(RowReader& row, const Json&, Instant)
+    WorkerCall decodeSpeedCall(RowReader& row, Instant)
     {
         SetTaskSpeed call { row.address(), row.run() };
         call.percent = numberOf<int>(row.next(), maxPercent);
         return call;
     }
 
-    using CallDecoder = WorkerCall (*)(RowReader&, const Json& specs, Instant now);
+    using CallDecoder = WorkerCall (*)(RowReader&, Instant now);
     constexpr std::array<CallDecoder, std::variant_size_v<WorkerCall>> callDecoders { &decodePollCall, &decodeStartCall, &decodeStopCall, &decodeSpeedCall };
 
-    void decodeCall(const Json& json, const Json& specs, Instant now, AgentRequest& request)
+    void decodeCall(const Json& json, Instant now, AgentRequest& request)
     {
         std::uint64_t number = 0;
         try {
             RowReader row(json);
             number = ordinalOf(row.next());
             const auto code = numberOf<std::size_t>(row.next(), callDecoders.size() - 1);
-            AgentCall call { .number = number, .call = callDecoders[code](row, specs, now) };
+            AgentCall call { .number = number, .call = callDecoders[code](row, now) };
             if (row.hasMore())
                 call.baseReport = ordinalOf(row.next());
             request.calls.push_back(std::move(call));
@@ -262,9 +261,9 @@
 {
     Json specs = Json::object();
     Json calls = Json::array();
+    for (const auto& [job, spec] : request.specs)
+        specs[job.value()] = spec;
     for (const AgentCall& call : request.calls) {
-        if (const auto* start = std::get_if<StartTask>(&call.call))
-            specs[start->run.task.job.value()] = start->spec;
         Json row = Json::array({ call.number, call.call.index() });
         std::visit([&](const auto& value) {
             append(row, value.to);
@@ -289,9 +288,10 @@
         request.session = numberOf<std::uint64_t>(row.next(), maxSession);
         request.sentAt = clockOf(row.next());
         request.wait = periodOf(row.next());
-        const Json& specs = row.next();
+        for (const auto& [job, spec] : row.next().items())
+            request.specs.emplace(JobId(job), spec.get<std::string>());
         for (const Json& call : row.next())
-            decodeCall(call, specs, now, request);
+            decodeCall(call, now, request);
         return request;
     } catch (const std::exception&) {
         return std::nullopt;
--- a/packages/entry/agent_encoding.h
+++ b/packages/entry/agent_encoding.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // The messages between a leader and the hosts that deliver its orders, and their encoding in CBOR. An exchange carries calls to
-// workers one way, and the results of earlier calls back. The spec of a job crosses once in an exchange.
+// workers one way, and the results of earlier calls back. The spec of a job crosses once.
 //
 // Example:
 //
@@ -26,7 +26,8 @@
     std::uint64_t session { 0 }; // of the leader with this agent
     std::int64_t sentAt { 0 }; // ms on the leader's steady clock, by which the agent notices delays
     Duration wait { 0 }; // for which the agent may delay its answer until a call ends
-    std::vector<AgentCall> calls;
+    std::map<JobId, std::string> specs {}; // of jobs that the agent does not have
+    std::vector<AgentCall> calls; // starts cross without StartTask::spec
     std::vector<std::uint64_t> unreadable; // numbers of calls that could not be decoded; not encoded
 };
 
--- a/packages/entry/duties/agent_duty.cc
+++ b/packages/entry/duties/agent_duty.cc
@@ -68,8 +68,10 @@
     const bool isLate = difference - session.clockDifference > toMilliseconds(maxTransferTime);
     for (const std::uint64_t number : exchange->unreadable)
         this->ended(entry->first, { .number = number, .status = WorkerCallStatus::Rejected });
+    for (const auto& [job, spec] : exchange->specs)
+        session.specs.add(job, spec);
     for (AgentCall& call : exchange->calls)
-        this->take(entry->first, std::move(call), isLate);
+        this->take(*entry, std::move(call), isLate);
     if (session.waiting) // the leader has given it up, or needs no more than one
         this->answer(session);
     session.waiting = std::move(reply);
@@ -100,11 +102,17 @@
     std::erase_if(this->sessions, [now](const auto& entry) { return entry.second.lastUsed != Instant() && now >= entry.second.lastUsed + sessionTimeout; });
 }
 
-void AgentDuty::take(std::uint64_t session, AgentCall call, bool isLate)
+void AgentDuty::take(SessionEntry& session, AgentCall call, bool isLate)
 {
     if (isLate)
-        return this->ended(session, { .number = call.number, .status = lateStatusOf(call.call) });
-    std::visit([&](const auto& value) { this->deliver(session, call, value); }, call.call);
+        return this->ended(session.first, { .number = call.number, .status = lateStatusOf(call.call) });
+    if (auto* start = std::get_if<StartTask>(&call.call)) {
+        const std::string* spec = session.second.specs.find(start->run.task.job);
+        if (!spec)
+            return this->ended(session.first, { .number = call.number, .status = WorkerCallStatus::NotSent });
+        start->spec = *spec;
+    }
+    std::visit([&](const auto& value) { this->deliver(session.first, call, value); }, call.call);
 }
 
 void AgentDuty::deliver(std::uint64_t session, const AgentCall& call, const PollWorker& poll)
--- a/packages/entry/duties/agent_duty.h
+++ b/packages/entry/duties/agent_duty.h
@@ -8,6 +8,7 @@
 
 #include "entry/agent_encoding.h"
 #include "entry/entry_settings.h"
+#include "entry/spec_cache.h"
 #include "entry/worker_caller.h"
 
 namespace dragonflytray {
@@ -34,6 +35,7 @@
     struct Session {
         std::vector<AgentResult> results; // not handed back yet
         std::map<WorkerId, SentReport> reports;
+        SpecCache specs { {} };
         std::shared_ptr<HttpReply> waiting; // an exchange without results
         std::uint64_t exchange { 0 }; // counts those that have waited
         std::int64_t clockDifference { std::numeric_limits<std::int64_t>::max() }; // least one between this clock and the leader's, in ms
@@ -43,7 +45,8 @@
 
     void serve(const HttpRequest& request, std::shared_ptr<HttpReply> reply);
     SessionEntry* sessionFor(std::uint64_t id, Instant now);
-    void take(std::uint64_t session, AgentCall call, bool isLate);
+    // take() delivers a call, or ends it if it is late or a start of a job whose spec is not known.
+    void take(SessionEntry& session, AgentCall call, bool isLate);
     void deliver(std::uint64_t session, const AgentCall& call, const PollWorker& poll);
     template <typename TaskCall>
     void deliver(std::uint64_t session, const AgentCall& call, const TaskCall& taskCall);
