--- a/packages/dispatch/agent_choice.h
+++ b/packages/dispatch/agent_choice.h
@@ -41,7 +41,7 @@
         double processorShare { 1 };
         double minLinkPerWorker { 0.1 }; // megabits a second, with which a host delivers to all workers itself
         double minProcessorPerWorker { 0.0005 }; // of a core
-        std::size_t workersPerAgent { 32 };
+        std::size_t workersPerAgent { 96 }; // a spec crosses once for each agent
         Duration cooldown { std::chrono::seconds(2) }; // after a failure, doubled with each further one
         Duration maxCooldown { std::chrono::seconds(30) };
     };
--- a/packages/dispatch/agent_choice_test.cc
+++ b/packages/dispatch/agent_choice_test.cc
@@ -16,7 +16,7 @@
         static constexpr std::size_t workerCount = 90;
 
         Instant now { std::chrono::hours(1) };
-        AgentChoice choice { { .self = HostName("leader"), .linkMegabits = 2, .processorShare = 0.069 } };
+        AgentChoice choice { { .self = HostName("leader"), .linkMegabits = 2, .processorShare = 0.069, .workersPerAgent = 32 } };
 
         AgentChoiceFixture()
         {
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -80,6 +80,7 @@
         .ownEntry = { .dataCentre = settings.dataCentre, .agent = settings.agent, .linkMegabits = settings.linkMegabits, .processorShare = settings.processorShare },
     };
     options.dispatcher.agents = { .self = settings.host, .linkMegabits = settings.linkMegabits, .processorShare = settings.processorShare };
+    options.dispatcher.processorShare = settings.processorShare;
     options.dispatcher.startWindow.targetDelay = options.dispatcher.startValidity / 4;
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
     options.dispatcher.stopTimeout = settings.stopTimeout;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -86,6 +86,9 @@
         std::size_t maxEvictionSearchesPerPass { 2 };
         Duration evictionSearchCooldown { std::chrono::milliseconds(100) }; // after a search that freed too little, for tasks that need as much or more
         Duration minPassInterval { std::chrono::milliseconds(10) }; // between two placement passes, however much changes
+        double processorShare { 1 }; // of a core, that this host has
+        double maxPlacementShare { 0.25 }; // of its processor that passes may take; a larger fleet or a smaller host makes fewer passes
+        Duration passCostPerWorker { std::chrono::microseconds(1) }; // of a core, for one pass
         Duration idlePassInterval { std::chrono::milliseconds(50) }; // between two placement passes when nothing has changed
     };
 
@@ -356,6 +359,7 @@
     // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
     // Options::longRunningYieldDelay after room was found (isYielding()).
     struct PlacementPass;
+    Duration passInterval() const;
     void updatePause(CommandContext& context);
     // PlacementOutcome is the result for one task in a pass.
     enum class PlacementOutcome {
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -83,9 +83,17 @@
     return jobs;
 }
 
+Duration Dispatcher::passInterval() const
+{
+    const double cost = toSeconds(this->options.passCostPerWorker) * static_cast<double>(this->fleet.all().size());
+    const std::chrono::duration<double> affordable(cost / (this->options.maxPlacementShare * this->options.processorShare));
+    const Duration wanted = this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval;
+    return std::max(wanted, std::chrono::duration_cast<Duration>(affordable));
+}
+
 void Dispatcher::placeTasks(CommandContext& context)
 {
-    if (context.now < this->lastPass + (this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval))
+    if (context.now < this->lastPass + this->passInterval())
         return;
     this->updatePause(context);
     if (this->areStartsPaused)
--- a/packages/scheduling/scheduling_benchmark.cc
+++ b/packages/scheduling/scheduling_benchmark.cc
@@ -103,6 +103,7 @@
                 if (++this->stepCount % 8 == 0) {
                     this->send(this->store.changesAfter(this->followed));
                     this->followed = this->store.version();
+                    this->send(WorkersListed { {}, {}, false, this->followed }); // starts need a recent view of the list
                 }
                 if (this->stepCount % 4 == 0)
                     this->send(SchedulerTick { wallAt(this->now) });
--- a/packages/scheduling/start_window_test.cc
+++ b/packages/scheduling/start_window_test.cc
@@ -38,6 +38,23 @@
     CHECK(this->phaseOf(job) == JobPhase::Completed);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "Leader_smallHostOfLargeFleet_makesFewerPasses", "[start-window]")
+{
+    this->dispatcherOptions.processorShare = 0.001; // 20 workers at 1 us each: a pass takes 20 ms of it, of which a quarter is for passes
+    for (int number = 0; number < 20; ++number)
+        this->addWorker("w" + std::to_string(number), 64);
+    this->run({ "a" }, std::chrono::seconds(3));
+    std::size_t bursts = 0;
+    for (int step = 0; step < 50; ++step) {
+        const std::size_t before = this->starts.size();
+        REQUIRE(this->submit("a", std::to_string(1000000000000000 + step), { stepOfTasks(1, 1) }) == ReplyStatus::Accepted);
+        this->run({ "a" }, std::chrono::milliseconds(20));
+        bursts += this->starts.size() > before ? 1 : 0;
+    }
+    CHECK(this->starts.size() >= 40);
+    CHECK(bursts <= 13); // one in 80 ms
+}
+
 TEST_CASE_METHOD(SlowLinkFixture, "Leader_urgentJobBehindLargeOne_isStartedBeforeItsRest", "[start-window]")
 {
     const std::string urgent = "00000000000000b1";
