entry: a change of the store that takes long gets more time

Callers got 404 for a route, or the answer of a former configuration, long after its acknowledgement: a poll of a feed had 700 ms besides its wait, whatever it carried, and one that is cut off has used the link for nothing. A large configuration over a thin link was asked for again and again. Only scans got more time after a timeout; polls do now, too.

StoreDuty_changesTakeLongerThanTheTimeout_areReadWithMoreTime fails without.

--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -107,7 +107,7 @@
     if (feed.isScanned)
         return this->poll(feed);
     if (!feed.scan)
-        feed.scan = Scan { .pageTimeout = readTimeout };
+        feed.scan.emplace();
     this->continueScan(feed);
 }
 
@@ -121,14 +121,27 @@
     this->scanPage(feed);
 }
 
+Duration StoreDuty::pageTimeoutOf(const Feed& feed)
+{
+    return std::max(feed.pageTimeout, readTimeout);
+}
+
+void StoreDuty::adaptPageTimeout(Feed& feed, const HttpOutcome& outcome)
+{
+    // A page that is cut off has used the link for nothing, and the next one is no smaller. A silent connection should be noticed
+    // soon nevertheless, so that only pages after a timeout get more time.
+    if (outcome)
+        feed.pageTimeout = readTimeout;
+    else if (outcome.error().kind == SendFailureKind::AnswerTimeout)
+        feed.pageTimeout = std::min(2 * pageTimeoutOf(feed), maxPageTimeout);
+}
+
 void StoreDuty::scanPage(Feed& feed)
 {
     const Scan& scan = *feed.scan;
-    this->client.send(this->endpoint, this->protocol.encodeScan(feed.kind, scan.partition, scan.startKey), scan.pageTimeout, [this, &feed](HttpOutcome outcome) {
-        // A page that is cut off has used the link for nothing. A silent connection should be noticed soon nevertheless, so
-        // that only pages after a timeout get more time.
-        if (feed.scan && !outcome && outcome.error().kind == SendFailureKind::AnswerTimeout)
-            feed.scan->pageTimeout = std::min(2 * feed.scan->pageTimeout, maxPageTimeout);
+    this->client.send(this->endpoint, this->protocol.encodeScan(feed.kind, scan.partition, scan.startKey), pageTimeoutOf(feed), [this, &feed](HttpOutcome outcome) {
+        if (!outcome) // a slow link stays slow for the whole scan
+            adaptPageTimeout(feed, outcome);
         this->pageScanned(feed, this->protocol.decodePage(feed.kind, outcome));
     });
 }
@@ -159,7 +172,7 @@
 {
     Scan& scan = *feed.scan;
     scan.polledAt = BootClock::now();
-    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, scan.read.revision, Duration(0)), scan.pageTimeout, [this, &feed](HttpOutcome outcome) {
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, scan.read.revision, Duration(0)), pageTimeoutOf(feed), [this, &feed](HttpOutcome outcome) {
         this->polledDuringScan(feed, this->protocol.decodePage(feed.kind, outcome));
     });
 }
@@ -197,7 +210,8 @@
 void StoreDuty::poll(Feed& feed)
 {
     const Duration wait = paceOf(feed.kind, this->isLeading).wait;
-    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, wait), wait + readTimeout, [this, &feed](HttpOutcome outcome) {
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, wait), wait + pageTimeoutOf(feed), [this, &feed](HttpOutcome outcome) {
+        adaptPageTimeout(feed, outcome);
         this->pagePolled(feed, this->protocol.decodePage(feed.kind, outcome));
     });
 }
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -23,7 +23,6 @@
         std::string startKey {}; // of the next page
         FeedPage read {}; // all rows so far; every change up to its revision has been read
         Instant polledAt {}; // when the changes after the revision were last asked for
-        Duration pageTimeout { 0 };
     };
     // Feed is one stream of changes: scanned as a whole first, then followed.
     struct Feed {
@@ -32,6 +31,7 @@
         bool isBusy { false }; // a request is in flight, or the next one is scheduled
         bool isScanned { false };
         RowVersion revision { 0 };
+        Duration pageTimeout { 0 }; // of the next page, besides the wait of a poll; 0: the shortest
         std::optional<Scan> scan; // nothing: the next scan starts at the first page
     };
 
@@ -41,6 +41,8 @@
     void follow(Feed& feed);
     void continueScan(Feed& feed);
     void scanPage(Feed& feed);
+    static Duration pageTimeoutOf(const Feed& feed);
+    static void adaptPageTimeout(Feed& feed, const HttpOutcome& outcome);
     void pageScanned(Feed& feed, FeedPage page);
     void pollDuringScan(Feed& feed);
     void polledDuringScan(Feed& feed, FeedPage page);
--- a/packages/entry/store_duty_test.cc
+++ b/packages/entry/store_duty_test.cc
@@ -188,6 +188,20 @@
     CHECK(this->takeScan() == bothRows);
 }
 
+TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_changesTakeLongerThanTheTimeout_areReadWithMoreTime")
+{
+    this->replace = [](const std::string& target) -> std::optional<StandinAnswer> {
+        if (target != firstPoll)
+            return std::nullopt;
+        return StandinAnswer { .body = "9 - c", .delay = std::chrono::milliseconds(2200) };
+    };
+    this->run();
+    const auto changes = takeCommand<StoredRowsRead>(
+        this->rings, [](const StoredRowsRead& read) { return read.revision == 9; }, std::chrono::seconds(20));
+    REQUIRE(changes);
+    CHECK(changes->rows.size() == 1);
+}
+
 TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_historyGone_readsAllRowsAnew")
 {
     this->failOnce(firstPoll, { .status = 410 });
