scheduling: silent workers that are listed keep their ends; absent long-running tasks first where starts are scarce

Two decisions of a leader that can't keep up.

Short runs are kept for 15 s more while the worker is listed; long-running ones are given up as before, they have no end as done. Leader_listedWorkerIsSilentPastItsLease_taskThatIsDoneIsNotStartedAgain.

While no task lacks room, tasks that have been absent for the time after which they yield no more come first; they cost few starts. Leader_moreShortTasksThanLinkTakes_absentLongRunningTaskIsStartedInTime fails without.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -58,6 +58,7 @@
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
         Duration unrecordedPollInterval { std::chrono::milliseconds(120) }; // between polls of a worker while its ends wait to be recorded
+        Duration silentRunRetention { std::chrono::seconds(15) }; // of short runs after their lease on a worker that is listed but does not answer: their ends can still be read
         Duration renewalTimeout { std::chrono::milliseconds(1500) }; // for which leases of a worker that does not answer are still renewed
         Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which it gets no more tasks and a report names those that may run there
         std::size_t maxTasksPerRosterPart { 1500 }; // named in a row of the roster; further workers stay there as if any task may run on them. A row of the store holds about 2,800
@@ -281,6 +282,9 @@
     void markFormerRunsLost(FleetWorker& worker, const PollEnded& end, CommandContext& context);
     void expectLateStarts(FleetWorker& worker, CommandContext& context);
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
+    // giveUpLapsedRuns() gives up the runs of a silent worker whose lease has expired. A worker that goes on listing itself keeps the
+    // ends of its runs, so that a short run which may have ended as done is kept for longer.
+    void giveUpLapsedRuns(FleetWorker& worker, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
     // Crashes of workers. crashSuspectsOn() returns the runs that may have crashed a worker, before these are given up;
@@ -369,6 +373,8 @@
     };
     void placeTasks(CommandContext& context);
     std::vector<JobExecution*> jobsInPlacementOrder(Instant now);
+    // isAbsentForLong() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout.
+    bool isAbsentForLong(JobExecution& job, Instant now) const;
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
@@ -414,6 +420,7 @@
     Instant lastStoreAnswer; // to any call
     bool isStoreLost { false }; // the last read of the change feed failed
     bool areStartsPaused { false }; // !mayStartTasks() at the last placement pass
+    bool isRoomScarce { false }; // a task found no worker in the last pass that looked for one
     bool needsPass { false }; // something has changed since the last placement pass
     // FailedEvictionSearch is a search for runs to evict that could not free enough.
     struct FailedEvictionSearch {
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -17,11 +17,8 @@
             continue;
         }
         const bool isLeaseExpired = (worker.isSuspect || !worker.isListed) && context.now >= worker.leaseEnd && worker.clock;
-        if (isLeaseExpired && !worker.runs.empty()) {
-            if (!worker.entry.isDraining)
-                this->crashSuspects.keepLapsed(worker, context.now);
-            this->markRunsLost(worker, RunLossCause::LeaseLapsed, context);
-        }
+        if (isLeaseExpired)
+            this->giveUpLapsedRuns(worker, context);
         if (worker.isForgettable(context.now)) {
             this->logWorkerGone(worker, cell->second, context);
             removedWorkers.push_back(id);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -26,6 +26,8 @@
         return now <= job.lateDeadline ? UrgencyClass::Late : UrgencyClass::Expired;
     }
 
+    constexpr int firstRank = -1; // before all that rankOf() returns
+
     // rankOf() is the place of a job in the order of placement; the least comes first. Late jobs come after all others,
     // whatever their priority; at one priority, long-running jobs come after the others.
     int rankOf(UrgencyClass urgency, int priority)
@@ -71,7 +73,9 @@
         const auto cell = this->cells.find(job->definition().cell);
         if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end())
             continue;
-        entries.push_back({ rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority), job->objectiveDeadline, job.get() });
+        // Where starts and not room are scarce, the few starts of tasks that callers miss already cost the others little.
+        const bool isFirst = !this->isRoomScarce && this->isAbsentForLong(*job, now);
+        entries.push_back({ isFirst ? firstRank : rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority), job->objectiveDeadline, job.get() });
     }
     std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
         return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
@@ -91,6 +95,17 @@
     return std::max(wanted, std::chrono::duration_cast<Duration>(affordable));
 }
 
+bool Dispatcher::isAbsentForLong(JobExecution& job, Instant now) const
+{
+    if (!job.definition().isLongRunning())
+        return false;
+    const auto isAbsent = [&](const TaskExecution& task) { return task.stage == TaskStage::Waiting && now >= task.absentSince + this->options.longRunningYieldTimeout; };
+    return std::any_of(job.openSteps().begin(), job.openSteps().end(), [&](const auto& entry) {
+        const StepExecution& step = entry.second;
+        return step.waiting > 0 && job.definition().steps[step.step].isLongRunning && std::any_of(step.tasks.begin(), step.tasks.end(), isAbsent);
+    });
+}
+
 void Dispatcher::placeTasks(CommandContext& context)
 {
     if (context.now < this->lastPass + this->passInterval())
@@ -112,6 +127,8 @@
                 this->placeStep(*job, stepExecution, pass, context);
         }
     }
+    if (!jobs.empty())
+        this->isRoomScarce = pass.unplacedCount > 0;
     this->evacuateWorkers(context);
 }
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -399,6 +399,20 @@
     }
 }
 
+void Dispatcher::giveUpLapsedRuns(FleetWorker& worker, CommandContext& context)
+{
+    const bool mayReportEnds = worker.isListed && context.now < worker.leaseEnd + this->options.silentRunRetention;
+    std::vector<TaskRunId> runs;
+    for (const auto& [run, allocation] : worker.runs) {
+        if (!mayReportEnds || allocation.isLongRunning)
+            runs.push_back(run);
+    }
+    if (!runs.empty() && !worker.entry.isDraining)
+        this->crashSuspects.keepLapsed(worker, context.now);
+    for (const TaskRunId& run : runs)
+        this->markRunLost(worker, run, RunLossCause::LeaseLapsed, context);
+}
+
 void Dispatcher::markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
 {
     while (!worker.runs.empty())
--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -121,6 +121,36 @@
     CHECK(this->starts.size() == 1);
 }
 
+TEST_CASE_METHOD(LostRunFixture, "Leader_listedWorkerIsSilentPastItsLease_taskThatIsDoneIsNotStartedAgain", "[lost-run]")
+{
+    this->taskDuration = std::chrono::seconds(2);
+    this->startTasks(1);
+    this->addWorker("w2", 16);
+    this->listWorker("a", "w2");
+    this->unresponsive.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::seconds(15));
+    CHECK(this->starts.size() == 1);
+    this->unresponsive.clear();
+    this->run({ "a" }, std::chrono::seconds(2));
+    CHECK(this->starts.size() == 1);
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
+TEST_CASE_METHOD(LostRunFixture, "Leader_silentWorkerLeavesTheList_taskIsStartedAgain", "[lost-run]")
+{
+    this->startTasks(1);
+    this->addWorker("w2", 16);
+    this->listWorker("a", "w2");
+    this->unresponsive.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::seconds(9));
+    REQUIRE(this->starts.size() == 1);
+    this->send("a", WorkersListed { {}, { WorkerId("w1") }, false, 0 });
+    this->unlisted.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::seconds(1));
+    CHECK(this->starts.size() == 2);
+    CHECK(this->maxConcurrentRuns == 1);
+}
+
 TEST_CASE_METHOD(LostRunFixture, "Leader_drainingWorkerUnlistedAndCutOff_runsAreNotStartedAgainWithinLease", "[lost-run]")
 {
     this->startTasks(4);
--- a/packages/scheduling/start_window_test.cc
+++ b/packages/scheduling/start_window_test.cc
@@ -21,6 +21,8 @@
             this->startTransmission = std::chrono::milliseconds(5);
         }
 
+        std::uint64_t lastShortJob { 1000000000000000 };
+
         std::size_t lostStarts() const
         {
             return static_cast<std::size_t>(std::count_if(this->log.begin(), this->log.end(), [](const LogDecision& line) { return line.event == DecisionEvent::TaskLost; }));
@@ -55,6 +57,23 @@
     CHECK(bursts <= 13); // one in 80 ms
 }
 
+TEST_CASE_METHOD(SlowLinkFixture, "Leader_moreShortTasksThanLinkTakes_absentLongRunningTaskIsStartedInTime", "[start-window]")
+{
+    const std::string lasting = "00000000000000c1";
+    StepDefinition step = stepOfTasks(1, 1);
+    step.isLongRunning = true;
+    const auto runWithShortJobs = [&](Duration time) {
+        for (const Instant end = this->now + time; this->now < end;) {
+            REQUIRE(this->submit("a", std::to_string(++this->lastShortJob), { stepOfTasks(100, 1) }) == ReplyStatus::Accepted);
+            this->run({ "a" }, std::chrono::milliseconds(200));
+        }
+    };
+    runWithShortJobs(std::chrono::seconds(3));
+    REQUIRE(this->submit("a", lasting, { step }) == ReplyStatus::Accepted);
+    runWithShortJobs(std::chrono::seconds(5));
+    CHECK(this->runningOf(lasting).size() == 1);
+}
+
 TEST_CASE_METHOD(SlowLinkFixture, "Leader_urgentJobBehindLargeOne_isStartedBeforeItsRest", "[start-window]")
 {
     const std::string urgent = "00000000000000b1";
