transport, entry: an answer of the store that goes on arriving is not cut off

HttpClient can bound the time between two parts instead of the whole answer (progressTimeout); the store duty does. A connection that has gone silent is noticed as soon as before.

HttpClient_answerGoesOnArriving_isReadBeyondTheTimeout fails without.

--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -55,7 +55,7 @@
     : protocol(protocol)
     , endpoint(settings.store)
     , outbox(this->loop, rings.scheduling)
-    , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
+    , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit, .progressTimeout = readTimeout })
 {
     for (const auto& entry : feedKindNames)
         this->feeds[indexOf(entry.value)].kind = entry.value;
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -162,11 +162,29 @@
             this->parser->body_limit(this->plan.onPart ? std::numeric_limits<std::uint64_t>::max() : this->state->options.bodyLimit);
             if (this->plan.onPart)
                 return this->readStreamHead();
+            if (this->state->options.progressTimeout > Duration(0))
+                return this->readAnswerHead();
             this->connection->stream.expires_after(this->stepLimit());
             http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
                 [self = this->shared_from_this()](beast::error_code readError, std::size_t) { self->answerRead(readError); });
         }
 
+        void readAnswerHead()
+        {
+            this->connection->stream.expires_after(this->stepLimit());
+            http::async_read_header(this->connection->stream, this->connection->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) { self->readAnswerPart(error); });
+        }
+
+        void readAnswerPart(beast::error_code error)
+        {
+            if (error || this->parser->is_done())
+                return this->answerRead(error);
+            this->connection->stream.expires_after(std::max(this->remaining(), this->state->options.progressTimeout));
+            http::async_read_some(this->connection->stream, this->connection->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code readError, std::size_t) { self->readAnswerPart(readError); });
+        }
+
         void answerRead(beast::error_code error)
         {
             if (error)
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -50,6 +50,7 @@
         Duration idleLimit { std::chrono::seconds(20) }; // an idle connection older than this is not used
         std::size_t connectionLimit { 64 }; // for each endpoint
         std::size_t bodyLimit { 8 << 20 }; // bytes of an answer
+        Duration progressTimeout { 0 }; // an answer that goes on arriving may take longer than its send allows, while no part of it takes this long; 0: it may not
     };
     using Completion = std::function<void(tl::expected<HttpResponse, SendFailure>)>;
 
@@ -62,7 +63,8 @@
     HttpClient(IoLoop& loop, Options options);
     ~HttpClient();
 
-    // send() sends `request` to `endpoint` and completes on the loop's thread within `timeout`.
+    // send() sends `request` to `endpoint` and completes on the loop's thread within `timeout`, or later only as
+    // Options::progressTimeout says.
     void send(const Endpoint& endpoint, HttpRequest request, Duration timeout, Completion completion);
 
     // stream() sends `request` on a connection of its own and hands over each part of the answer as it
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -51,6 +51,66 @@
         CHECK_FALSE(response.error().isSurelyNotSent);
     }
 
+    // SlowAnswerFixture has a server that sends an answer of eight parts, one each 100 ms, and stops after `parts` of them.
+    struct SlowAnswerFixture : TransportFixture {
+        SlowAnswerFixture()
+        {
+            this->handler = [this](HttpRequest, std::shared_ptr<HttpReply> reply) {
+                reply->beginStream({ .status = 200 });
+                this->sendPart(std::move(reply), 0);
+            };
+        }
+
+        void sendPart(std::shared_ptr<HttpReply> reply, int part)
+        {
+            if (part == 8)
+                return reply->endStream();
+            if (part >= this->parts)
+                return this->unfinished.push_back(std::move(reply));
+            (void)reply->sendPart("x");
+            this->loop.after(std::chrono::milliseconds(100), [this, reply = std::move(reply), part]() mutable { this->sendPart(std::move(reply), part + 1); });
+        }
+
+        // get() asks with 300 ms for the whole answer.
+        tl::expected<HttpResponse, SendFailure> get(Duration progressTimeout)
+        {
+            IoLoop clientLoop;
+            HttpClient client(clientLoop, { .progressTimeout = progressTimeout });
+            tl::expected<HttpResponse, SendFailure> result = tl::unexpected(SendFailure {});
+            client.send(this->endpoint, { .target = "/", .headers = {}, .body = {} }, std::chrono::milliseconds(300), [&](tl::expected<HttpResponse, SendFailure> answer) {
+                result = std::move(answer);
+                clientLoop.stop();
+            });
+            clientLoop.run();
+            return result;
+        }
+
+        int parts { 8 };
+        std::vector<std::shared_ptr<HttpReply>> unfinished;
+    };
+
+    TEST_CASE_METHOD(SlowAnswerFixture, "HttpClient_answerGoesOnArriving_isReadBeyondTheTimeout")
+    {
+        const auto response = this->get(std::chrono::seconds(5));
+        REQUIRE(response);
+        CHECK(response->body == "xxxxxxxx");
+    }
+
+    TEST_CASE_METHOD(SlowAnswerFixture, "HttpClient_answerStopsArriving_timesOut")
+    {
+        this->parts = 2;
+        const auto response = this->get(std::chrono::milliseconds(500));
+        REQUIRE_FALSE(response);
+        CHECK(response.error().kind == SendFailureKind::AnswerTimeout);
+    }
+
+    TEST_CASE_METHOD(SlowAnswerFixture, "HttpClient_answerSlowWithoutProgressTimeout_timesOut")
+    {
+        const auto response = this->get(Duration(0));
+        REQUIRE_FALSE(response);
+        CHECK(response.error().kind == SendFailureKind::AnswerTimeout);
+    }
+
     TEST_CASE_METHOD(TransportFixture, "HttpClient_nobodyListens_saysSurelyNotSent")
     {
         auto response = sendAndWait({ "127.0.0.1", 1 }, { .target = "/", .headers = {}, .body = {} }, std::chrono::seconds(5));
