--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -92,6 +92,9 @@
     gauge("dragonflytray_owed_jobs", static_cast<double>(summary.unrecordedJobs));
     gauge("dragonflytray_led_cells", static_cast<double>(summary.ledCells));
     gauge("dragonflytray_highest_epoch", static_cast<double>(summary.highestEpoch));
+    gauge("dragonflytray_delegating", summary.isDelegating ? 1 : 0);
+    gauge("dragonflytray_start_window_bytes", static_cast<double>(summary.startWindowBytes));
+    gauge("dragonflytray_start_bytes_under_way", static_cast<double>(summary.startBytesUnderWay));
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -34,6 +34,9 @@
         .activeJobs = this->dispatcher.activeJobs(),
         .runningTasks = this->dispatcher.runningTasks(),
         .unrecordedJobs = this->dispatcher.unrecordedJobs(),
+        .isDelegating = this->dispatcher.isDelegating(),
+        .startWindowBytes = this->dispatcher.startWindowBytes(),
+        .startBytesUnderWay = this->dispatcher.startBytesUnderWay(),
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -49,6 +49,9 @@
     std::size_t unrecordedJobs { 0 }; // with progress that is not recorded yet
     std::size_t ledCells { 0 }; // cells that this host leads
     Epoch highestEpoch { 0 }; // of all cells
+    bool isDelegating { false }; // other hosts deliver the orders of this leader
+    std::size_t startWindowBytes { 0 }; // of starts that may be under way
+    std::size_t startBytesUnderWay { 0 };
     ReplyCounts replies;
     StageTimes stageTimes;
 };
