--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -107,7 +107,7 @@
     if (feed.isScanned)
         return this->poll(feed);
     if (!feed.scan)
-        feed.scan.emplace();
+        feed.scan = Scan {};
     this->continueScan(feed);
 }
 
