A stopped run whose end is not stored holds back no task

Callers saw long-running tasks absent although there was room: their runs were stopped on a draining worker, the leader stopped as planned before the end was recorded, and the worker left. The roster named the task like one that runs, so that the successor waited for the leases of the worker.

A task whose end is read runs nowhere. A successor has to know of the end only if it forbids another run: one as done, or one as failed where the attempts are limited. What is lost with any other end is a checkpoint.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -320,9 +320,10 @@
     void pollWorkers(CommandContext& context);
     void poll(FleetWorker& worker, CommandContext& context);
     // possibleTasksOn() returns the tasks that a successor may not take for free while it has not heard the worker: those with
-    // runs there, those whose end is read and not stored, and those that former leaders named. One end stands for all tasks of a
-    // gang.
+    // runs there, those whose end is read and not stored and mayForbidNextRun(), and those that former leaders named. One end stands
+    // for all tasks of a gang.
     std::set<TaskId> possibleTasksOn(const Cell& cell, const FleetWorker& worker) const;
+    bool mayForbidNextRun(const UnacknowledgedEnd& end) const; // it may be one as done, or as failed of a task whose attempts are limited
     std::set<TaskId> tasksEndedBy(const UnacknowledgedEnd& end) const;
     std::int64_t capacityOf(const CellName& name) const;
     std::vector<std::string> labelsOf(const CellName& name) const;
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -149,12 +149,20 @@
     for (const auto& [run, allocation] : worker.runs)
         tasks.insert(run.task);
     for (const UnacknowledgedEnd& end : worker.unacknowledgedEnds) {
-        if (!this->isRecorded(end))
+        if (!this->isRecorded(end) && this->mayForbidNextRun(end))
             tasks.merge(this->tasksEndedBy(end));
     }
     return tasks;
 }
 
+bool Dispatcher::mayForbidNextRun(const UnacknowledgedEnd& end) const
+{
+    const auto job = this->jobExecutions.find(end.task.job);
+    if (job == this->jobExecutions.end() || isFinal(job->second->progress().phase) || job->second->isDone(end.task))
+        return true;
+    return job->second->failures(end.task) > 0 && !job->second->definition().steps[end.task.step].isLongRunning;
+}
+
 std::set<TaskId> Dispatcher::tasksEndedBy(const UnacknowledgedEnd& end) const
 {
     const auto job = this->jobExecutions.find(end.task.job);
