A leader that hands over bounds the leases on draining workers

Callers saw long-running tasks absent for over 6 s: their draining worker left after the last report of a leader that stopped as planned and before the successor reached it. The report bounded leases only on workers that were silent or not listed then, so that the successor waited for the longest lease that any former leader may have granted, 7.4 s, counted from its own beginning.

PlannedStop_runsAreBeingStoppedAndWorkerLeaves_* and PlannedStop_drainingWorkerLeavesWithRuns_* failed before (7.5 s) and pass (bound 6 s). Known red remains the case of leaders that stop at once: 7.68 s before, 6.82 s now, since each leader adds the margin of the lease again.

--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -70,7 +70,7 @@
 {
     const Instant lastContact = worker.isFenced ? worker.lastAnswer : cell.leadingSince;
     const bool hasNoAnswer = !worker.isFenced || worker.isSuspect;
-    const bool mayBeGone = this->isHandingOver ? hasNoAnswer || !worker.isListed : hasNoAnswer && now >= lastContact + this->options.renewalTimeout;
+    const bool mayBeGone = this->isHandingOver ? hasNoAnswer || !worker.isListed || worker.entry.isDraining : hasNoAnswer && now >= lastContact + this->options.renewalTimeout;
     if (isClosed && mayBeGone) {
         if (!worker.reportedLease || this->isHandingOver || worker.leaseReport != 0)
             worker.reportedLease = Fleet::remainingLease(worker, now);
