The margin of a lease is counted once, not at each leader

A reported lease already contains the margin for the worker's clock. Each successor added 300 ms again to what its predecessor reported, so that the wait for a worker that left grew while leaders followed each other: 6.82 s under three leaders that stop as soon as they lead. A successor needs only the ratio of the clocks of the two hosts, since it leads after the report was composed.

PlannedStop_eachLeaderStopsAtOnceAfterWorkerLeft_* failed before (6.82 s) and passes (bound 6 s); all of scheduling_test with the random takeovers otherwise as before.

--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -14,8 +14,10 @@
     roster.beginReporting();
     const std::map<WorkerId, RosterEntry> workers = roster.workers();
     cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
+    const double clockRatio = 1 + 2 * this->options.fleet.maxClockDrift; // between the host that measured a lease and this one
     for (const auto& [id, entry] : workers) {
-        const Instant leaseEnd = entry.maxLease ? std::min(cell.formerLeaseEnd, this->fleet.latestLeaseEnd(cell.leadingSince, *entry.maxLease)) : cell.formerLeaseEnd;
+        const Duration maxLease = entry.maxLease ? std::chrono::ceil<Duration>(*entry.maxLease * clockRatio) : Duration::max();
+        const Instant leaseEnd = maxLease < cell.formerLeaseEnd - cell.leadingSince ? cell.leadingSince + maxLease : cell.formerLeaseEnd;
         FleetWorker& worker = this->fleet.addInherited(acquired.cell, id, entry, leaseEnd);
         worker.mayHaveUnknownRuns = !entry.possibleTasks && !silent.contains(id);
         const bool isFoundByRoster = worker.entry.endpoint == entry.endpoint;
