scheduling: a failed run marks its worker for a limited time

Cause: a task with a failed run was never placed on a worker whose last run had failed, nor on the one where it failed itself. Only a run that ends as done clears the mark. Once all that waits are tasks of failed runs, no run ends as done any more, and they wait for good beside empty workers.

Now the exclusion ends 1.5 s after the failure, and after a cooldown; after that such a worker is taken if no other one has room. 1.5 s is half of the time for which a job with room may have no run.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -74,6 +74,7 @@
         Duration noRoomCooldown { std::chrono::milliseconds(100) }; // of a worker that had no room for a start, or that a start could not reach in time
         Duration failureCooldown { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
         std::uint32_t failuresBeforeCooldown { 3 }; // failed runs in a row
+        Duration failureAvoidanceTimeout { std::chrono::milliseconds(1500) }; // after a failed run, for which its task does not return to the worker; half of the time that a job with room may wait
         Duration searchCooldown { std::chrono::milliseconds(100) }; // between searches for a worker for one task with placement constraints
         Duration dataLocalityTimeout { std::chrono::milliseconds(500) }; // for which a task waits for room in the rack that holds its data
         Duration evictionInterval { std::chrono::milliseconds(500) }; // between evictions for one task; a stop takes at most 400 ms
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -181,6 +181,8 @@
     const StepDefinition& step = job.definition().steps[task.step];
     const TaskExecution& taskExecution = *job.taskExecution(task);
     // A long-running task has no limit of attempts, so it may return to the worker on which it failed.
+    const bool hasFailed = !step.isLongRunning && job.failures(task) > 0;
+    const bool hasFailedRecently = hasFailed && now < taskExecution.since + this->options.failureAvoidanceTimeout;
     return {
         .step = step,
         .bestEffortControl = this->bestEffortControl,
@@ -188,8 +190,9 @@
         .cell = job.definition().cell,
         .service = this->queueRuleOf(job).service,
         .now = now,
-        .avoidedWorker = step.isLongRunning ? WorkerId() : taskExecution.lastFailedWorker,
-        .avoidsFailingWorkers = !step.isLongRunning && job.failures(task) > 0,
+        .avoidedWorker = hasFailedRecently ? taskExecution.lastFailedWorker : WorkerId(),
+        .avoidsFailingWorkers = hasFailed,
+        .failureAvoidanceTimeout = this->options.failureAvoidanceTimeout,
         .mayIgnoreDataLocality = step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout,
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -159,6 +159,7 @@
 {
     const TaskId& task = end.id.task;
     ++worker.consecutiveFailures;
+    worker.lastFailure = context.now;
     if (worker.consecutiveFailures >= this->options.failuresBeforeCooldown) {
         worker.cooldownUntil = context.now + this->options.failureCooldown;
         context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, "failures", worker.consecutiveFailures, 0 });
--- a/packages/scheduling/failed_task_test.cc
+++ b/packages/scheduling/failed_task_test.cc
@@ -107,6 +107,22 @@
     CHECK(this->startsOf(failedJob) == 2);
 }
 
+TEST_CASE_METHOD(FailedTaskFixture, "FailedTask_lastRunsFailedLongAgo_prefersWorkerWithoutFailure")
+{
+    this->addWorker("w2", 8);
+    this->addWorker("w3", 32);
+    this->lead(8);
+    this->submitFailing(failedJob, stepOfTasks(1, 8));
+    this->submitFailing(otherFailedJob, stepOfTasks(1, 8));
+    this->run({ "a" }, std::chrono::seconds(5));
+    REQUIRE(this->starts.size() == 4);
+    this->submitFailing(otherJob, stepOfTasks(1, 8));
+    REQUIRE(this->starts.back().to.worker != WorkerId("w3"));
+    this->run({ "a" }, failureTime);
+    REQUIRE(this->startsOf(otherJob) == 2);
+    CHECK(this->starts.back().to.worker == WorkerId("w3"));
+}
+
 TEST_CASE_METHOD(FailedTaskFixture, "FailedTask_avoidsWorkerWithRoom_otherTaskOfItsStepIsStartedThere")
 {
     this->leadWithFullWorker(8);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -115,6 +115,7 @@
     Duration polledWait { 0 }; // for which the worker may delay its answer to the last poll
     Instant cooldownUntil; // no task is placed on the worker before
     std::uint32_t consecutiveFailures { 0 }; // failed runs since the last one that succeeded
+    Instant lastFailure; // when the last failed run was reported
     std::uint64_t reportCount { 0 }; // reports handled so far
     std::uint64_t lastHandledEnd { 0 }; // ends up to this number are handled
     std::uint64_t acknowledged { 0 }; // ends up to this number are recorded in the store
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -18,12 +18,24 @@
     // Serving tasks of one image share workers, so that best-effort tasks that harm them find workers without them.
     constexpr double sameImagePreference = 200000; // millicores; more than any worker has
 
+    // A task that has failed goes to a worker whose last run failed only if no other one has room.
+    constexpr double failingWorkerWeight = 4 * dataLocalityWeight;
+
     bool hasLabel(const FleetWorker& worker, const std::string& label)
     {
         const std::vector<std::string>& labels = worker.entry.labels;
         return std::find(labels.begin(), labels.end(), label) != labels.end();
     }
 
+    // isExcluded() says whether the task avoids the worker because of failed runs.
+    bool isExcluded(const FleetWorker& worker, const PlacementRequest& request)
+    {
+        if (worker.entry.id == request.avoidedWorker)
+            return true;
+        const bool isAvoided = request.avoidsFailingWorkers && worker.consecutiveFailures > 0;
+        return isAvoided && request.now < std::max(worker.lastFailure, worker.cooldownUntil) + request.failureAvoidanceTimeout;
+    }
+
     // isEligible() says whether the task may run on the worker, apart from room.
     bool isEligible(const FleetWorker& worker, const PlacementRequest& request)
     {
@@ -38,7 +50,7 @@
             return false;
         if (request.admits && !request.admits(worker))
             return false;
-        if (worker.entry.id == request.avoidedWorker || (request.avoidsFailingWorkers && worker.consecutiveFailures > 0))
+        if (isExcluded(worker, request))
             return false;
         return step.maxPerWorker == 0 || !request.countRunsOfStep || request.countRunsOfStep(worker.entry.id) < step.maxPerWorker;
     }
@@ -69,6 +81,8 @@
             score += servingScore(worker, request.image);
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
             score += 2 * dataLocalityWeight;
+        if (request.avoidsFailingWorkers && worker.consecutiveFailures > 0)
+            score += failingWorkerWeight;
         return score;
     }
 
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -23,7 +23,8 @@
     const ServiceName& service;
     Instant now;
     WorkerId avoidedWorker; // where the last run of the task failed; empty: none
-    bool avoidsFailingWorkers { false }; // excludes workers whose last run failed
+    bool avoidsFailingWorkers { false }; // prefers workers whose last run did not fail
+    Duration failureAvoidanceTimeout { 0 }; // for which it excludes the others after the failure, and after a cooldown
     bool mayIgnoreDataLocality { true }; // may run outside the rack that holds its data
     std::string rack; // the only rack allowed; empty: any
     std::function<std::uint32_t(const WorkerId&)> countRunsOfStep; // on a worker, for StepDefinition::maxPerWorker; may be empty
