scheduling: a search that avoids failing workers says nothing about other tasks

A task that avoids the workers of failed runs and finds no other one was taken as proof that no task of the same need finds one: the other tasks of its step were not tried in the pass. After a change of the leader, where the worker of the failure is not known any more, this held for all other jobs too.

Three tests failed before: FailedTask_avoidsWorkerWithRoom_otherTaskOfItsStep- IsStartedThere, Takeover_failedTaskAvoidsWorkerWithRoom_taskOfOtherJobIsStarted- There, FailedTasks_fillPassWithoutWorkers_taskOfOtherJobIsStarted.

--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -215,10 +215,11 @@
     if (mayYield && this->isYielding(taskExecution, context.now))
         return PlacementOutcome::Deferred;
     const bool isSuspect = isCrashSuspect(job, task);
-    const PlacementOutcome failure = isSuspect ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+    const bool mayAvoidWorkers = isSuspect || (!step.isLongRunning && job.failures(task) > 0);
+    const PlacementOutcome failure = mayAvoidWorkers ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
     if (context.now < taskExecution.nextSearchAt || (isSuspect && !isCrashRecorded(job, task)))
         return failure;
-    const bool hasOnlyResourceNeeds = !isSuspect && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
+    const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
     const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
     const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
     const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
@@ -239,7 +240,7 @@
         return PlacementOutcome::Deferred;
     if (!isKnownNotToFit)
         ++pass.unplacedCount;
-    if (!isKnownNotToFit && hasOnlyResourceNeeds && taskExecution.lastFailedWorker.isEmpty())
+    if (!isKnownNotToFit && hasOnlyResourceNeeds)
         pass.unplacedTasks.push_back({ &job.definition().cell, rule.service, step.need, step.isBestEffort, step.image });
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
