scheduling: a search for evictions that avoids failing workers does not end others

The same cause as of the search for room: the failed search of a task that avoids the workers of failed runs kept all tasks of the same need from evicting for 100 ms, again and again while it waited. FailedTask_avoidsWorkerWithRunsToEvict_taskOfOtherJobEvictsThem failed before.

--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -343,7 +343,7 @@
     const int priority = this->queueRuleOf(job).priority;
     const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds });
     if (!eviction) {
-        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
+        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && !request.avoidsFailingWorkers && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
             this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
         return false;
