scheduling: a failed search for evictions counts in its cell and service only

A task without runs to evict in one service kept tasks of other services and cells from evicting in theirs for as long as it waited.

UnplacedTask_findsNothingToEvictInItsService_taskOfOtherServiceEvicts failed before.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -425,6 +425,8 @@
     bool needsPass { false }; // something has changed since the last placement pass
     // FailedEvictionSearch is a search for runs to evict that could not free enough.
     struct FailedEvictionSearch {
+        CellName cell;
+        ServiceName service;
         TaskResources need;
         bool isLongRunning { false };
         int priority { 0 };
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -332,9 +332,10 @@
         return false;
     std::erase_if(this->failedEvictionSearches, [now](const FailedEvictionSearch& failed) { return failed.until <= now; });
     const TaskResources need = needOf(step);
-    const int priority = this->queueRuleOf(job).priority;
+    const QueueRule& rule = this->queueRuleOf(job);
     return std::none_of(this->failedEvictionSearches.begin(), this->failedEvictionSearches.end(), [&](const FailedEvictionSearch& failed) {
-        return failed.isLongRunning == step.isLongRunning && failed.priority <= priority && failed.need.fitsIn(need);
+        const bool isSameService = failed.cell == job.definition().cell && failed.service == rule.service;
+        return isSameService && failed.isLongRunning == step.isLongRunning && failed.priority <= rule.priority && failed.need.fitsIn(need);
     });
 }
 
@@ -345,7 +346,7 @@
     if (!eviction) {
         const bool hasOnlyResourceNeeds = !request.isCrashSuspect && !request.avoidsFailingWorkers && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
-            this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
+            this->failedEvictionSearches.push_back({ request.cell, request.service, needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
         return false;
     }
     taskExecution.roomExpectedAt = context.now + this->options.evictionInterval;
