scheduling: a pass searches once for tasks with the same labels

Each waiting task with a label was searched for by itself and counted towards the 48 tasks that end a pass, so that enough of them hid the tasks behind them. The record of a task without room holds its labels now, and counts for tasks that need as much and have the same labels or more. UnplacedTasks_needLabelThatNoWorkerHas_taskOfOtherJobIsStarted failed before.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -379,6 +379,7 @@
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
+    bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     void placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -44,20 +44,26 @@
 struct Dispatcher::PlacementPass {
     struct UnplacedTask {
         const CellName* cell;
-        ServiceName service;
-        TaskResources need;
-        bool isBestEffort { false };
-        ImageName image {};
+        const ServiceName* service;
+        const StepDefinition* step;
+        bool needsNearLabel { false }; // StepDefinition::nearLabel is required, not only preferred
+
+        // includes() says whether each worker with room for `other` would have room for this task, as far as the steps say.
+        bool includes(const UnplacedTask& other) const
+        {
+            const bool isSameKind = this->step->isBestEffort == other.step->isBestEffort && (!other.step->isBestEffort || this->step->image == other.step->image);
+            const bool hasRequiredLabel = this->step->requiredLabel.empty() || this->step->requiredLabel == other.step->requiredLabel;
+            const bool hasNearLabel = !this->needsNearLabel || (other.needsNearLabel && this->step->nearLabel == other.step->nearLabel);
+            return isSameKind && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
+        }
     };
     std::vector<UnplacedTask> unplacedTasks;
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
 
-    bool hasNoRoomFor(const CellName& cell, const ServiceName& service, const StepDefinition& step) const
+    bool hasNoRoomFor(const UnplacedTask& task) const
     {
-        return std::any_of(this->unplacedTasks.begin(), this->unplacedTasks.end(), [&](const UnplacedTask& unplaced) {
-            return unplaced.isBestEffort == step.isBestEffort && (!step.isBestEffort || unplaced.image == step.image) && *unplaced.cell == cell && unplaced.service == service && unplaced.need.fitsIn(step.need);
-        });
+        return std::any_of(this->unplacedTasks.begin(), this->unplacedTasks.end(), [&](const UnplacedTask& unplaced) { return unplaced.includes(task); });
     }
 };
 
@@ -193,7 +199,7 @@
         .avoidedWorker = hasFailedRecently ? taskExecution.lastFailedWorker : WorkerId(),
         .avoidsFailingWorkers = hasFailed,
         .failureAvoidanceTimeout = this->options.failureAvoidanceTimeout,
-        .mayIgnoreDataLocality = step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout,
+        .mayIgnoreDataLocality = this->mayIgnoreDataLocality(step, taskExecution, now),
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
         .admits = this->admissionOf(job, task),
@@ -201,6 +207,11 @@
     };
 }
 
+bool Dispatcher::mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
+{
+    return step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout;
+}
+
 FleetWorker* Dispatcher::findWorker(JobExecution& job, const TaskId& task, Instant now)
 {
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
@@ -220,7 +231,8 @@
     if (context.now < taskExecution.nextSearchAt || (isSuspect && !isCrashRecorded(job, task)))
         return failure;
     const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
+    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now) };
+    const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
     const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
     const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
@@ -240,8 +252,8 @@
         return PlacementOutcome::Deferred;
     if (!isKnownNotToFit)
         ++pass.unplacedCount;
-    if (!isKnownNotToFit && hasOnlyResourceNeeds)
-        pass.unplacedTasks.push_back({ &job.definition().cell, rule.service, step.need, step.isBestEffort, step.image });
+    if (!isKnownNotToFit && !mayAvoidWorkers && step.maxPerWorker == 0)
+        pass.unplacedTasks.push_back(unplaced);
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
     if (!maySearch)
