scheduling: at least half of the workers of a service stay in use after failures

A job whose tasks fail wherever they run cooled all workers for 4 s, in which no other job was started although all of the room was free. As in routing: if most workers fail, the cause is unlikely to be the workers. Workers_tasksOfOneJobFailOnAllOfThem_taskOfOtherJobIsStarted failed before.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -261,6 +261,9 @@
     void handleEnd(FleetWorker& worker, const EndedRun& end, CommandContext& context);
     void handleDone(JobExecution& job, const TaskId& task, CommandContext& context);
     void handleFailure(JobExecution& job, FleetWorker& worker, const EndedRun& end, CommandContext& context);
+    // mayCoolAfterFailures() keeps half of the workers of a service in use: if most of them fail, the cause is unlikely to be the
+    // workers.
+    bool mayCoolAfterFailures(const FleetWorker& worker, Instant now);
     void releaseTask(JobExecution& job, const TaskRunId& run, const std::string& checkpoint, CommandContext& context);
     void stopGang(JobExecution& job, const TaskId& task, CommandContext& context);
     void acknowledge(FleetWorker& worker, CommandContext& context);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -160,7 +160,7 @@
     const TaskId& task = end.id.task;
     ++worker.consecutiveFailures;
     worker.lastFailure = context.now;
-    if (worker.consecutiveFailures >= this->options.failuresBeforeCooldown) {
+    if (worker.consecutiveFailures >= this->options.failuresBeforeCooldown && this->mayCoolAfterFailures(worker, context.now)) {
         worker.cooldownUntil = context.now + this->options.failureCooldown;
         context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, "failures", worker.consecutiveFailures, 0 });
     }
@@ -176,6 +176,16 @@
         this->finish(job, JobPhase::Failed, context);
 }
 
+bool Dispatcher::mayCoolAfterFailures(const FleetWorker& worker, Instant now)
+{
+    const std::vector<FleetWorker*>& workers = this->fleet.workersOf(worker.cell, worker.entry.service);
+    const auto cooling = std::count_if(workers.begin(), workers.end(), [&](const FleetWorker* other) {
+        return other != &worker && other->isListed && other->consecutiveFailures >= this->options.failuresBeforeCooldown && now < other->cooldownUntil;
+    });
+    const auto listed = std::count_if(workers.begin(), workers.end(), [](const FleetWorker* other) { return other->isListed; });
+    return 2 * (cooling + 1) <= listed;
+}
+
 void Dispatcher::releaseTask(JobExecution& job, const TaskRunId& run, const std::string& checkpoint, CommandContext& context)
 {
     job.updateCheckpoint(run.task, checkpoint);
