scheduling: a stop that a worker rejects is sent again

A stop was sent again only where it was not sent, not answered clearly, or refused by an unhealthy worker. After any other answer (400, 421) the run was held as being stopped for as long as its worker listed it. Stop_workerRejectsIt_isSentAgain failed before.

--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -178,8 +178,8 @@
     if (allocation == worker.runs.end())
         return;
     allocation->second.isStopConfirmed = end.status == WorkerCallStatus::Ok || end.status == WorkerCallStatus::StaleRun;
-    // A stop that may not have reached the worker is sent again if the next report still names the run.
-    if (end.status == WorkerCallStatus::Unclear || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Unhealthy) {
+    // A stop that the worker may not have carried out is sent again if the next report still names the run.
+    if (!allocation->second.isStopConfirmed) {
         allocation->second.isStopping = false;
         JobExecution* job = this->findJobExecution(end.run.task.job);
         TaskExecution* taskExecution = job ? job->taskExecution(end.run.task) : nullptr;
