--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -384,6 +384,8 @@
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
     bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     void placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
+    // findGangWorkers() returns the workers for the members of a gang, in their order; fewer if not all of them find one.
+    std::vector<FleetWorker*> findGangWorkers(JobExecution& job, const StepExecution& stepExecution, const std::set<std::string>& excludedRacks, Instant now);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
     bool evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -281,33 +281,51 @@
     const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
     if (!mayStart || !isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
         return;
-    // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
-    std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
-    std::string rack;
+    TaskExecution& first = stepExecution.tasks.front();
+    if (context.now < first.nextSearchAt)
+        return;
+    std::set<std::string> excludedRacks;
+    std::vector<FleetWorker*> workers = this->findGangWorkers(job, stepExecution, excludedRacks, context.now);
+    while (step.isSameRack && !workers.empty() && workers.size() < stepExecution.tasks.size()) {
+        excludedRacks.insert(workers.front()->entry.rack);
+        workers = this->findGangWorkers(job, stepExecution, excludedRacks, context.now);
+    }
+    if (workers.size() < stepExecution.tasks.size()) {
+        first.nextSearchAt = context.now + this->options.searchCooldown;
+        ++pass.unplacedCount;
+        return;
+    }
     std::uint64_t run = 0;
+    for (const TaskExecution& member : stepExecution.tasks)
+        run = std::max(run, job.nextRun(member));
+    const std::string checkpoint = first.checkpoint;
+    for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
+        stepExecution.tasks[index].checkpoint = checkpoint; // a gang resumes from one checkpoint
+        this->startTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, *workers[index], run, context);
+    }
+}
+
+std::vector<FleetWorker*> Dispatcher::findGangWorkers(JobExecution& job, const StepExecution& stepExecution, const std::set<std::string>& excludedRacks, Instant now)
+{
+    const StepDefinition& step = job.definition().steps[stepExecution.step];
+    std::vector<FleetWorker*> workers;
+    std::string rack;
+    // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
     for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
-        run = std::max(run, job.nextRun(stepExecution.tasks[index]));
-        PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = context.now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = this->admissionOf(job, task) };
+        const auto admits = [&excludedRacks, admission = this->admissionOf(job, task)](const FleetWorker& worker) { return !excludedRacks.contains(worker.entry.rack) && (!admission || admission(worker)); };
+        const PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = admits };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
         if (step.isSameRack)
             rack = worker->entry.rack;
         this->fleet.allocate(*worker, { task, 0 }, allocationOf(step));
-        members.emplace_back(index, worker);
-    }
-    for (const auto& [index, worker] : members)
-        this->fleet.release(*worker, { { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, 0 });
-    if (members.size() < stepExecution.tasks.size()) {
-        ++pass.unplacedCount;
-        return;
-    }
-    const std::string checkpoint = stepExecution.tasks.front().checkpoint;
-    for (const auto& [index, worker] : members) {
-        stepExecution.tasks[index].checkpoint = checkpoint; // a gang resumes from one checkpoint
-        this->startTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, *worker, run, context);
+        workers.push_back(worker);
     }
+    for (std::uint32_t index = 0; index < workers.size(); ++index)
+        this->fleet.release(*workers[index], { { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, 0 });
+    return workers;
 }
 
 void Dispatcher::startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context)
--- a/packages/scheduling/unplaced_task_test.cc
+++ b/packages/scheduling/unplaced_task_test.cc
@@ -101,6 +101,20 @@
     CHECK(this->runningOf(gangJob).size() == 2);
 }
 
+TEST_CASE_METHOD(UnplacedTaskFixture, "Gangs_fillPassWithoutWorkers_taskOfOtherJobIsStarted")
+{
+    this->dispatcherOptions.maxUnplacedTasksPerPass = 2;
+    this->addWorker("w1", 8);
+    this->lead();
+    StepDefinition gang = stepOfTasks(2, 8);
+    gang.isGang = true;
+    for (int number = 10; number < 12; ++number)
+        this->submitTo("/q/", "00000000000000" + std::to_string(number), gang);
+    REQUIRE(this->submit("a", otherJob, { stepOfTasks(1, 8) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(300));
+    CHECK(this->runningOf(otherJob).size() == 1);
+}
+
 TEST_CASE_METHOD(UnplacedTaskFixture, "Stop_workerRejectsIt_isSentAgain")
 {
     this->addWorker("w1", 8);
