--- a/packages/scheduling/failed_task_test.cc
+++ b/packages/scheduling/failed_task_test.cc
@@ -42,21 +42,21 @@
             this->submitLasting("a", lastingJob, stepOfTasks(1, 32));
         }
 
-        void submitLasting(const std::string& name, const std::string& job, StepDefinition step)
+        void submitLasting(const std::string& name, const std::string& job, const StepDefinition& step)
         {
             this->taskDuration = std::chrono::seconds(60);
-            REQUIRE(this->submit(name, job, { std::move(step) }) == ReplyStatus::Accepted);
+            REQUIRE(this->submit(name, job, { step }) == ReplyStatus::Accepted);
             this->run({ name }, std::chrono::milliseconds(100));
             REQUIRE(!this->runningOf(job).empty());
             this->taskDuration = std::chrono::milliseconds(500);
         }
 
         // submitFailing() submits a job and starts it; the runs that are started at once fail after `duration`.
-        void submitFailing(const std::string& job, StepDefinition step, Duration duration = failureTime)
+        void submitFailing(const std::string& job, const StepDefinition& step, Duration duration = failureTime)
         {
             this->shouldTasksFail = true;
             this->taskDuration = duration;
-            REQUIRE(this->submit("a", job, { std::move(step) }) == ReplyStatus::Accepted);
+            REQUIRE(this->submit("a", job, { step }) == ReplyStatus::Accepted);
             this->run({ "a" }, std::chrono::milliseconds(100));
             REQUIRE(!this->runningOf(job).empty());
             this->shouldTasksFail = false;
