--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -74,6 +74,7 @@
         Duration noRoomCooldown { std::chrono::milliseconds(100) }; // of a worker that had no room for a start, or that a start could not reach in time
         Duration failureCooldown { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
         std::uint32_t failuresBeforeCooldown { 3 }; // failed runs in a row
+        Duration failureAvoidanceTimeout { std::chrono::milliseconds(1500) }; // after a failed run, for which its task does not return to the worker; half of the time that a job with room may wait
         Duration searchCooldown { std::chrono::milliseconds(100) }; // between searches for a worker for one task with placement constraints
         Duration dataLocalityTimeout { std::chrono::milliseconds(500) }; // for which a task waits for room in the rack that holds its data
         Duration evictionInterval { std::chrono::milliseconds(500) }; // between evictions for one task; a stop takes at most 400 ms
@@ -260,6 +261,9 @@
     void handleEnd(FleetWorker& worker, const EndedRun& end, CommandContext& context);
     void handleDone(JobExecution& job, const TaskId& task, CommandContext& context);
     void handleFailure(JobExecution& job, FleetWorker& worker, const EndedRun& end, CommandContext& context);
+    // mayCoolAfterFailures() keeps half of the workers of a service in use: if most of them fail, the cause is unlikely to be the
+    // workers.
+    bool mayCoolAfterFailures(const FleetWorker& worker, Instant now);
     void releaseTask(JobExecution& job, const TaskRunId& run, const std::string& checkpoint, CommandContext& context);
     void stopGang(JobExecution& job, const TaskId& task, CommandContext& context);
     void acknowledge(FleetWorker& worker, CommandContext& context);
@@ -379,7 +383,10 @@
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
+    bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     void placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
+    // findGangWorkers() returns the workers for the members of a gang, in their order; fewer if not all of them find one.
+    std::vector<FleetWorker*> findGangWorkers(JobExecution& job, const StepExecution& stepExecution, const std::set<std::string>& excludedRacks, Instant now);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
     bool evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
@@ -425,6 +432,8 @@
     bool needsPass { false }; // something has changed since the last placement pass
     // FailedEvictionSearch is a search for runs to evict that could not free enough.
     struct FailedEvictionSearch {
+        CellName cell;
+        ServiceName service;
         TaskResources need;
         bool isLongRunning { false };
         int priority { 0 };
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -44,20 +44,26 @@
 struct Dispatcher::PlacementPass {
     struct UnplacedTask {
         const CellName* cell;
-        ServiceName service;
-        TaskResources need;
-        bool isBestEffort { false };
-        ImageName image {};
+        const ServiceName* service;
+        const StepDefinition* step;
+        bool needsNearLabel { false }; // StepDefinition::nearLabel is required, not only preferred
+
+        // includes() says whether each worker with room for `other` would have room for this task, as far as the steps say.
+        bool includes(const UnplacedTask& other) const
+        {
+            const bool isSameKind = this->step->isBestEffort == other.step->isBestEffort && (!other.step->isBestEffort || this->step->image == other.step->image);
+            const bool hasRequiredLabel = this->step->requiredLabel.empty() || this->step->requiredLabel == other.step->requiredLabel;
+            const bool hasNearLabel = !this->needsNearLabel || (other.needsNearLabel && this->step->nearLabel == other.step->nearLabel);
+            return isSameKind && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
+        }
     };
     std::vector<UnplacedTask> unplacedTasks;
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
 
-    bool hasNoRoomFor(const CellName& cell, const ServiceName& service, const StepDefinition& step) const
+    bool hasNoRoomFor(const UnplacedTask& task) const
     {
-        return std::any_of(this->unplacedTasks.begin(), this->unplacedTasks.end(), [&](const UnplacedTask& unplaced) {
-            return unplaced.isBestEffort == step.isBestEffort && (!step.isBestEffort || unplaced.image == step.image) && *unplaced.cell == cell && unplaced.service == service && unplaced.need.fitsIn(step.need);
-        });
+        return std::any_of(this->unplacedTasks.begin(), this->unplacedTasks.end(), [&](const UnplacedTask& unplaced) { return unplaced.includes(task); });
     }
 };
 
@@ -181,6 +187,8 @@
     const StepDefinition& step = job.definition().steps[task.step];
     const TaskExecution& taskExecution = *job.taskExecution(task);
     // A long-running task has no limit of attempts, so it may return to the worker on which it failed.
+    const bool hasFailed = !step.isLongRunning && job.failures(task) > 0;
+    const bool hasFailedRecently = hasFailed && now < taskExecution.since + this->options.failureAvoidanceTimeout;
     return {
         .step = step,
         .bestEffortControl = this->bestEffortControl,
@@ -188,9 +196,10 @@
         .cell = job.definition().cell,
         .service = this->queueRuleOf(job).service,
         .now = now,
-        .avoidedWorker = step.isLongRunning ? WorkerId() : taskExecution.lastFailedWorker,
-        .avoidsFailingWorkers = !step.isLongRunning && job.failures(task) > 0,
-        .mayIgnoreDataLocality = step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout,
+        .avoidedWorker = hasFailedRecently ? taskExecution.lastFailedWorker : WorkerId(),
+        .avoidsFailingWorkers = hasFailed,
+        .failureAvoidanceTimeout = this->options.failureAvoidanceTimeout,
+        .mayIgnoreDataLocality = this->mayIgnoreDataLocality(step, taskExecution, now),
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
         .admits = this->admissionOf(job, task),
@@ -198,6 +207,11 @@
     };
 }
 
+bool Dispatcher::mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
+{
+    return step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout;
+}
+
 FleetWorker* Dispatcher::findWorker(JobExecution& job, const TaskId& task, Instant now)
 {
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
@@ -212,11 +226,13 @@
     if (mayYield && this->isYielding(taskExecution, context.now))
         return PlacementOutcome::Deferred;
     const bool isSuspect = isCrashSuspect(job, task);
-    const PlacementOutcome failure = isSuspect ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
+    const bool mayAvoidWorkers = isSuspect || (!step.isLongRunning && job.failures(task) > 0);
+    const PlacementOutcome failure = mayAvoidWorkers ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
     if (context.now < taskExecution.nextSearchAt || (isSuspect && !isCrashRecorded(job, task)))
         return failure;
-    const bool hasOnlyResourceNeeds = !isSuspect && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
+    const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
+    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now) };
+    const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
     const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
     const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
@@ -236,8 +252,8 @@
         return PlacementOutcome::Deferred;
     if (!isKnownNotToFit)
         ++pass.unplacedCount;
-    if (!isKnownNotToFit && hasOnlyResourceNeeds && taskExecution.lastFailedWorker.isEmpty())
-        pass.unplacedTasks.push_back({ &job.definition().cell, rule.service, step.need, step.isBestEffort, step.image });
+    if (!isKnownNotToFit && !mayAvoidWorkers && step.maxPerWorker == 0)
+        pass.unplacedTasks.push_back(unplaced);
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
     if (!maySearch)
@@ -265,33 +281,51 @@
     const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
     if (!mayStart || !isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
         return;
-    // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
-    std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
-    std::string rack;
+    TaskExecution& first = stepExecution.tasks.front();
+    if (context.now < first.nextSearchAt)
+        return;
+    std::set<std::string> excludedRacks;
+    std::vector<FleetWorker*> workers = this->findGangWorkers(job, stepExecution, excludedRacks, context.now);
+    while (step.isSameRack && !workers.empty() && workers.size() < stepExecution.tasks.size()) {
+        excludedRacks.insert(workers.front()->entry.rack);
+        workers = this->findGangWorkers(job, stepExecution, excludedRacks, context.now);
+    }
+    if (workers.size() < stepExecution.tasks.size()) {
+        first.nextSearchAt = context.now + this->options.searchCooldown;
+        ++pass.unplacedCount;
+        return;
+    }
     std::uint64_t run = 0;
+    for (const TaskExecution& member : stepExecution.tasks)
+        run = std::max(run, job.nextRun(member));
+    const std::string checkpoint = first.checkpoint;
+    for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
+        stepExecution.tasks[index].checkpoint = checkpoint; // a gang resumes from one checkpoint
+        this->startTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, *workers[index], run, context);
+    }
+}
+
+std::vector<FleetWorker*> Dispatcher::findGangWorkers(JobExecution& job, const StepExecution& stepExecution, const std::set<std::string>& excludedRacks, Instant now)
+{
+    const StepDefinition& step = job.definition().steps[stepExecution.step];
+    std::vector<FleetWorker*> workers;
+    std::string rack;
+    // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
     for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
-        run = std::max(run, job.nextRun(stepExecution.tasks[index]));
-        PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = context.now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = this->admissionOf(job, task) };
+        const auto admits = [&excludedRacks, admission = this->admissionOf(job, task)](const FleetWorker& worker) { return !excludedRacks.contains(worker.entry.rack) && (!admission || admission(worker)); };
+        const PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = admits };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
         if (step.isSameRack)
             rack = worker->entry.rack;
         this->fleet.allocate(*worker, { task, 0 }, allocationOf(step));
-        members.emplace_back(index, worker);
-    }
-    for (const auto& [index, worker] : members)
-        this->fleet.release(*worker, { { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, 0 });
-    if (members.size() < stepExecution.tasks.size()) {
-        ++pass.unplacedCount;
-        return;
-    }
-    const std::string checkpoint = stepExecution.tasks.front().checkpoint;
-    for (const auto& [index, worker] : members) {
-        stepExecution.tasks[index].checkpoint = checkpoint; // a gang resumes from one checkpoint
-        this->startTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, *worker, run, context);
+        workers.push_back(worker);
     }
+    for (std::uint32_t index = 0; index < workers.size(); ++index)
+        this->fleet.release(*workers[index], { { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, 0 });
+    return workers;
 }
 
 void Dispatcher::startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context)
@@ -328,9 +362,10 @@
         return false;
     std::erase_if(this->failedEvictionSearches, [now](const FailedEvictionSearch& failed) { return failed.until <= now; });
     const TaskResources need = needOf(step);
-    const int priority = this->queueRuleOf(job).priority;
+    const QueueRule& rule = this->queueRuleOf(job);
     return std::none_of(this->failedEvictionSearches.begin(), this->failedEvictionSearches.end(), [&](const FailedEvictionSearch& failed) {
-        return failed.isLongRunning == step.isLongRunning && failed.priority <= priority && failed.need.fitsIn(need);
+        const bool isSameService = failed.cell == job.definition().cell && failed.service == rule.service;
+        return isSameService && failed.isLongRunning == step.isLongRunning && failed.priority <= rule.priority && failed.need.fitsIn(need);
     });
 }
 
@@ -339,9 +374,9 @@
     const int priority = this->queueRuleOf(job).priority;
     const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds });
     if (!eviction) {
-        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
+        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && !request.avoidsFailingWorkers && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
-            this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
+            this->failedEvictionSearches.push_back({ request.cell, request.service, needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
         return false;
     }
     taskExecution.roomExpectedAt = context.now + this->options.evictionInterval;
