dispatcher: the start window counts a spec once for each agent

The window counted the spec of a job with each start, though an agent receives it once: 13 starts of a job with a large spec filled a window of 47 KB while the leader's link was used to a third at most. JobExecution::agentsWithSpec holds which agents have it, until contact to one of them is lost.

Leader_agentHasSpecOfJob_furtherStartsCountWithoutIt failed before (3 starts instead of 20).

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -321,6 +321,8 @@
     if (isAnswering)
         return this->agents.agentAnswered(agent);
     this->agents.agentFailed(agent, context.now);
+    for (auto& [id, job] : this->jobExecutions)
+        job->agentsWithSpec.erase(agent);
     context.add(LogDecision { DecisionEvent::AgentLost, agent.address + ":" + std::to_string(agent.port), {}, "no-answer", 0, 0 });
 }
 
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -331,6 +331,8 @@
     Duration grantableLease(const FleetWorker& worker, Instant now) const;
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
     WorkerAddress addressOf(const FleetWorker& worker, Instant now);
+    // startBytes() returns what a start through `agent` adds to the start window: an agent receives the spec of a job once.
+    std::size_t startBytes(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent) const;
     void countWorkers();
 
     // Jobs. advance() completes a job or opens the steps that are due. markDirty() queues changed progress for recording.
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -117,6 +117,12 @@
 
 } // namespace
 
+std::size_t Dispatcher::startBytes(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent) const
+{
+    const bool carriesSpec = agent == Endpoint() || job.agentsWithSpec.insert(agent).second;
+    return (carriesSpec ? job.definition().spec.size() : 0) + taskExecution.checkpoint.size() + this->options.startOverheadBytes;
+}
+
 void Dispatcher::endDelivery(const TaskCallEnded& end, CommandContext& context)
 {
     const auto start = this->startsUnderWay.find(end.run);
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -179,6 +179,9 @@
     // slack is the part of the objective that exceeds the estimated critical path.
     Duration slack { 0 };
 
+    // agentsWithSpec are the agents that have received the spec of the job with a start.
+    std::set<Endpoint> agentsWithSpec;
+
 private:
     std::uint32_t stepExecutionNumber(std::uint32_t occurrence, std::uint32_t step) const;
     StepProgress& progressOf(std::uint32_t occurrence, std::uint32_t step);
