dispatch: the target of the start window covers the round trip

The window shrinks when most answers take longer than its target, a quarter of the validity of a start. On a busy small leader an answer takes 150 to 300 ms however little is under way, so the window shrank although nothing waited for the link: it was full in nearly every pass while three quarters of the room and more than half of the link were free. The target is a round trip and the validity ends at the worker, so half of it is still in time. Class: a signal of overload that is there without load.

--- a/packages/dispatch/delivery_window.cc
+++ b/packages/dispatch/delivery_window.cc
@@ -28,6 +28,8 @@
         this->inTime += bytes;
     else if (outcome != DeliveryOutcome::Unknown)
         this->late += bytes;
+    if (isInTime && delay <= this->options.targetDelay / 2)
+        this->early += bytes;
     if (this->totalEnded >= this->roundEnd)
         this->endRound();
 }
@@ -36,14 +38,15 @@
 {
     const auto scaled = [this](double factor) { return std::clamp(static_cast<std::size_t>(static_cast<double>(this->window) * factor), this->options.minBytes, this->options.maxBytes); };
     const bool wasLate = !this->isRecovering && this->late > this->inTime;
-    this->wasEverLate = this->wasEverLate || wasLate;
+    this->isInitialGrowth = this->isInitialGrowth && 2 * this->early >= this->inTime + this->late;
     if (wasLate)
         this->window = scaled(this->options.reduction);
     else if (!this->isRecovering && this->wasUsedUp && this->inTime > this->late)
-        this->window = scaled(this->wasEverLate ? this->options.growth : this->options.initialGrowth);
+        this->window = scaled(this->isInitialGrowth ? this->options.initialGrowth : this->options.growth);
     this->isRecovering = wasLate;
     this->inTime = 0;
     this->late = 0;
+    this->early = 0;
     this->wasUsedUp = !this->hasRoom();
     this->roundEnd = this->totalSent;
 }
@@ -53,6 +56,7 @@
     this->underWay = 0;
     this->inTime = 0;
     this->late = 0;
+    this->early = 0;
     this->wasUsedUp = false;
     this->isRecovering = false;
     this->totalSent = 0;
--- a/packages/dispatch/delivery_window.h
+++ b/packages/dispatch/delivery_window.h
@@ -6,7 +6,11 @@
 //
 // A round ends once as many bytes have ended as were sent before it began. The window grows after a round in which it was used up
 // and most bytes were delivered in time, and shrinks after one in which most were late; the round after that changes nothing, since
-// its orders were sent into the larger window. A few workers that are slow or silent do not shrink it.
+// its orders were sent into the larger window. A few workers that are slow or silent do not shrink it. The fast growth of the
+// beginning ends once most bytes of a round take more than half of the target, since the next round is that much slower again.
+//
+// The target covers the way there and back and the work of both ends, which take their time however little is under way: a window
+// whose target is less than that shrinks to its minimum.
 //
 // Example:
 //
@@ -41,12 +45,12 @@
 class DeliveryWindow {
 public:
     struct Options {
-        Duration targetDelay { std::chrono::milliseconds(250) }; // from the decision to the answer
+        Duration targetDelay { std::chrono::milliseconds(500) }; // from the decision to the answer
         std::size_t initialBytes { 64 << 10 };
         std::size_t minBytes { 8 << 10 }; // some orders, so that recovery is noticed
         std::size_t maxBytes { 8 << 20 };
         double growth { 1.25 }; // factor a round
-        double initialGrowth { 2 }; // until a round was late for the first time
+        double initialGrowth { 2 }; // until most of a round took more than half of the target for the first time
         double reduction { 0.6 }; // factor after a late round
     };
 
@@ -75,8 +79,9 @@
     std::size_t underWay { 0 };
     std::size_t inTime { 0 }; // bytes of this round
     std::size_t late { 0 };
+    std::size_t early { 0 }; // bytes of `inTime` that took at most half of the target
     bool wasUsedUp { false }; // in this round
-    bool wasEverLate { false };
+    bool isInitialGrowth { true };
     bool isRecovering { false }; // the last round has shrunk the window
     std::uint64_t totalSent { 0 }; // bytes since the last reset()
     std::uint64_t totalEnded { 0 };
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -66,7 +66,7 @@
         Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         AgentChoice::Options agents {};
-        DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is a quarter of startValidity
+        DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, which a start spends on one of the two ways
         std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
