scheduling: the log says why tasks that wait do not run

placeTask() and placeGang() return what they met, a step keeps the last such outcome, and each second the leader logs `task-waiting` for the eight steps that have waited longest, long-running ones first: the reason, the wait, the need, and how many steps wait. No decision changes.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -258,6 +258,7 @@
             this->advance(*job, context);
     }
     this->placeTasks(context);
+    this->reportWaits(context);
     this->pollWorkers(context);
     for (WriteStoredRows& write : this->recorder.collect(this->jobExecutions, context.nextWrite, context.now))
         context.add(std::move(write));
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -90,6 +90,9 @@
         double processorShare { 1 }; // of a core, that this host has
         double maxPlacementShare { 0.25 }; // of its processor that passes may take; a larger fleet or a smaller host makes fewer passes
         Duration passCostPerWorker { std::chrono::microseconds(1) }; // of a core, for one pass
+        Duration waitReportThreshold { std::chrono::seconds(2) }; // for which a task waits before the log says why
+        Duration waitReportInterval { std::chrono::seconds(1) };
+        std::size_t maxWaitsPerReport { 8 };
         Duration idlePassInterval { std::chrono::milliseconds(50) }; // between two placement passes when nothing has changed
     };
 
@@ -345,6 +348,11 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
+    // reportWaits() logs why the tasks that have waited longest do not run, the long-running ones first. waitReasonOf() is the stage of
+    // a task, or what the last pass met at its step; a pass ends early when too many tasks find no room.
+    void reportWaits(CommandContext& context);
+    std::string_view waitReasonOf(const StepExecution& stepExecution, TaskStage stage) const;
+
     // Runs of former leaders. A cell is reconciled when all workers on which any task may run are fenced and the store is followed
     // beyond that, or when the leases of former leaders have expired. Then tasks may be started that have no known run and are not
     // in Cell::formerRuns. accountForWorker() records that the runs on a worker are known, accountForTasks() applies what is left
@@ -365,12 +373,6 @@
     struct PlacementPass;
     Duration passInterval() const;
     void updatePause(CommandContext& context);
-    // PlacementOutcome is the result for one task in a pass.
-    enum class PlacementOutcome {
-        Started,
-        Deferred, // room is being freed for it, or it yields to short tasks
-        NoRoom, // nor is there any for the other tasks of the step
-    };
     void placeTasks(CommandContext& context);
     std::vector<JobExecution*> jobsInPlacementOrder(Instant now);
     // isAbsentForLong() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout.
@@ -378,7 +380,7 @@
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
-    void placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
+    PlacementOutcome placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
     bool evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
@@ -431,6 +433,7 @@
     };
     std::vector<FailedEvictionSearch> failedEvictionSearches;
     Instant lastPass;
+    Instant nextWaitReportAt;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
 };
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -144,14 +144,18 @@
 void Dispatcher::placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[stepExecution.step];
-    if (step.isGang)
-        return this->placeGang(job, stepExecution, pass, context);
+    stepExecution.lastTriedAt = context.now;
+    if (step.isGang) {
+        stepExecution.lastOutcome = this->placeGang(job, stepExecution, pass, context);
+        return;
+    }
     for (std::uint32_t index = 0; index < stepExecution.tasks.size() && this->startWindow.hasRoom(); ++index) {
-        const TaskExecution& taskExecution = stepExecution.tasks[index];
-        const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
-        if (taskExecution.stage != TaskStage::Waiting || this->hasOrphanedRun(task) || !this->mayStartAgain(job, taskExecution, context.now))
+        if (stepExecution.tasks[index].stage != TaskStage::Waiting)
             continue;
-        if (this->placeTask(job, task, pass, context) == PlacementOutcome::NoRoom)
+        const PlacementOutcome outcome = this->placeTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, pass, context);
+        if (outcome != PlacementOutcome::Started)
+            stepExecution.lastOutcome = outcome;
+        if (outcome == PlacementOutcome::NoRoom)
             return;
     }
 }
@@ -203,29 +207,35 @@
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
 }
 
-Dispatcher::PlacementOutcome Dispatcher::placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context)
+PlacementOutcome Dispatcher::placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[task.step];
     const QueueRule& rule = this->queueRuleOf(job);
     TaskExecution& taskExecution = *job.taskExecution(task);
+    if (this->hasOrphanedRun(task))
+        return PlacementOutcome::RunMayExist;
+    if (!this->mayStartAgain(job, taskExecution, context.now))
+        return PlacementOutcome::LeaseNeeded;
     const bool mayYield = this->mayYield(step, taskExecution, context.now);
     if (mayYield && this->isYielding(taskExecution, context.now))
-        return PlacementOutcome::Deferred;
+        return PlacementOutcome::Yielding;
     const bool isSuspect = isCrashSuspect(job, task);
-    const PlacementOutcome failure = isSuspect ? PlacementOutcome::Deferred : PlacementOutcome::NoRoom;
-    if (context.now < taskExecution.nextSearchAt || (isSuspect && !isCrashRecorded(job, task)))
-        return failure;
+    if (isSuspect && !isCrashRecorded(job, task))
+        return PlacementOutcome::CrashNotRecorded;
+    const PlacementOutcome failure = isSuspect ? PlacementOutcome::NoSettledWorker : PlacementOutcome::NoRoom;
+    if (context.now < taskExecution.nextSearchAt)
+        return isSuspect ? PlacementOutcome::SearchDelayed : PlacementOutcome::NoRoom;
     const bool hasOnlyResourceNeeds = !isSuspect && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
     const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
     const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
     const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::Deferred : failure;
+        return isRoomBeingFreed ? PlacementOutcome::RoomBeingFreed : failure;
     const PlacementRequest request = this->requestFor(job, task, context.now);
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
         taskExecution.yieldingSince = context.now;
-        return PlacementOutcome::Deferred;
+        return PlacementOutcome::Yielding;
     }
     if (worker) {
         this->startTask(job, task, *worker, job.nextRun(taskExecution), context);
@@ -233,7 +243,7 @@
     }
     taskExecution.yieldingSince = {};
     if (isSuspect && this->reserveWorker(job, task, context.now))
-        return PlacementOutcome::Deferred;
+        return PlacementOutcome::RoomBeingFreed;
     if (!isKnownNotToFit)
         ++pass.unplacedCount;
     if (!isKnownNotToFit && hasOnlyResourceNeeds && taskExecution.lastFailedWorker.isEmpty())
@@ -241,9 +251,9 @@
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
     if (!maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::Deferred : failure;
+        return isRoomBeingFreed ? PlacementOutcome::RoomBeingFreed : failure;
     ++pass.evictionSearches;
-    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::Deferred : failure;
+    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::RoomBeingFreed : failure;
 }
 
 bool Dispatcher::mayYield(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
@@ -257,14 +267,16 @@
     return taskExecution.yieldingSince != Instant() && now < taskExecution.yieldingSince + this->options.longRunningYieldDelay;
 }
 
-void Dispatcher::placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
+PlacementOutcome Dispatcher::placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[stepExecution.step];
     if (stepExecution.waiting < stepExecution.tasks.size() - stepExecution.done)
-        return;
+        return PlacementOutcome::GangIncomplete;
     const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
-    if (!mayStart || !isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
-        return;
+    if (!mayStart)
+        return PlacementOutcome::LeaseNeeded;
+    if (!isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
+        return PlacementOutcome::CrashNotRecorded;
     // Room is allocated for the members one by one, so that each sees what the others leave, and released before the start.
     std::vector<std::pair<std::uint32_t, FleetWorker*>> members;
     std::string rack;
@@ -285,13 +297,14 @@
         this->fleet.release(*worker, { { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, 0 });
     if (members.size() < stepExecution.tasks.size()) {
         ++pass.unplacedCount;
-        return;
+        return PlacementOutcome::NoRoom;
     }
     const std::string checkpoint = stepExecution.tasks.front().checkpoint;
     for (const auto& [index, worker] : members) {
         stepExecution.tasks[index].checkpoint = checkpoint; // a gang resumes from one checkpoint
         this->startTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, *worker, run, context);
     }
+    return PlacementOutcome::Started;
 }
 
 void Dispatcher::startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context)
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -43,6 +43,34 @@
     return stage == TaskStage::Starting || stage == TaskStage::Unclear || stage == TaskStage::Running || stage == TaskStage::Stopping;
 }
 
+// PlacementOutcome is the result of trying to start one task.
+enum class PlacementOutcome {
+    Started,
+    NoRoom, // nor is there any for the other tasks of the step
+    Yielding, // it leaves room to short tasks
+    RoomBeingFreed, // runs were stopped for it, or a worker is kept for it
+    SearchDelayed, // the last search for a worker was too recent
+    RunMayExist, // a worker has reported a run of it that is not adopted yet
+    LeaseNeeded, // its last run was given up, and this leader may have a successor
+    NoSettledWorker, // it may have crashed workers, and none is free of other new runs
+    CrashNotRecorded, // the store does not hold the crash that is attributed to it yet
+    GangIncomplete, // other tasks of its gang can't start
+};
+
+inline constexpr NameTable placementOutcomeNames { std::to_array<NameEntry<PlacementOutcome>>({
+    { PlacementOutcome::Started, "started" },
+    { PlacementOutcome::NoRoom, "no-room" },
+    { PlacementOutcome::Yielding, "yielding" },
+    { PlacementOutcome::RoomBeingFreed, "room-being-freed" },
+    { PlacementOutcome::SearchDelayed, "search-delayed" },
+    { PlacementOutcome::RunMayExist, "run-may-exist" },
+    { PlacementOutcome::LeaseNeeded, "lease-needed" },
+    { PlacementOutcome::NoSettledWorker, "no-settled-worker" },
+    { PlacementOutcome::CrashNotRecorded, "crash-not-recorded" },
+    { PlacementOutcome::GangIncomplete, "gang-incomplete" },
+}) };
+static_assert(placementOutcomeNames.isWhole(PlacementOutcome::GangIncomplete));
+
 // TaskExecution is the state of one task of an open step.
 struct TaskExecution {
     TaskStage stage { TaskStage::Waiting };
@@ -68,6 +96,8 @@
     std::vector<TaskExecution> tasks;
     std::uint32_t done { 0 }; // number of tasks in stage Done
     std::uint32_t waiting { 0 }; // number of tasks in stage Waiting
+    PlacementOutcome lastOutcome { PlacementOutcome::NoRoom }; // of the last task that was tried and not started
+    Instant lastTriedAt {}; // when a pass last tried to start tasks; default: not yet
 };
 
 // JobExecution is the state of one job while its cell's leader executes it. Not thread-safe. The record must outlive it.
--- /dev/null
+++ b/packages/scheduling/long_running_absence_test.cc
@@ -0,0 +1,87 @@
+// A long-running task that waits, or is moved, is absent for a bounded time while there is room for it, however many short tasks
+// wait for the same room. Without such a bound each part of the room that is freed goes to the first short task that fits.
+
+#include "scheduling/scheduler_fixture.h"
+
+#include <algorithm>
+
+namespace dragonflytray {
+
+namespace {
+
+    constexpr const char* longRunningJob = "00000000000000a1";
+    constexpr Duration acceptedAbsence = std::chrono::seconds(6);
+
+    // LongRunningAbsenceFixture has host "a" as the leader of one worker, and short tasks that fill all room and go on arriving.
+    struct LongRunningAbsenceFixture : SchedulerFixture {
+        LongRunningAbsenceFixture()
+        {
+            this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
+            this->taskDuration = std::chrono::milliseconds(700);
+            this->addWorker("w1", 16);
+            this->run({ "a" }, std::chrono::seconds(3));
+        }
+
+        static StepDefinition longRunningTasks(std::uint32_t count, std::int64_t cores)
+        {
+            StepDefinition step = stepOfTasks(count, cores);
+            step.isLongRunning = true;
+            return step;
+        }
+
+        // runUnderLoad() runs the host for `time`, or until `isOver`, while more short tasks arrive than the worker can run.
+        bool runUnderLoad(
+            Duration time, const std::function<bool()>& isOver = [] { return false; })
+        {
+            for (const Instant end = this->now + time; this->now < end && !isOver();) {
+                if (this->now >= this->nextJobAt) {
+                    (void)this->submit("a", std::to_string(++this->lastShortJob), { stepOfTasks(2, 4) });
+                    this->nextJobAt = this->now + std::chrono::milliseconds(150);
+                }
+                this->run({ "a" }, std::chrono::milliseconds(50));
+            }
+            return isOver();
+        }
+
+        // longestAbsenceUnderLoad() is the longest time for which fewer than `count` tasks of the long-running job run.
+        Duration longestAbsenceUnderLoad(std::size_t count, Duration time)
+        {
+            Duration longest(0);
+            Instant completeAt = this->now;
+            (void)this->runUnderLoad(time, [&] {
+                if (this->runningOf(longRunningJob).size() == count)
+                    completeAt = this->now;
+                longest = std::max(longest, this->now - completeAt);
+                return false;
+            });
+            return longest;
+        }
+
+        std::size_t stopsOf(const std::string& job) const
+        {
+            return static_cast<std::size_t>(std::count_if(this->log.begin(), this->log.end(), [&](const LogDecision& line) { return line.event == DecisionEvent::TaskStopped && line.subject.starts_with(job); }));
+        }
+
+        std::size_t runsOf(const std::string& job) const
+        {
+            return static_cast<std::size_t>(std::count_if(this->begunRuns.begin(), this->begunRuns.end(), [&](const BegunRun& run) { return run.start.call.run.task.job.value() == job; }));
+        }
+
+        std::uint64_t lastShortJob { 1000000000000000 };
+        Instant nextJobAt;
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "LongRunningTask_waitsForRoom_logSaysWhy")
+{
+    (void)this->runUnderLoad(std::chrono::seconds(2));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 32) }) == ReplyStatus::Accepted);
+    (void)this->runUnderLoad(std::chrono::seconds(4));
+    const auto line = std::find_if(this->log.begin(), this->log.end(), [](const LogDecision& decision) { return decision.event == DecisionEvent::TaskWaiting && decision.subject.starts_with(longRunningJob); });
+    REQUIRE(line != this->log.end());
+    CHECK(line->outcome == placementOutcomeNames.nameOf(PlacementOutcome::NoRoom));
+    CHECK(line->ageMilliseconds >= 2000);
+}
+
+} // namespace dragonflytray
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -180,6 +180,7 @@
     TaskGivenUp,
     AgentLost, // a host that delivers orders for this leader has failed, and others take over its workers
     HostForgotten, // the row of a host that has not answered for long is removed
+    TaskWaiting, // a task has not run for long; the outcome says why
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -214,8 +215,9 @@
     { DecisionEvent::TaskGivenUp, "task-given-up" },
     { DecisionEvent::AgentLost, "agent-lost" },
     { DecisionEvent::HostForgotten, "host-forgotten" },
+    { DecisionEvent::TaskWaiting, "task-waiting" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::HostForgotten));
+static_assert(decisionEventNames.isWhole(DecisionEvent::TaskWaiting));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -232,6 +234,9 @@
     CancelledJobs,
     Suspects, // runs to which the crash of a worker is attributed
     Crashes, // attributed to the task
+    AbsentTasks, // of the step that do not run
+    WaitingSteps, // with such tasks
+    NeededMillicores, // by each task of the step
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -248,8 +253,11 @@
     { DecisionInput::CancelledJobs, "cancelled" },
     { DecisionInput::Suspects, "suspects" },
     { DecisionInput::Crashes, "crashes" },
+    { DecisionInput::AbsentTasks, "absent" },
+    { DecisionInput::WaitingSteps, "waitingSteps" },
+    { DecisionInput::NeededMillicores, "needMillicores" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::Crashes));
+static_assert(decisionInputNames.isWhole(DecisionInput::NeededMillicores));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
