--- a/packages/scheduling/long_running_absence_test.cc
+++ b/packages/scheduling/long_running_absence_test.cc
@@ -73,6 +73,58 @@
 
 } // namespace
 
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "LongRunningTask_roomIsFreedInPartsAmongShortTasks_isStartedInBoundedTime")
+{
+    (void)this->runUnderLoad(std::chrono::seconds(2));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 12) }) == ReplyStatus::Accepted);
+    CHECK(this->runUnderLoad(acceptedAbsence, [this] { return this->runningOf(longRunningJob).size() == 1; }));
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "LongRunningTasks_evictedForShortOnes_areAbsentForBoundedTime")
+{
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(3, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf(longRunningJob).size() == 3);
+    (void)this->runUnderLoad(std::chrono::seconds(8));
+    std::map<TaskId, Instant> lastSeen;
+    for (std::uint32_t index = 0; index < 3; ++index)
+        lastSeen[{ JobId(longRunningJob), 0, 0, index }] = this->now;
+    Duration longest(0);
+    (void)this->runUnderLoad(std::chrono::seconds(30), [&] {
+        for (const TaskRunId& run : this->runningOf(longRunningJob))
+            lastSeen[run.task] = this->now;
+        for (const auto& [task, seenAt] : lastSeen)
+            longest = std::max(longest, this->now - seenAt);
+        return false;
+    });
+    CHECK(longest <= acceptedAbsence);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "LongRunningTask_evictedForShortOnes_runsForAWhileBeforeItIsEvictedAgain")
+{
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 16) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    (void)this->runUnderLoad(std::chrono::seconds(36));
+    CHECK(this->runsOf(longRunningJob) >= 3);
+    CHECK(this->stopsOf(longRunningJob) <= 6);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "Evacuation_shortTasksWaitForRoom_taskGetsTheRoomForWhichItWasStopped")
+{
+    this->dispatcherOptions.evacuationGrace = std::chrono::seconds(60);
+    this->restartHost("a");
+    this->run({ "a" }, std::chrono::seconds(15));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(4, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    REQUIRE(this->runningOf(longRunningJob).size() == 4);
+    this->addWorker("w2", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    this->chooseStopDelay = [](const TaskRunId&) { return std::chrono::milliseconds(300); };
+    this->workers.at(WorkerId("w1")).drain(this->now);
+    CHECK(this->longestAbsenceUnderLoad(4, std::chrono::seconds(4)) <= std::chrono::seconds(1));
+    CHECK(this->stopsOf(longRunningJob) == 4);
+}
+
 TEST_CASE_METHOD(LongRunningAbsenceFixture, "LongRunningTask_waitsForRoom_logSaysWhy")
 {
     (void)this->runUnderLoad(std::chrono::seconds(2));
