scheduling: claims to room, and a bound on the absence of long-running tasks

Cause: nothing held room for the task for which it was made. Runs that are stopped for one task, or moved, end one by one; each part of their room went to the first short task that fits, and a long-running task needs two or three such parts. It had no claim by its absence either: it kept its rank behind each short task that arrived, and was evicted again as soon as it ran. The class is a promise without a guard: room was found for a task, and no one kept it.

- RoomClaims: an eviction and a move claim the room for their task.
A pass begins with the claimants: it starts those whose room is complete and holds the free part of the others' room.
- A long-running task that has been absent for half of what users accept is overdue: it comes first, takes the place of a long-running run that has run for long, or claims the room that short runs leave.
So tasks take turns where there is no room for all.
- A run after an absence is not evicted again for 8 s.
- A move counts as planned room only for tasks without a claim.

Tests that failed before and pass now: LongRunningTask_roomIsFreedInPartsAmongShortTasks_isStartedInBoundedTime, LongRunningTasks_evictedForShortOnes_areAbsentForBoundedTime, LongRunningTask_evictedForShortOnes_runsForAWhileBeforeItIsEvictedAgain, Evacuation_shortTasksWaitForRoom_taskGetsTheRoomForWhichItWasStopped, LongRunningTask_absentForLong_isStartedBeforeShortTasks, Eviction_* (2).

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -26,7 +26,9 @@
 #include "scheduling/former_runs.h"
 #include "scheduling/job_execution.h"
 #include "scheduling/placement.h"
+#include "scheduling/planned_room.h"
 #include "scheduling/recorder.h"
+#include "scheduling/room_claims.h"
 #include "scheduling/store_view.h"
 #include <algorithm>
 #include <array>
@@ -76,11 +78,14 @@
         std::uint32_t failuresBeforeCooldown { 3 }; // failed runs in a row
         Duration searchCooldown { std::chrono::milliseconds(100) }; // between searches for a worker for one task with placement constraints
         Duration dataLocalityTimeout { std::chrono::milliseconds(500) }; // for which a task waits for room in the rack that holds its data
-        Duration evictionInterval { std::chrono::milliseconds(500) }; // between evictions for one task; a stop takes at most 400 ms
+        Duration roomClaimTimeout { std::chrono::milliseconds(750) }; // of a claim to the room of runs that are stopped; a stop and its report take less
+        Duration clearingTimeout { std::chrono::milliseconds(2000) }; // of a claim to the room that short runs leave
+        double maxClearedShare { 0.1 }; // of the workers on which the room that short runs leave may be claimed
         std::size_t maxUnplacedTasksPerPass { 48 }; // tasks that found no worker, after which a pass ends
         Duration lowHeadroomPollTimeout { std::chrono::milliseconds(350) }; // replaces pollWaitTimeout while best-effort tasks run beside a serving task near its target
         Duration longRunningYieldDelay { std::chrono::milliseconds(1500) }; // for which a long-running task leaves free room to short tasks
-        Duration longRunningYieldTimeout { std::chrono::milliseconds(3000) }; // of absence, after which a long-running task yields no more; half of the absence that users accept
+        Duration longRunningYieldTimeout { std::chrono::milliseconds(3000) }; // of absence, after which a long-running task is overdue; half of the absence that users accept
+        Duration minLongRunningTime { std::chrono::seconds(8) }; // for which a long-running task runs after an absence before it may be evicted again
         Duration shortTaskWindow { std::chrono::seconds(5) }; // after the last start of a short task, in which more are expected
         double evictionDelayShare { 0.15 }; // share of a job's slack that a task waits before other runs are evicted for it
         double restartCostSeconds { 0.3 }; // seconds of work lost when a run with checkpoints is stopped
@@ -90,6 +95,7 @@
         double processorShare { 1 }; // of a core, that this host has
         double maxPlacementShare { 0.25 }; // of its processor that passes may take; a larger fleet or a smaller host makes fewer passes
         Duration passCostPerWorker { std::chrono::microseconds(1) }; // of a core, for one pass
+        Duration evictionSearchCostPerWorker { std::chrono::nanoseconds(500) }; // of a core, for one search of runs to evict
         Duration waitReportThreshold { std::chrono::seconds(2) }; // for which a task waits before the log says why
         Duration waitReportInterval { std::chrono::seconds(1) };
         std::size_t maxWaitsPerReport { 8 };
@@ -306,10 +312,9 @@
     std::function<bool(const FleetWorker&)> admissionOf(const JobExecution& job, const TaskId& task) const;
     bool reserveWorker(JobExecution& job, const TaskId& task, Instant now);
 
-    // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, besides what `plannedRoom`
-    // holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the long-running tasks that
-    // wait or are being stopped.
-    class PlannedRoom;
+    // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, which they claim, besides what
+    // `plannedRoom` holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the
+    // long-running tasks that wait or are being stopped.
     void evacuateWorkers(CommandContext& context);
     void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
     void planAbsentTasks(PlannedRoom& plannedRoom, Instant now);
@@ -369,21 +374,38 @@
 
     // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
     // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
-    // Options::longRunningYieldDelay after room was found (isYielding()).
+    // Options::longRunningYieldDelay after room was found (isYielding()). Once it is overdue it comes first, and takes the place of
+    // one that has run for long, or claims the room that short runs leave. A pass tries overdue tasks and others under limits of their own. A pass begins with placeClaimants(): it starts the tasks whose claimed room is complete, and
+    // holds the free part of the others' room until the pass ends.
     struct PlacementPass;
     Duration passInterval() const;
     void updatePause(CommandContext& context);
     void placeTasks(CommandContext& context);
-    std::vector<JobExecution*> jobsInPlacementOrder(Instant now);
-    // isAbsentForLong() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout.
-    bool isAbsentForLong(JobExecution& job, Instant now) const;
+    void placeClaimants(PlacementPass& pass, CommandContext& context);
+    void holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass);
+    void claimRoom(const JobExecution& job, RoomClaim claim, PlacementPass& pass);
+    // PlacementOrder is the jobs with waiting tasks in the order in which a pass tries them, those with overdue tasks first.
+    struct PlacementOrder {
+        std::vector<JobExecution*> jobs;
+        std::size_t overdueCount { 0 };
+    };
+    PlacementOrder placementOrder(Instant now);
+    void placeJobs(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context);
+    // isOverdue() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout. overdueSince() is the
+    // least recent begin of absence of such a task of a job.
+    bool isOverdue(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
+    std::optional<Instant> overdueSince(JobExecution& job, Instant now) const;
+    // obstacleTo() is what forbids a start of the task wherever there is room.
+    std::optional<PlacementOutcome> obstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
     void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
+    void placeTasksOf(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
     PlacementOutcome placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     PlacementOutcome placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context);
     void startTask(JobExecution& job, const TaskId& task, FleetWorker& worker, std::uint64_t run, CommandContext& context);
-    bool evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context);
+    bool evictFor(const JobExecution& job, const TaskId& task, const PlacementRequest& request, PlacementPass& pass, CommandContext& context);
+    bool clearWorkerFor(const JobExecution& job, const TaskId& task, PlacementRequest request, PlacementPass& pass);
     bool mayEvictFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now);
     RunAllocation allocationFor(const JobExecution& job, const StepDefinition& step) const;
     bool hasOrphanedRun(const TaskId& task) const;
@@ -422,17 +444,19 @@
     Instant lastStoreAnswer; // to any call
     bool isStoreLost { false }; // the last read of the change feed failed
     bool areStartsPaused { false }; // !mayStartTasks() at the last placement pass
-    bool isRoomScarce { false }; // a task found no worker in the last pass that looked for one
     bool needsPass { false }; // something has changed since the last placement pass
     // FailedEvictionSearch is a search for runs to evict that could not free enough.
     struct FailedEvictionSearch {
         TaskResources need;
         bool isLongRunning { false };
+        bool isOverdue { false };
         int priority { 0 };
         Instant until;
     };
     std::vector<FailedEvictionSearch> failedEvictionSearches;
+    RoomClaims roomClaims;
     Instant lastPass;
+    std::size_t lastEvictionSearches { 0 }; // in the last pass
     Instant nextWaitReportAt;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
--- a/packages/scheduling/dispatcher_evacuation.cc
+++ b/packages/scheduling/dispatcher_evacuation.cc
@@ -4,35 +4,6 @@
 
 namespace dragonflytray {
 
-// PlannedRoom allocates room for runs that are not started yet, so that each search sees what the others leave. The destructor
-// releases it.
-class Dispatcher::PlannedRoom {
-public:
-    explicit PlannedRoom(Fleet& fleet)
-        : fleet(fleet)
-    {
-    }
-
-    ~PlannedRoom()
-    {
-        for (const auto& [worker, run] : this->runs)
-            this->fleet.release(*worker, run);
-    }
-
-    PlannedRoom(const PlannedRoom&) = delete;
-    PlannedRoom& operator=(const PlannedRoom&) = delete;
-
-    void add(FleetWorker& worker, const TaskId& task, const RunAllocation& allocation)
-    {
-        this->runs.emplace_back(&worker, TaskRunId { task, 0 });
-        this->fleet.allocate(worker, this->runs.back().second, allocation);
-    }
-
-private:
-    Fleet& fleet;
-    std::vector<std::pair<FleetWorker*, TaskRunId>> runs;
-};
-
 void Dispatcher::evacuateWorkers(CommandContext& context)
 {
     std::optional<PlannedRoom> plannedRoom;
@@ -60,8 +31,10 @@
         }
         if (!destination && !isLeavingSoon)
             continue;
-        if (destination)
+        if (destination) {
             plannedRoom->add(*destination, run.task, this->allocationFor(*job, job->definition().steps[run.task.step]));
+            this->roomClaims.add({ .task = run.task, .worker = destination->entry.id, .until = context.now + this->options.roomClaimTimeout });
+        }
         this->stopRun(worker, run, "evacuated", context);
         ++evacuatedRuns;
     }
@@ -85,6 +58,8 @@
         if (stage != TaskStage::Waiting && stage != TaskStage::Stopping)
             continue;
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
+        if (this->roomClaims.contains(task))
+            continue; // the pass holds its room
         FleetWorker* worker = this->findWorker(job, task, now);
         if (!worker)
             return; // nor for the others of the step
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -3,6 +3,7 @@
 #include "scheduling/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace dragonflytray {
@@ -49,9 +50,15 @@
         bool isBestEffort { false };
         ImageName image {};
     };
+    explicit PlacementPass(Fleet& fleet)
+        : heldRoom(fleet)
+    {
+    }
+
     std::vector<UnplacedTask> unplacedTasks;
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
+    PlannedRoom heldRoom; // the free part of claimed room
 
     bool hasNoRoomFor(const CellName& cell, const ServiceName& service, const StepDefinition& step) const
     {
@@ -61,7 +68,7 @@
     }
 };
 
-std::vector<JobExecution*> Dispatcher::jobsInPlacementOrder(Instant now)
+Dispatcher::PlacementOrder Dispatcher::placementOrder(Instant now)
 {
     struct Entry {
         int rank;
@@ -69,41 +76,54 @@
         JobExecution* job;
     };
     std::vector<Entry> entries;
+    PlacementOrder order;
     for (auto& [id, job] : this->jobExecutions) {
         const auto cell = this->cells.find(job->definition().cell);
         if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end())
             continue;
-        // Where starts and not room are scarce, the few starts of tasks that callers miss already cost the others little.
-        const bool isFirst = !this->isRoomScarce && this->isAbsentForLong(*job, now);
-        entries.push_back({ isFirst ? firstRank : rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority), job->objectiveDeadline, job.get() });
+        const auto overdueSince = this->overdueSince(*job, now);
+        const int rank = overdueSince ? firstRank : rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority);
+        entries.push_back({ rank, overdueSince.value_or(job->objectiveDeadline), job.get() });
+        order.overdueCount += overdueSince ? 1 : 0;
     }
     std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
         return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
     });
-    std::vector<JobExecution*> jobs;
-    jobs.reserve(entries.size());
+    order.jobs.reserve(entries.size());
     for (const Entry& entry : entries)
-        jobs.push_back(entry.job);
-    return jobs;
+        order.jobs.push_back(entry.job);
+    return order;
 }
 
 Duration Dispatcher::passInterval() const
 {
-    const double cost = toSeconds(this->options.passCostPerWorker) * static_cast<double>(this->fleet.all().size());
+    const double costPerWorker = toSeconds(this->options.passCostPerWorker) + toSeconds(this->options.evictionSearchCostPerWorker) * static_cast<double>(this->lastEvictionSearches);
+    const double cost = costPerWorker * static_cast<double>(this->fleet.all().size());
     const std::chrono::duration<double> affordable(cost / (this->options.maxPlacementShare * this->options.processorShare));
     const Duration wanted = this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval;
     return std::max(wanted, std::chrono::duration_cast<Duration>(affordable));
 }
 
-bool Dispatcher::isAbsentForLong(JobExecution& job, Instant now) const
+bool Dispatcher::isOverdue(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
 {
+    return step.isLongRunning && taskExecution.stage == TaskStage::Waiting && now >= taskExecution.absentSince + this->options.longRunningYieldTimeout;
+}
+
+std::optional<Instant> Dispatcher::overdueSince(JobExecution& job, Instant now) const
+{
+    std::optional<Instant> since;
     if (!job.definition().isLongRunning())
-        return false;
-    const auto isAbsent = [&](const TaskExecution& task) { return task.stage == TaskStage::Waiting && now >= task.absentSince + this->options.longRunningYieldTimeout; };
-    return std::any_of(job.openSteps().begin(), job.openSteps().end(), [&](const auto& entry) {
-        const StepExecution& step = entry.second;
-        return step.waiting > 0 && job.definition().steps[step.step].isLongRunning && std::any_of(step.tasks.begin(), step.tasks.end(), isAbsent);
-    });
+        return since;
+    for (const auto& [number, stepExecution] : job.openSteps()) {
+        const StepDefinition& step = job.definition().steps[stepExecution.step];
+        if (stepExecution.waiting == 0)
+            continue;
+        for (const TaskExecution& taskExecution : stepExecution.tasks) {
+            if (this->isOverdue(step, taskExecution, now))
+                since = std::min(since.value_or(Instant::max()), taskExecution.absentSince);
+        }
+    }
+    return since;
 }
 
 void Dispatcher::placeTasks(CommandContext& context)
@@ -116,20 +136,68 @@
     this->needsPass = false;
     this->lastPass = context.now;
     this->crashSuspects.releaseWorkers(this->fleet, context.now);
-    PlacementPass pass;
+    PlacementPass pass(this->fleet);
+    this->placeClaimants(pass, context);
     // What the window has no room for is decided later, when it can be delivered and by what is known then.
-    const std::vector<JobExecution*> jobs = this->startWindow.hasRoom() ? this->jobsInPlacementOrder(context.now) : std::vector<JobExecution*>();
+    if (this->startWindow.hasRoom()) {
+        const PlacementOrder order = this->placementOrder(context.now);
+        const auto others = order.jobs.begin() + static_cast<std::ptrdiff_t>(order.overdueCount);
+        this->placeJobs({ order.jobs.begin(), others }, pass, context);
+        this->lastEvictionSearches = pass.evictionSearches;
+        pass.unplacedCount = 0;
+        pass.evictionSearches = 0;
+        this->placeJobs({ others, order.jobs.end() }, pass, context);
+        this->lastEvictionSearches += pass.evictionSearches;
+    }
+    this->evacuateWorkers(context);
+}
+
+void Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context)
+{
     for (JobExecution* job : jobs) {
         if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass || !this->startWindow.hasRoom())
-            break;
+            return;
         for (auto& [number, stepExecution] : job->openSteps()) {
             if (stepExecution.waiting > 0)
                 this->placeStep(*job, stepExecution, pass, context);
         }
     }
-    if (!jobs.empty())
-        this->isRoomScarce = pass.unplacedCount > 0;
-    this->evacuateWorkers(context);
+}
+
+void Dispatcher::placeClaimants(PlacementPass& pass, CommandContext& context)
+{
+    const std::vector<RoomClaim> claims = this->roomClaims.all();
+    for (const RoomClaim& claim : claims) {
+        JobExecution* job = this->findJobExecution(claim.task.job);
+        const TaskExecution* taskExecution = job && !isFinal(job->progress().phase) ? job->taskExecution(claim.task) : nullptr;
+        FleetWorker* worker = this->fleet.find(claim.worker);
+        const bool isAwaited = taskExecution && (taskExecution->stage == TaskStage::Waiting || taskExecution->stage == TaskStage::Stopping);
+        const bool isComplete = isAwaited && worker && taskExecution->stage == TaskStage::Waiting && !this->obstacleTo(*job, claim.task, context.now) && fitsOn(*worker, this->requestFor(*job, claim.task, context.now));
+        if (isComplete && this->startWindow.hasRoom())
+            this->startTask(*job, claim.task, *worker, job->nextRun(*taskExecution), context);
+        else if (isComplete || (isAwaited && worker && context.now < claim.until))
+            this->holdRoom(*job, claim, pass);
+        else
+            this->roomClaims.remove(claim.task);
+    }
+}
+
+void Dispatcher::holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass)
+{
+    FleetWorker* worker = this->fleet.find(claim.worker);
+    const TaskResources need = needOf(job.definition().steps[claim.task.step]);
+    const TaskResources room = worker->availableResources();
+    const auto smallerOf = [](std::int64_t a, std::int64_t b) { return std::max<std::int64_t>(std::min(a, b), 0); };
+    RunAllocation allocation;
+    allocation.need = { smallerOf(need.millicores, room.millicores), smallerOf(need.megabytes, room.megabytes), smallerOf(need.accelerators, room.accelerators) };
+    pass.heldRoom.add(*worker, claim.task, allocation);
+}
+
+void Dispatcher::claimRoom(const JobExecution& job, RoomClaim claim, PlacementPass& pass)
+{
+    pass.heldRoom.remove(claim.task);
+    this->holdRoom(job, claim, pass);
+    this->roomClaims.add(std::move(claim));
 }
 
 void Dispatcher::updatePause(CommandContext& context)
@@ -149,14 +217,24 @@
         stepExecution.lastOutcome = this->placeGang(job, stepExecution, pass, context);
         return;
     }
+    if (step.isLongRunning)
+        this->placeTasksOf(job, stepExecution, true, pass, context);
+    this->placeTasksOf(job, stepExecution, false, pass, context);
+}
+
+void Dispatcher::placeTasksOf(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context)
+{
+    const StepDefinition& step = job.definition().steps[stepExecution.step];
     for (std::uint32_t index = 0; index < stepExecution.tasks.size() && this->startWindow.hasRoom(); ++index) {
-        if (stepExecution.tasks[index].stage != TaskStage::Waiting)
+        const TaskExecution& taskExecution = stepExecution.tasks[index];
+        if (taskExecution.stage != TaskStage::Waiting || this->isOverdue(step, taskExecution, context.now) != areOverdue)
             continue;
-        const PlacementOutcome outcome = this->placeTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, pass, context);
+        const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
+        const PlacementOutcome outcome = this->placeTask(job, task, pass, context);
         if (outcome != PlacementOutcome::Started)
             stepExecution.lastOutcome = outcome;
-        if (outcome == PlacementOutcome::NoRoom)
-            return;
+        if (outcome == PlacementOutcome::NoRoom || (outcome == PlacementOutcome::SearchDelayed && !isCrashSuspect(job, task)))
+            return; // nor is there any for the others
     }
 }
 
@@ -207,30 +285,38 @@
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
 }
 
+std::optional<PlacementOutcome> Dispatcher::obstacleTo(JobExecution& job, const TaskId& task, Instant now) const
+{
+    if (this->hasOrphanedRun(task))
+        return PlacementOutcome::RunMayExist;
+    if (!this->mayStartAgain(job, *job.taskExecution(task), now))
+        return PlacementOutcome::LeaseNeeded;
+    if (isCrashSuspect(job, task) && !isCrashRecorded(job, task))
+        return PlacementOutcome::CrashNotRecorded;
+    return std::nullopt;
+}
+
 PlacementOutcome Dispatcher::placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[task.step];
     const QueueRule& rule = this->queueRuleOf(job);
     TaskExecution& taskExecution = *job.taskExecution(task);
-    if (this->hasOrphanedRun(task))
-        return PlacementOutcome::RunMayExist;
-    if (!this->mayStartAgain(job, taskExecution, context.now))
-        return PlacementOutcome::LeaseNeeded;
+    if (const auto obstacle = this->obstacleTo(job, task, context.now))
+        return *obstacle;
     const bool mayYield = this->mayYield(step, taskExecution, context.now);
     if (mayYield && this->isYielding(taskExecution, context.now))
         return PlacementOutcome::Yielding;
     const bool isSuspect = isCrashSuspect(job, task);
-    if (isSuspect && !isCrashRecorded(job, task))
-        return PlacementOutcome::CrashNotRecorded;
-    const PlacementOutcome failure = isSuspect ? PlacementOutcome::NoSettledWorker : PlacementOutcome::NoRoom;
+    const bool hasClaim = this->roomClaims.contains(task);
+    const PlacementOutcome failure = hasClaim ? PlacementOutcome::RoomBeingFreed : isSuspect ? PlacementOutcome::NoSettledWorker
+                                                                                             : PlacementOutcome::NoRoom;
     if (context.now < taskExecution.nextSearchAt)
-        return isSuspect ? PlacementOutcome::SearchDelayed : PlacementOutcome::NoRoom;
+        return hasClaim ? PlacementOutcome::RoomBeingFreed : PlacementOutcome::SearchDelayed;
     const bool hasOnlyResourceNeeds = !isSuspect && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
     const bool isKnownNotToFit = hasOnlyResourceNeeds && pass.hasNoRoomFor(job.definition().cell, rule.service, step);
-    const bool isRoomBeingFreed = context.now < taskExecution.roomExpectedAt;
-    const bool maySearch = !isRoomBeingFreed && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
+    const bool maySearch = !hasClaim && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::RoomBeingFreed : failure;
+        return failure;
     const PlacementRequest request = this->requestFor(job, task, context.now);
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
@@ -238,6 +324,7 @@
         return PlacementOutcome::Yielding;
     }
     if (worker) {
+        pass.heldRoom.remove(task);
         this->startTask(job, task, *worker, job.nextRun(taskExecution), context);
         return PlacementOutcome::Started;
     }
@@ -251,15 +338,15 @@
     if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
     if (!maySearch)
-        return isRoomBeingFreed ? PlacementOutcome::RoomBeingFreed : failure;
+        return failure;
     ++pass.evictionSearches;
-    return this->evictFor(job, taskExecution, request, context) ? PlacementOutcome::RoomBeingFreed : failure;
+    const bool isRoomClaimed = this->evictFor(job, task, request, pass, context) || (this->isOverdue(step, taskExecution, context.now) && this->clearWorkerFor(job, task, request, pass));
+    return isRoomClaimed ? PlacementOutcome::RoomBeingFreed : failure;
 }
 
 bool Dispatcher::mayYield(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
 {
-    const bool hasTimedOut = now >= taskExecution.absentSince + this->options.longRunningYieldTimeout;
-    return step.isLongRunning && !hasTimedOut && now < this->lastShortTaskStart + this->options.shortTaskWindow;
+    return step.isLongRunning && !this->isOverdue(step, taskExecution, now) && now < this->lastShortTaskStart + this->options.shortTaskWindow;
 }
 
 bool Dispatcher::isYielding(const TaskExecution& taskExecution, Instant now) const
@@ -311,17 +398,22 @@
 {
     TaskExecution& taskExecution = *job.taskExecution(task);
     context.stageTimes[Stage::Wait].record(context.now - taskExecution.since);
+    const bool wasAbsent = taskExecution.run != 0 || this->isOverdue(job.definition().steps[task.step], taskExecution, context.now);
     taskExecution.worker = worker.entry.id;
     taskExecution.run = run;
     taskExecution.isRunGivenUp = false;
     taskExecution.yieldingSince = {};
+    this->roomClaims.remove(task);
     taskExecution.nextSearchAt = {};
     const StepDefinition& step = job.definition().steps[task.step];
     if (!step.isLongRunning && !step.isBestEffort)
         this->lastShortTaskStart = context.now;
     job.setStage(task, TaskStage::Starting, context.now);
     const TaskRunId id { task, run };
-    this->fleet.allocate(worker, id, this->allocationFor(job, step));
+    RunAllocation allocation = this->allocationFor(job, step);
+    if (wasAbsent)
+        allocation.evictableFrom = context.now + this->options.minLongRunningTime;
+    this->fleet.allocate(worker, id, std::move(allocation));
     if (isCrashSuspect(job, task))
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
     this->bestEffortControl.summarizeServing(worker);
@@ -342,25 +434,40 @@
     std::erase_if(this->failedEvictionSearches, [now](const FailedEvictionSearch& failed) { return failed.until <= now; });
     const TaskResources need = needOf(step);
     const int priority = this->queueRuleOf(job).priority;
+    const bool isOverdue = this->isOverdue(step, taskExecution, now);
     return std::none_of(this->failedEvictionSearches.begin(), this->failedEvictionSearches.end(), [&](const FailedEvictionSearch& failed) {
-        return failed.isLongRunning == step.isLongRunning && failed.priority <= priority && failed.need.fitsIn(need);
+        return failed.isLongRunning == step.isLongRunning && failed.isOverdue == isOverdue && failed.priority <= priority && failed.need.fitsIn(need);
     });
 }
 
-bool Dispatcher::evictFor(const JobExecution& job, TaskExecution& taskExecution, const PlacementRequest& request, CommandContext& context)
+bool Dispatcher::evictFor(const JobExecution& job, const TaskId& task, const PlacementRequest& request, PlacementPass& pass, CommandContext& context)
 {
     const int priority = this->queueRuleOf(job).priority;
-    const auto eviction = chooseEviction(this->fleet, request, { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds });
+    const bool isOverdue = this->isOverdue(request.step, *job.taskExecution(task), context.now);
+    const EvictionTerms terms { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds, .mayReplaceLongRunning = isOverdue };
+    const auto eviction = chooseEviction(this->fleet, request, terms);
     if (!eviction) {
         const bool hasOnlyResourceNeeds = !request.isCrashSuspect && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
         if (hasOnlyResourceNeeds)
-            this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, priority, context.now + this->options.evictionSearchCooldown });
+            this->failedEvictionSearches.push_back({ needOf(request.step), request.step.isLongRunning, isOverdue, priority, context.now + this->options.evictionSearchCooldown });
         return false;
     }
-    taskExecution.roomExpectedAt = context.now + this->options.evictionInterval;
     for (const TaskRunId& victim : eviction->victims)
         this->stopRun(*eviction->worker, victim, "evicted", context);
+    this->claimRoom(job, { .task = task, .worker = eviction->worker->entry.id, .until = context.now + this->options.roomClaimTimeout }, pass);
     return true;
 }
 
+bool Dispatcher::clearWorkerFor(const JobExecution& job, const TaskId& task, PlacementRequest request, PlacementPass& pass)
+{
+    const std::size_t maxClaims = static_cast<std::size_t>(std::ceil(this->options.maxClearedShare * static_cast<double>(this->fleet.all().size())));
+    if (this->roomClaims.clearingCount() >= maxClaims)
+        return false;
+    request.admits = [this, admits = std::move(request.admits)](const FleetWorker& worker) { return !this->roomClaims.isClaimed(worker.entry.id) && (!admits || admits(worker)); };
+    const FleetWorker* worker = chooseWorkerToClear(this->fleet, request);
+    if (worker)
+        this->claimRoom(job, { .task = task, .worker = worker->entry.id, .until = request.now + this->options.clearingTimeout, .isClearing = true }, pass);
+    return worker != nullptr;
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -31,6 +31,7 @@
     bool isRoomReserved { false }; // what its stop frees is reserved for a task that evicted runs on the worker
     bool isStopConfirmed { false }; // the worker has answered the stop and will not start the run any more
     Instant stopRequestedAt {};
+    Instant evictableFrom {}; // of a long-running run: not stopped for a short task before this
     Instant firstConfirmedAt {}; // when it was first known to run; zero: not yet
     Instant lastConfirmedAt {}; // when a start was last answered or a report last named it
     Duration latencyTarget { 0 };
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -48,7 +48,7 @@
     Started,
     NoRoom, // nor is there any for the other tasks of the step
     Yielding, // it leaves room to short tasks
-    RoomBeingFreed, // runs were stopped for it, or a worker is kept for it
+    RoomBeingFreed, // it has a claim to room on a worker, or a worker is kept for it
     SearchDelayed, // the last search for a worker was too recent
     RunMayExist, // a worker has reported a run of it that is not adopted yet
     LeaseNeeded, // its last run was given up, and this leader may have a successor
@@ -79,7 +79,6 @@
     std::string checkpoint; // the most recent one known; the next run continues from it
     Instant since; // when the stage was entered
     Instant absentSince; // since when it has not run; default: since a time before this leader
-    Instant roomExpectedAt; // by then the runs that were stopped to make room for this task have ended
     Instant yieldingSince; // since when a long-running task leaves available room to short tasks; default: it does not
     Instant nextSearchAt; // no search for a worker before this, after one whose failure says nothing about other tasks
     bool isRunGivenUp { false }; // the last run was given up without a report of its worker
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -98,6 +98,11 @@
     return allocation;
 }
 
+bool fitsOn(const FleetWorker& worker, const PlacementRequest& request)
+{
+    return hasRoom(worker, needOf(request.step), request) && isEligible(worker, request);
+}
+
 FleetWorker* chooseWorker(Fleet& fleet, const PlacementRequest& request)
 {
     FleetWorker* best = nullptr;
@@ -125,8 +130,10 @@
             return std::nullopt;
         const auto millicores = static_cast<double>(allocation.need.millicores);
         // A long-running task loses the time in which it is away. A short task of its own priority is worth more per core.
-        if (allocation.isLongRunning)
-            return !request.step.isLongRunning && allocation.priority >= terms.priority ? std::optional(millicores) : std::nullopt;
+        if (allocation.isLongRunning) {
+            const bool mayTakePlace = !request.step.isLongRunning || terms.mayReplaceLongRunning;
+            return mayTakePlace && allocation.priority >= terms.priority && request.now >= allocation.evictableFrom ? std::optional(millicores) : std::nullopt;
+        }
         if (allocation.priority <= terms.priority)
             return std::nullopt;
         // A run without checkpoints loses all of its work; one with them only restarts elsewhere.
@@ -183,6 +190,28 @@
 
 } // namespace
 
+FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request)
+{
+    const TaskResources need = needOf(request.step);
+    FleetWorker* best = nullptr;
+    std::int64_t leastMissing = 0;
+    for (FleetWorker* worker : fleet.workersOf(request.cell, request.service)) {
+        if (!isEligible(*worker, request))
+            continue;
+        TaskResources maxRoom = worker->availableResources();
+        for (const auto& [run, allocation] : worker->runs) {
+            if (!allocation.isLongRunning)
+                maxRoom += allocation.need;
+        }
+        const std::int64_t missing = need.millicores - worker->availableResources().millicores;
+        if (!need.fitsIn(maxRoom) || (best && missing >= leastMissing))
+            continue;
+        best = worker;
+        leastMissing = missing;
+    }
+    return best;
+}
+
 std::optional<Eviction> chooseEviction(Fleet& fleet, const PlacementRequest& request, const EvictionTerms& terms)
 {
     std::optional<Eviction> best;
