--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -43,6 +43,32 @@
     return stage == TaskStage::Starting || stage == TaskStage::Unclear || stage == TaskStage::Running || stage == TaskStage::Stopping;
 }
 
+// PlacementOutcome is the result of trying to start one task.
+enum class PlacementOutcome {
+    Started,
+    NoRoom, // nor is there any for the other tasks of the step
+    Yielding, // it leaves room to short tasks
+    RoomBeingFreed, // it has a claim to room on a worker, or a worker is kept for it
+    RunMayExist, // a worker has reported a run of it that is not adopted yet
+    LeaseNeeded, // its last run was given up, and this leader may have a successor
+    NoAdmittedWorker, // it avoids workers, after failed runs or as a suspect of crashes; this says nothing about other tasks
+    CrashNotRecorded, // the store does not hold the crash that is attributed to it yet
+    GangIncomplete, // other tasks of its gang can't start
+};
+
+inline constexpr NameTable placementOutcomeNames { std::to_array<NameEntry<PlacementOutcome>>({
+    { PlacementOutcome::Started, "started" },
+    { PlacementOutcome::NoRoom, "no-room" },
+    { PlacementOutcome::Yielding, "yielding" },
+    { PlacementOutcome::RoomBeingFreed, "room-being-freed" },
+    { PlacementOutcome::RunMayExist, "run-may-exist" },
+    { PlacementOutcome::LeaseNeeded, "lease-needed" },
+    { PlacementOutcome::NoAdmittedWorker, "no-admitted-worker" },
+    { PlacementOutcome::CrashNotRecorded, "crash-not-recorded" },
+    { PlacementOutcome::GangIncomplete, "gang-incomplete" },
+}) };
+static_assert(placementOutcomeNames.isWhole(PlacementOutcome::GangIncomplete));
+
 // TaskExecution is the state of one task of an open step.
 struct TaskExecution {
     TaskStage stage { TaskStage::Waiting };
@@ -51,7 +77,6 @@
     std::string checkpoint; // the most recent one known; the next run continues from it
     Instant since; // when the stage was entered
     Instant absentSince; // since when it has not run; default: since a time before this leader
-    Instant roomExpectedAt; // by then the runs that were stopped to make room for this task have ended
     Instant yieldingSince; // since when a long-running task leaves available room to short tasks; default: it does not
     Instant nextSearchAt; // no search for a worker before this, after one whose failure says nothing about other tasks
     bool isRunGivenUp { false }; // the last run was given up without a report of its worker
@@ -68,6 +93,8 @@
     std::vector<TaskExecution> tasks;
     std::uint32_t done { 0 }; // number of tasks in stage Done
     std::uint32_t waiting { 0 }; // number of tasks in stage Waiting
+    PlacementOutcome lastOutcome { PlacementOutcome::NoRoom }; // of the last task that was tried and not started
+    Instant lastTriedAt {}; // when a pass last tried to start tasks; default: not yet
 };
 
 // JobExecution is the state of one job while its cell's leader executes it. Not thread-safe. The record must outlive it.
