scheduling: a worker that drained before it was first seen is evacuated at once

Callers saw long-running tasks absent for over 6 s after planned stops of leaders beside draining workers.

Cause: the time after which all long-running tasks are moved off a draining worker counted from when the present leader first saw it drain. A leader follows the list only since it leads, so that in a full cell, with leaders 1 to 2.5 s apart, no leader moved them; they ended with their worker, and waited for its lease. A drain whose begin was not seen may be over at any moment: such a worker is evacuated without that delay.

--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -73,10 +73,11 @@
         FleetWorker& worker = this->workers[entry.id];
         if (worker.entry.endpoint != entry.endpoint)
             worker.enrolment = Enrolment::None; // a successor would not find it by the stored roster
+        const bool wasSeenBefore = worker.isListed && !change.isWhole;
         if (!entry.isDraining)
             worker.drainingSince = {};
         else if (worker.drainingSince == Instant())
-            worker.drainingSince = now;
+            worker.drainingSince = wasSeenBefore ? now : Instant::min(); // it may leave at any moment
         worker.entry = entry;
         worker.isListed = true;
         worker.listedAt = now;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -89,7 +89,7 @@
     bool isListed { false };
     Instant listedAt; // when its entry was last read
     Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
-    Instant drainingSince; // when it was first seen to drain; zero: it does not
+    Instant drainingSince; // when it began to drain, at the latest; the least value: before it was first seen here; zero: it does not drain
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
     bool mayHaveUnknownRuns { false }; // a former leader may have started tasks on it that this leader has not heard of
