scheduling: passes count their searches, and take a quarter of the host

Cause: the interval between passes rested on a fixed cost per worker. A pass in a full cell makes up to a hundred searches over all workers, so that passes filled the processor, commands waited, and the lease was renewed too late.

A pass counts its searches, and the next one waits until it fits in the share of the processor that passes may take.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -96,6 +96,7 @@
         double processorShare { 1 }; // of a core, that this host has
         double maxPlacementShare { 0.25 }; // of its processor that passes may take; a larger fleet or a smaller host makes fewer passes
         Duration passCostPerWorker { std::chrono::microseconds(1) }; // of a core, for one pass
+        Duration searchCostPerWorker { std::chrono::nanoseconds(30) }; // of a core, for one search of a worker with room
         Duration evictionSearchCostPerWorker { std::chrono::nanoseconds(500) }; // of a core, for one search of runs to evict
         Duration waitReportThreshold { std::chrono::seconds(2) }; // for which a task waits before the log says why
         Duration waitReportInterval { std::chrono::seconds(1) };
@@ -468,7 +469,7 @@
     std::vector<FailedEvictionSearch> failedEvictionSearches;
     RoomClaims roomClaims;
     Instant lastPass;
-    std::size_t lastEvictionSearches { 0 }; // in the last pass
+    std::chrono::duration<double> lastPassCost { 0 }; // of a core, for the last pass, as estimated from its searches
     Instant nextWaitReportAt;
     Instant lastShortTaskStart; // of a task that is neither long-running nor best-effort
     std::map<JobId, Instant> finishedJobs; // jobs with a final phase that still have runs or unrecorded progress, and when they ended
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace dragonflytray {
 
@@ -66,6 +67,7 @@
     std::vector<UnplacedTask> unplacedTasks;
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
+    std::size_t searches { 0 };
     PlannedRoom heldRoom; // the free part of claimed room
 
     bool hasNoRoomFor(const UnplacedTask& task) const
@@ -103,9 +105,7 @@
 
 Duration Dispatcher::passInterval() const
 {
-    const double costPerWorker = toSeconds(this->options.passCostPerWorker) + toSeconds(this->options.evictionSearchCostPerWorker) * static_cast<double>(this->lastEvictionSearches);
-    const double cost = costPerWorker * static_cast<double>(this->fleet.all().size());
-    const std::chrono::duration<double> affordable(cost / (this->options.maxPlacementShare * this->options.processorShare));
+    const std::chrono::duration<double> affordable = this->lastPassCost / (this->options.maxPlacementShare * this->options.processorShare);
     const Duration wanted = this->needsPass ? this->options.minPassInterval : this->options.idlePassInterval;
     return std::max(wanted, std::chrono::duration_cast<Duration>(affordable));
 }
@@ -145,16 +145,18 @@
     PlacementPass pass(this->fleet);
     this->placeClaimants(pass, context);
     // What the window has no room for is decided later, when it can be delivered and by what is known then.
+    std::size_t evictionSearches = 0;
     if (this->startWindow.hasRoom()) {
         const PlacementOrder order = this->placementOrder(context.now);
         const auto others = order.jobs.begin() + static_cast<std::ptrdiff_t>(order.overdueCount);
         this->placeJobs({ order.jobs.begin(), others }, pass, context);
-        this->lastEvictionSearches = pass.evictionSearches;
+        evictionSearches = std::exchange(pass.evictionSearches, 0);
         pass.unplacedCount = 0;
-        pass.evictionSearches = 0;
         this->placeJobs({ others, order.jobs.end() }, pass, context);
-        this->lastEvictionSearches += pass.evictionSearches;
+        evictionSearches += pass.evictionSearches;
     }
+    const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
+    this->lastPassCost = std::chrono::duration<double>(costPerWorker) * static_cast<double>(this->fleet.all().size());
     this->evacuateWorkers(context);
 }
 
@@ -334,6 +336,7 @@
     if (isKnownNotToFit && !maySearch)
         return failure;
     const PlacementRequest request = this->requestFor(job, task, context.now);
+    pass.searches += isKnownNotToFit ? 0 : 1;
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
         taskExecution.yieldingSince = context.now;
