scheduling: findings of the review of claims and turns

A reviewer who had not seen the work found ways in which the claims and the order of overdue tasks harm others. Each test failed before this commit:

- A claim started a task on a worker of another service after a change of the configuration: fitsOn() checks cell and service (RoomClaim_queueMovesToOtherService_taskIsNotStartedOnItsWorker).
- One member of a gang was started alone after a move: gangs make no claims (RoomClaim_memberOfGangIsMoved_membersStartTogether).
- A claim stayed on a worker that drains, is unlisted or does not answer: it is dropped (RoomClaim_workerDrains_otherRoomIsClaimed).
- A claim waited for short runs that go on: runs that have outlived the claim's timeout are not expected to end (RoomClaim_shortRunGoesOn_*, 2).
- A run was safe from short tasks for 8 s, also after a move, so that a job missed its objective and never started: 4 s, only after an absence; another long-running task takes its place after 8 s as before (ShortTask_longRunningTaskWasMoved_isStartedInItsPlace, ShortTasks_longRunningTasksTakeTurns_areServed).
- One overdue task put all tasks of its job first: only overdue tasks come first (OverdueTask_jobHasShortTasksToo_theseKeepTheirRank).
- Tasks that find no room leave searches to others also where passes are far apart; claims are found by task and by worker without a scan; the ratio of two clocks is (1 + drift) / (1 - drift).

The test Evacuation_shortTasksWaitForRoom_* allows no evictions now: a moved task may be evicted like any other, and the test is about the room that it was stopped for.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -86,7 +86,8 @@
         Duration lowHeadroomPollTimeout { std::chrono::milliseconds(350) }; // replaces pollWaitTimeout while best-effort tasks run beside a serving task near its target
         Duration longRunningYieldDelay { std::chrono::milliseconds(1500) }; // for which a long-running task leaves free room to short tasks
         Duration longRunningYieldTimeout { std::chrono::milliseconds(3000) }; // of absence, after which a long-running task is overdue; half of the absence that users accept
-        Duration minLongRunningTime { std::chrono::seconds(8) }; // for which a long-running task runs after an absence before it may be evicted again
+        Duration minLongRunningTime { std::chrono::seconds(4) }; // for which a long-running task runs after an absence before it may be evicted for a short one
+        Duration longRunningTurn { std::chrono::seconds(8) }; // for which it runs before another long-running task may take its place
         Duration shortTaskWindow { std::chrono::seconds(5) }; // after the last start of a short task, in which more are expected
         double evictionDelayShare { 0.15 }; // share of a job's slack that a task waits before other runs are evicted for it
         double restartCostSeconds { 0.3 }; // seconds of work lost when a run with checkpoints is stopped
@@ -381,10 +382,10 @@
     std::vector<DecisionInputValue> takeoverInputs(const CellName& name, const Cell& cell) const;
 
     // Placement. placeTasks() makes a pass over the waiting tasks, unless the last one was too recent or starts are paused,
-    // as updatePause() decides. A waiting long-running task yields free room to short tasks while mayYield(), for
-    // Options::longRunningYieldDelay after room was found (isYielding()). Once it is overdue it comes first, and takes the place of
-    // one that has run for long, or claims the room that short runs leave. A pass tries overdue tasks and others under limits of their own. A pass begins with placeClaimants(): it starts the tasks whose claimed room is complete, and
-    // holds the free part of the others' room until the pass ends.
+    // as updatePause() decides. A pass begins with placeClaimants(): it starts the tasks whose claimed room is complete, and holds the
+    // free part of the others' room until the pass ends. Then it tries overdue tasks, and all others, under limits of their own.
+    // A waiting long-running task yields free room to short tasks while mayYield(), for Options::longRunningYieldDelay after room was
+    // found (isYielding()). An overdue one takes the place of another one that has had its turn, or claims room that short runs leave.
     struct PlacementPass;
     Duration passInterval() const;
     void updatePause(CommandContext& context);
@@ -392,21 +393,21 @@
     void placeClaimants(PlacementPass& pass, CommandContext& context);
     void holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass);
     void claimRoom(const JobExecution& job, RoomClaim claim, PlacementPass& pass);
-    // PlacementOrder is the jobs with waiting tasks in the order in which a pass tries them, those with overdue tasks first.
+    // PlacementOrder is the jobs with waiting tasks in the order in which a pass tries them, and those with overdue tasks.
     struct PlacementOrder {
+        std::vector<JobExecution*> overdueJobs;
         std::vector<JobExecution*> jobs;
-        std::size_t overdueCount { 0 };
     };
     PlacementOrder placementOrder(Instant now);
-    void placeJobs(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context);
+    // placeJobs() and placeStep() try the overdue tasks, or all others.
+    void placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
     // isOverdue() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout. overdueSince() is the
     // least recent begin of absence of such a task of a job.
     bool isOverdue(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     std::optional<Instant> overdueSince(JobExecution& job, Instant now) const;
     // obstacleTo() is what forbids a start of the task wherever there is room.
     std::optional<PlacementOutcome> obstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
-    void placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
-    void placeTasksOf(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context);
+    void placeStep(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
     bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
--- a/packages/scheduling/dispatcher_evacuation.cc
+++ b/packages/scheduling/dispatcher_evacuation.cc
@@ -33,7 +33,8 @@
             continue;
         if (destination) {
             plannedRoom->add(*destination, run.task, this->allocationFor(*job, job->definition().steps[run.task.step]));
-            this->roomClaims.add({ .task = run.task, .worker = destination->entry.id, .until = context.now + this->options.roomClaimTimeout });
+            if (!allocation.isGang) // its members start together
+                this->roomClaims.add({ .task = run.task, .worker = destination->entry.id, .until = context.now + this->options.roomClaimTimeout });
         }
         this->stopRun(worker, run, "evacuated", context);
         ++evacuatedRuns;
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -28,7 +28,7 @@
         return now <= job.lateDeadline ? UrgencyClass::Late : UrgencyClass::Expired;
     }
 
-    constexpr int firstRank = -1; // before all that rankOf() returns
+    constexpr int searchCooldownPasses = 4; // at least; tasks that find no room leave searches to others
 
     // rankOf() is the place of a job in the order of placement; the least comes first. Late jobs come after all others,
     // whatever their priority; at one priority, long-running jobs come after the others.
@@ -84,22 +84,25 @@
         JobExecution* job;
     };
     std::vector<Entry> entries;
-    PlacementOrder order;
+    std::vector<std::pair<Instant, JobExecution*>> overdue;
     for (auto& [id, job] : this->jobExecutions) {
         const auto cell = this->cells.find(job->definition().cell);
         if (job->waiting() == 0 || isFinal(job->progress().phase) || cell == this->cells.end())
             continue;
-        const auto overdueSince = this->overdueSince(*job, now);
-        const int rank = overdueSince ? firstRank : rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority);
-        entries.push_back({ rank, overdueSince.value_or(job->objectiveDeadline), job.get() });
-        order.overdueCount += overdueSince ? 1 : 0;
+        entries.push_back({ rankOf(urgencyOf(*job, now), this->queueRuleOf(*job).priority), job->objectiveDeadline, job.get() });
+        if (const auto since = this->overdueSince(*job, now))
+            overdue.emplace_back(*since, job.get());
     }
     std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
         return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
     });
+    std::stable_sort(overdue.begin(), overdue.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    PlacementOrder order;
     order.jobs.reserve(entries.size());
     for (const Entry& entry : entries)
         order.jobs.push_back(entry.job);
+    for (const auto& [since, job] : overdue)
+        order.overdueJobs.push_back(job);
     return order;
 }
 
@@ -148,11 +151,10 @@
     std::size_t evictionSearches = 0;
     if (this->startWindow.hasRoom()) {
         const PlacementOrder order = this->placementOrder(context.now);
-        const auto others = order.jobs.begin() + static_cast<std::ptrdiff_t>(order.overdueCount);
-        this->placeJobs({ order.jobs.begin(), others }, pass, context);
+        this->placeJobs(order.overdueJobs, true, pass, context);
         evictionSearches = std::exchange(pass.evictionSearches, 0);
         pass.unplacedCount = 0;
-        this->placeJobs({ others, order.jobs.end() }, pass, context);
+        this->placeJobs(order.jobs, false, pass, context);
         evictionSearches += pass.evictionSearches;
     }
     const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
@@ -160,30 +162,31 @@
     this->evacuateWorkers(context);
 }
 
-void Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context)
+void Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context)
 {
     for (JobExecution* job : jobs) {
         if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass || !this->startWindow.hasRoom())
             return;
         for (auto& [number, stepExecution] : job->openSteps()) {
             if (stepExecution.waiting > 0)
-                this->placeStep(*job, stepExecution, pass, context);
+                this->placeStep(*job, stepExecution, areOverdue, pass, context);
         }
     }
 }
 
 void Dispatcher::placeClaimants(PlacementPass& pass, CommandContext& context)
 {
-    const std::vector<RoomClaim> claims = this->roomClaims.all();
-    for (const RoomClaim& claim : claims) {
+    const std::map<TaskId, RoomClaim> claims = this->roomClaims.all();
+    for (const auto& [task, claim] : claims) {
         JobExecution* job = this->findJobExecution(claim.task.job);
         const TaskExecution* taskExecution = job && !isFinal(job->progress().phase) ? job->taskExecution(claim.task) : nullptr;
         FleetWorker* worker = this->fleet.find(claim.worker);
-        const bool isAwaited = taskExecution && (taskExecution->stage == TaskStage::Waiting || taskExecution->stage == TaskStage::Stopping);
-        const bool isComplete = isAwaited && worker && taskExecution->stage == TaskStage::Waiting && !this->obstacleTo(*job, claim.task, context.now) && fitsOn(*worker, this->requestFor(*job, claim.task, context.now));
+        const bool mayGetTasks = worker && worker->isListed && !worker->entry.isDraining && !worker->isSuspect;
+        const bool isAwaited = mayGetTasks && taskExecution && (taskExecution->stage == TaskStage::Waiting || taskExecution->stage == TaskStage::Stopping);
+        const bool isComplete = isAwaited && taskExecution->stage == TaskStage::Waiting && !this->obstacleTo(*job, claim.task, context.now) && fitsOn(*worker, this->requestFor(*job, claim.task, context.now));
         if (isComplete && this->startWindow.hasRoom())
             this->startTask(*job, claim.task, *worker, job->nextRun(*taskExecution), context);
-        else if (isComplete || (isAwaited && worker && context.now < claim.until))
+        else if (isComplete || (isAwaited && context.now < claim.until))
             this->holdRoom(*job, claim, pass);
         else
             this->roomClaims.remove(claim.task);
@@ -217,28 +220,22 @@
     context.add(LogDecision { isPaused ? DecisionEvent::StartsPaused : DecisionEvent::StartsResumed, "store", {}, {}, this->followedVersion, 0, this->viewAge(context.now) });
 }
 
-void Dispatcher::placeStep(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context)
+void Dispatcher::placeStep(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context)
 {
     const StepDefinition& step = job.definition().steps[stepExecution.step];
+    if (areOverdue && !step.isLongRunning)
+        return;
     stepExecution.lastTriedAt = context.now;
     if (step.isGang) {
-        stepExecution.lastOutcome = this->placeGang(job, stepExecution, pass, context);
+        if (areOverdue == this->isOverdue(step, stepExecution.tasks.front(), context.now))
+            stepExecution.lastOutcome = this->placeGang(job, stepExecution, pass, context);
         return;
     }
-    if (step.isLongRunning)
-        this->placeTasksOf(job, stepExecution, true, pass, context);
-    this->placeTasksOf(job, stepExecution, false, pass, context);
-}
-
-void Dispatcher::placeTasksOf(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context)
-{
-    const StepDefinition& step = job.definition().steps[stepExecution.step];
     for (std::uint32_t index = 0; index < stepExecution.tasks.size() && this->startWindow.hasRoom(); ++index) {
         const TaskExecution& taskExecution = stepExecution.tasks[index];
         if (taskExecution.stage != TaskStage::Waiting || this->isOverdue(step, taskExecution, context.now) != areOverdue)
             continue;
-        const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
-        const PlacementOutcome outcome = this->placeTask(job, task, pass, context);
+        const PlacementOutcome outcome = this->placeTask(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, index }, pass, context);
         if (outcome != PlacementOutcome::Started)
             stepExecution.lastOutcome = outcome;
         if (outcome == PlacementOutcome::NoRoom)
@@ -355,7 +352,7 @@
     if (!isKnownNotToFit && !mayAvoidWorkers && step.maxPerWorker == 0)
         pass.unplacedTasks.push_back(unplaced);
     if (!hasOnlyResourceNeeds)
-        taskExecution.nextSearchAt = context.now + this->options.searchCooldown;
+        taskExecution.nextSearchAt = context.now + std::max(this->options.searchCooldown, searchCooldownPasses * this->passInterval());
     if (!maySearch)
         return failure;
     ++pass.evictionSearches;
@@ -435,7 +432,7 @@
 {
     TaskExecution& taskExecution = *job.taskExecution(task);
     context.stageTimes[Stage::Wait].record(context.now - taskExecution.since);
-    const bool wasAbsent = taskExecution.run != 0 || this->isOverdue(job.definition().steps[task.step], taskExecution, context.now);
+    const bool wasAbsent = this->isOverdue(job.definition().steps[task.step], taskExecution, context.now);
     taskExecution.worker = worker.entry.id;
     taskExecution.run = run;
     taskExecution.isRunGivenUp = false;
@@ -449,7 +446,7 @@
     const TaskRunId id { task, run };
     RunAllocation allocation = this->allocationFor(job, step);
     if (wasAbsent)
-        allocation.evictableFrom = context.now + this->options.minLongRunningTime;
+        allocation.returnedAt = context.now;
     this->fleet.allocate(worker, id, std::move(allocation));
     if (isCrashSuspect(job, task))
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
@@ -484,7 +481,7 @@
 {
     const int priority = this->queueRuleOf(job).priority;
     const bool isOverdue = this->isOverdue(request.step, *job.taskExecution(task), context.now);
-    const EvictionTerms terms { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds, .mayReplaceLongRunning = isOverdue };
+    const EvictionTerms terms { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds, .mayReplaceLongRunning = isOverdue, .minLongRunningTime = request.step.isLongRunning ? this->options.longRunningTurn : this->options.minLongRunningTime };
     const auto eviction = chooseEviction(this->fleet, request, terms);
     if (!eviction) {
         const bool hasOnlyResourceNeeds = !request.isCrashSuspect && !request.avoidsFailingWorkers && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
@@ -504,7 +501,7 @@
     if (this->roomClaims.clearingCount() >= maxClaims)
         return false;
     request.admits = [this, admits = std::move(request.admits)](const FleetWorker& worker) { return !this->roomClaims.isClaimed(worker.entry.id) && (!admits || admits(worker)); };
-    const FleetWorker* worker = chooseWorkerToClear(this->fleet, request);
+    const FleetWorker* worker = chooseWorkerToClear(this->fleet, request, this->options.clearingTimeout);
     if (worker)
         this->claimRoom(job, { .task = task, .worker = worker->entry.id, .until = request.now + this->options.clearingTimeout, .isClearing = true }, pass);
     return worker != nullptr;
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -14,7 +14,7 @@
     roster.beginReporting();
     const std::map<WorkerId, RosterEntry> workers = roster.workers();
     cell.isRosterComplete = acquired.former.isRosterComplete && workers.size() == acquired.former.rosterSize;
-    const double clockRatio = 1 + 2 * this->options.fleet.maxClockDrift; // between the host that measured a lease and this one
+    const double clockRatio = (1 + this->options.fleet.maxClockDrift) / (1 - this->options.fleet.maxClockDrift); // between the host that measured a lease and this one
     for (const auto& [id, entry] : workers) {
         const Duration maxLease = entry.maxLease ? std::chrono::ceil<Duration>(*entry.maxLease * clockRatio) : Duration::max();
         const Instant leaseEnd = maxLease < cell.formerLeaseEnd - cell.leadingSince ? cell.leadingSince + maxLease : cell.formerLeaseEnd;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -31,7 +31,7 @@
     bool isRoomReserved { false }; // what its stop frees is reserved for a task that evicted runs on the worker
     bool isStopConfirmed { false }; // the worker has answered the stop and will not start the run any more
     Instant stopRequestedAt {};
-    Instant evictableFrom {}; // of a long-running run: not stopped for a short task before this
+    Instant returnedAt {}; // when a long-running run began after an absence; zero: it did not
     Instant firstConfirmedAt {}; // when it was first known to run; zero: not yet
     Instant lastConfirmedAt {}; // when a start was last answered or a report last named it
     Duration latencyTarget { 0 };
--- a/packages/scheduling/long_running_absence_test.cc
+++ b/packages/scheduling/long_running_absence_test.cc
@@ -112,6 +112,7 @@
 TEST_CASE_METHOD(LongRunningAbsenceFixture, "Evacuation_shortTasksWaitForRoom_taskGetsTheRoomForWhichItWasStopped")
 {
     this->dispatcherOptions.evacuationGrace = std::chrono::seconds(60);
+    this->dispatcherOptions.maxEvictionSearchesPerPass = 0;
     this->restartHost("a");
     this->run({ "a" }, std::chrono::seconds(15));
     REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(4, 4) }) == ReplyStatus::Accepted);
@@ -138,4 +139,123 @@
     CHECK(line->ageMilliseconds >= 2000);
 }
 
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_queueMovesToOtherService_taskIsNotStartedOnItsWorker")
+{
+    (void)this->runUnderLoad(std::chrono::seconds(2));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 12) }) == ReplyStatus::Accepted);
+    REQUIRE_FALSE(this->runUnderLoad(std::chrono::milliseconds(3200), [this] { return this->runningOf(longRunningJob).size() == 1; }));
+    this->configuration.version = 2;
+    this->configuration.queues[0].service = ServiceName("other");
+    this->send("a", ConfigurationFollowed { this->configuration });
+    const std::size_t startsBefore = this->starts.size();
+    this->run({ "a" }, std::chrono::seconds(3));
+    CHECK(this->starts.size() == startsBefore);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_memberOfGangIsMoved_membersStartTogether")
+{
+    this->dispatcherOptions.evacuationGrace = std::chrono::seconds(60);
+    this->restartHost("a");
+    this->run({ "a" }, std::chrono::seconds(15));
+    StepDefinition step = longRunningTasks(2, 10);
+    step.isGang = true;
+    this->addWorker("w2", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    REQUIRE(this->submit("a", longRunningJob, { step }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(3));
+    REQUIRE(this->runningOf(longRunningJob).size() == 2);
+    this->addWorker("w3", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    this->chooseStopDelay = [](const TaskRunId& run) { return std::chrono::milliseconds(run.task.index == 0 ? 50 : 350); };
+    const std::size_t startsBefore = this->starts.size();
+    this->workers.at(WorkerId("w1")).drain(this->now);
+    this->run({ "a" }, std::chrono::seconds(10));
+    CHECK(this->starts.size() == startsBefore + 2);
+    CHECK(this->runningOf(longRunningJob).size() == 2);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_workerDrains_otherRoomIsClaimed")
+{
+    const std::string drained = GENERATE("w1", "w2");
+    this->taskDuration = std::chrono::milliseconds(1500);
+    this->addWorker("w2", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    (void)this->runUnderLoad(std::chrono::seconds(4));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 16) }) == ReplyStatus::Accepted);
+    const Instant submittedAt = this->now;
+    const auto isRunning = [this] { return this->runningOf(longRunningJob).size() == 1; };
+    (void)this->runUnderLoad(std::chrono::milliseconds(3200), isRunning);
+    this->workers.at(WorkerId(drained)).drain(this->now);
+    CHECK(this->runUnderLoad(std::chrono::seconds(20), isRunning));
+    CHECK(this->now <= submittedAt + acceptedAbsence);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_shortRunGoesOn_freeRoomIsLeftToOthers")
+{
+    this->taskDuration = std::chrono::seconds(120);
+    REQUIRE(this->submit("a", "00000000000000b1", { stepOfTasks(1, 8) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->taskDuration = std::chrono::milliseconds(700);
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 12) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(4));
+    for (int number = 0; number < 20; ++number) {
+        const std::string id = std::to_string(3000000000000000 + number);
+        REQUIRE(this->submit("a", id, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+        this->run({ "a" }, std::chrono::milliseconds(1500));
+        CHECK(this->phaseOf(id) == JobPhase::Completed);
+    }
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_shortRunGoesOn_otherWorkerIsCleared")
+{
+    this->taskDuration = std::chrono::seconds(120);
+    REQUIRE(this->submit("a", "00000000000000b1", { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->taskDuration = std::chrono::milliseconds(700);
+    this->addWorker("w2", 16).list(this->now);
+    (void)this->runUnderLoad(std::chrono::seconds(4));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 16) }) == ReplyStatus::Accepted);
+    CHECK(this->runUnderLoad(acceptedAbsence, [this] { return this->runningOf(longRunningJob).size() == 1; }));
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "ShortTask_longRunningTaskWasMoved_isStartedInItsPlace")
+{
+    this->addWorker("w2", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 16) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(9));
+    REQUIRE(this->runningOf(longRunningJob).size() == 1);
+    this->workers.at(this->begunRuns.back().start.call.to.worker).drain(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    REQUIRE(this->runningOf(longRunningJob).size() == 1);
+    const std::string shortJob = "00000000000000c1";
+    REQUIRE(this->submit("a", shortJob, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(3));
+    CHECK(this->phaseOf(shortJob) == JobPhase::Completed);
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "ShortTasks_longRunningTasksTakeTurns_areServed")
+{
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(GENERATE(4U, 5U, 6U), 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(40));
+    std::vector<std::string> ids;
+    for (int number = 0; number < 20; ++number) {
+        ids.push_back(std::to_string(3000000000000000 + number));
+        REQUIRE(this->submit("a", ids.back(), { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+        this->run({ "a" }, std::chrono::seconds(2));
+    }
+    this->run({ "a" }, std::chrono::seconds(10));
+    CHECK(std::all_of(ids.begin(), ids.end(), [this](const std::string& id) { return this->phaseOf(id) == JobPhase::Completed; }));
+}
+
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "OverdueTask_jobHasShortTasksToo_theseKeepTheirRank")
+{
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 64), stepOfTasks(200, 16) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(5));
+    const std::string shortJob = "00000000000000c1";
+    REQUIRE(this->submit("a", shortJob, { stepOfTasks(1, 16) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(6));
+    CHECK(this->phaseOf(shortJob) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -114,7 +114,8 @@
 
 bool fitsOn(const FleetWorker& worker, const PlacementRequest& request)
 {
-    return hasRoom(worker, needOf(request.step), request) && isEligible(worker, request);
+    const bool isOfService = worker.cell == request.cell && worker.entry.service == request.service;
+    return isOfService && hasRoom(worker, needOf(request.step), request) && isEligible(worker, request);
 }
 
 FleetWorker* chooseWorker(Fleet& fleet, const PlacementRequest& request)
@@ -146,7 +147,7 @@
         // A long-running task loses the time in which it is away. A short task of its own priority is worth more per core.
         if (allocation.isLongRunning) {
             const bool mayTakePlace = !request.step.isLongRunning || terms.mayReplaceLongRunning;
-            return mayTakePlace && allocation.priority >= terms.priority && request.now >= allocation.evictableFrom ? std::optional(millicores) : std::nullopt;
+            return mayTakePlace && allocation.priority >= terms.priority && request.now >= allocation.returnedAt + terms.minLongRunningTime ? std::optional(millicores) : std::nullopt;
         }
         if (allocation.priority <= terms.priority)
             return std::nullopt;
@@ -204,7 +205,7 @@
 
 } // namespace
 
-FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request)
+FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request, Duration maxRunTime)
 {
     const TaskResources need = needOf(request.step);
     FleetWorker* best = nullptr;
@@ -214,7 +215,8 @@
             continue;
         TaskResources maxRoom = worker->availableResources();
         for (const auto& [run, allocation] : worker->runs) {
-            if (!allocation.isLongRunning)
+            const bool mayEndSoon = allocation.firstConfirmedAt == Instant() || request.now < allocation.firstConfirmedAt + maxRunTime;
+            if (!allocation.isLongRunning && mayEndSoon)
                 maxRoom += allocation.need;
         }
         const std::int64_t missing = need.millicores - worker->availableResources().millicores;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -38,15 +38,15 @@
 // allocationOf() is the allocation of a new run of `step`, without its priority.
 RunAllocation allocationOf(const StepDefinition& step);
 
-// fitsOn() says whether the task may be started on the worker, which has room for it.
+// fitsOn() says whether the task may be started on the worker: it is of the cell and service and has room.
 bool fitsOn(const FleetWorker& worker, const PlacementRequest& request);
 
 // chooseWorker() is the best worker with room, or null. Linear in the workers of the cell and service.
 FleetWorker* chooseWorker(Fleet& fleet, const PlacementRequest& request);
 
-// chooseWorkerToClear() is the worker on which the least room is missing, among those that have enough once their short runs have
-// ended; null if there is none. Linear in the workers and runs of the cell and service.
-FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request);
+// chooseWorkerToClear() is the worker on which the fewest cores are missing, among those that have enough room once their short
+// runs of less than `maxRunTime` have ended; null if there is none. Linear in the workers and runs of the cell and service.
+FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request, Duration maxRunTime);
 
 // Eviction is a worker on which some runs have to stop to make room for a task.
 struct Eviction {
@@ -58,7 +58,8 @@
 struct EvictionTerms {
     int priority { 0 }; // of the task that needs room; 0 comes first
     double restartCostSeconds { 0.3 }; // seconds of work lost when a run with checkpoints is stopped
-    bool mayReplaceLongRunning { false }; // a long-running task may take the place of one that has run for long
+    bool mayReplaceLongRunning { false }; // a long-running task may take the place of another one
+    Duration minLongRunningTime { 0 }; // for which a long-running task has run since its last absence
 };
 
 // chooseEviction() is the eviction that makes room at the least cost, or nothing. The room is reserved: a later search
--- a/packages/scheduling/room_claims.h
+++ b/packages/scheduling/room_claims.h
@@ -8,11 +8,11 @@
 //
 //     RoomClaims claims;
 //     claims.add({ .task = task, .worker = worker->entry.id, .until = now + timeout });
-//     for (const RoomClaim& claim : claims.all()) { ... }
+//     for (const auto& [task, claim] : claims.all()) { ... }
 
 #include "scheduling/worker_types.h"
-#include <algorithm>
-#include <vector>
+#include <map>
+#include <set>
 
 namespace dragonflytray {
 
@@ -24,8 +24,7 @@
     bool isClearing { false }; // it waits for short runs to end, and none was stopped for it
 };
 
-// RoomClaims holds at most one claim for each task, in the order in which they were added. Each operation is linear in the
-// claims. Not thread-safe.
+// RoomClaims holds at most one claim for each task. Each operation is logarithmic in the claims. Not thread-safe.
 class RoomClaims {
 public:
     // Commands.
@@ -34,35 +33,33 @@
     void add(RoomClaim claim)
     {
         this->remove(claim.task);
-        this->claims.push_back(std::move(claim));
+        this->workers.insert(claim.worker);
+        this->clearings += claim.isClearing ? 1 : 0;
+        const TaskId task = claim.task;
+        this->claims.emplace(task, std::move(claim));
     }
 
     void remove(const TaskId& task)
     {
-        std::erase_if(this->claims, [&](const RoomClaim& claim) { return claim.task == task; });
+        const auto found = this->claims.find(task);
+        if (found == this->claims.end())
+            return;
+        this->workers.erase(this->workers.find(found->second.worker));
+        this->clearings -= found->second.isClearing ? 1 : 0;
+        this->claims.erase(found);
     }
 
     // Queries.
 
-    bool contains(const TaskId& task) const
-    {
-        return std::any_of(this->claims.begin(), this->claims.end(), [&](const RoomClaim& claim) { return claim.task == task; });
-    }
-
-    bool isClaimed(const WorkerId& worker) const
-    {
-        return std::any_of(this->claims.begin(), this->claims.end(), [&](const RoomClaim& claim) { return claim.worker == worker; });
-    }
-
-    std::size_t clearingCount() const
-    {
-        return static_cast<std::size_t>(std::count_if(this->claims.begin(), this->claims.end(), [](const RoomClaim& claim) { return claim.isClearing; }));
-    }
-
-    const std::vector<RoomClaim>& all() const { return this->claims; }
+    bool contains(const TaskId& task) const { return this->claims.contains(task); }
+    bool isClaimed(const WorkerId& worker) const { return this->workers.contains(worker); }
+    std::size_t clearingCount() const { return this->clearings; }
+    const std::map<TaskId, RoomClaim>& all() const { return this->claims; }
 
 private:
-    std::vector<RoomClaim> claims;
+    std::map<TaskId, RoomClaim> claims;
+    std::multiset<WorkerId> workers; // of the claims
+    std::size_t clearings { 0 };
 };
 
 } // namespace dragonflytray
