--- a/packages/dispatch/delivery_window.h
+++ b/packages/dispatch/delivery_window.h
@@ -7,9 +7,9 @@
 // A round ends once as many bytes have ended as were sent before it began. The window grows after a round in which it was used up
 // and most bytes were delivered in time, and shrinks after one in which most were late; the round after that changes nothing, since
 // its orders were sent into the larger window. A few workers that are slow or silent do not shrink it. The fast growth of the
-// beginning ends once most bytes of a round take more than half of the target, since the next round is that much slower again.
+// beginning ends once most bytes of a round take more than half of the target, since twice the window would take twice as long.
 //
-// The target covers the way there and back and the work of both ends, which take their time however little is under way: a window
+// The target covers the round trip and the work of both ends, which take time however little is under way: a window
 // whose target is less than that shrinks to its minimum.
 //
 // Example:
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -68,7 +68,7 @@
         Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         AgentChoice::Options agents {};
-        DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, which a start spends on one of the two ways
+        DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, within which a start has to arrive
         std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
@@ -76,7 +76,7 @@
         Duration noRoomCooldown { std::chrono::milliseconds(100) }; // of a worker that had no room for a start, or that a start could not reach in time
         Duration failureCooldown { std::chrono::seconds(4) }; // of a worker on which several runs in a row failed
         std::uint32_t failuresBeforeCooldown { 3 }; // failed runs in a row
-        Duration failureAvoidanceTimeout { std::chrono::milliseconds(1500) }; // after a failed run, for which its task does not return to the worker; half of the time that a job with room may wait
+        Duration failureAvoidanceTimeout { std::chrono::milliseconds(1500) }; // after a failed run, for which its task does not return to the worker
         Duration searchCooldown { std::chrono::milliseconds(100) }; // between searches for a worker for one task with placement constraints
         Duration dataLocalityTimeout { std::chrono::milliseconds(500) }; // for which a task waits for room in the rack that holds its data
         Duration roomClaimTimeout { std::chrono::milliseconds(750) }; // of a claim to the room of runs that are stopped; a stop and its report take less
@@ -346,8 +346,8 @@
     Duration grantableLease(const FleetWorker& worker, Instant now) const;
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
     WorkerAddress addressOf(const FleetWorker& worker, Instant now);
-    // startBytes() returns what a start through `agent` adds to the start window: an agent receives the spec of a job once.
-    std::size_t startBytes(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent) const;
+    // chargeStart() records that `agent` receives the spec of a job, which it does once, and returns the bytes of the start.
+    std::size_t chargeStart(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent);
     void countWorkers();
 
     // Jobs. advance() completes a job or opens the steps that are due. markDirty() queues changed progress for recording.
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -117,7 +117,7 @@
 
 } // namespace
 
-std::size_t Dispatcher::startBytes(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent) const
+std::size_t Dispatcher::chargeStart(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent)
 {
     const bool carriesSpec = agent == Endpoint() || job.agentsWithSpec.insert(agent).second;
     return (carriesSpec ? job.definition().spec.size() : 0) + taskExecution.checkpoint.size() + this->options.startOverheadBytes;
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -453,7 +453,7 @@
     this->bestEffortControl.summarizeServing(worker);
     this->fleet.recordLease(worker, context.now);
     const WorkerAddress address = this->addressOf(worker, context.now);
-    const std::size_t bytes = this->startBytes(job, taskExecution, address.agent);
+    const std::size_t bytes = this->chargeStart(job, taskExecution, address.agent);
     this->startWindow.sent(bytes);
     this->startsUnderWay[id] = { bytes, context.now };
     context.add(StartTask { .to = address, .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
