scheduling: a test of claims on workers that leave one after the other

RoomClaim_workersLeaveOneAfterTheOther_otherRoomIsClaimedAtOnce shows the fault: two workers leave in a row, by a drain or a crash, while a long-running task waits on a claim.

--- a/packages/scheduling/long_running_absence_test.cc
+++ b/packages/scheduling/long_running_absence_test.cc
@@ -190,6 +190,36 @@
     CHECK(this->now <= submittedAt + acceptedAbsence);
 }
 
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_workersLeaveOneAfterTheOther_otherRoomIsClaimedAtOnce")
+{
+    const bool isCrash = GENERATE(false, true);
+    this->taskDuration = std::chrono::milliseconds(1500);
+    this->addWorker("w2", 16).list(this->now);
+    this->addWorker("w3", 16).list(this->now);
+    this->run({ "a" }, std::chrono::seconds(2));
+    const auto isRunning = [this] { return this->runningOf(longRunningJob).size() == 1; };
+    const auto runUnderHighLoad = [&](Duration time) {
+        return this->runUnderLoad(time, [&] {
+            (void)this->submit("a", std::to_string(++this->lastShortJob), { stepOfTasks(1, 4) });
+            return isRunning();
+        });
+    };
+    (void)runUnderHighLoad(std::chrono::seconds(4));
+    REQUIRE(this->submit("a", longRunningJob, { longRunningTasks(1, 16) }) == ReplyStatus::Accepted);
+    const Instant submittedAt = this->now;
+    for (const auto& [leaving, time] : { std::pair("w1", std::chrono::milliseconds(3200)), std::pair("w2", std::chrono::milliseconds(2000)) }) {
+        if (runUnderHighLoad(time))
+            break;
+        if (isCrash) {
+            this->crashWorker(WorkerId(leaving));
+            this->workers.at(WorkerId(leaving)).unlist(this->now);
+        } else
+            this->workers.at(WorkerId(leaving)).drain(this->now);
+    }
+    CHECK(runUnderHighLoad(std::chrono::seconds(20)));
+    CHECK(this->now <= submittedAt + acceptedAbsence);
+}
+
 TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_shortRunGoesOn_freeRoomIsLeftToOthers")
 {
     this->taskDuration = std::chrono::seconds(120);
