scheduling: claims and evictions apart from placement; one rule and one table

Found in reading the change again; no decision changes.

- dispatcher_placement.cc had grown to 510 lines: claims, evictions and the clearing of workers are in dispatcher_claims.cc, the state of a pass in placement_pass.h, private to the sources.
- That a task avoids workers after failed runs was written twice: avoidsFailedWorkers().
- Three reasons of `task-waiting` were loose strings: they are enumerators of PlacementOutcome, under the same names.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -81,7 +81,7 @@
         Duration dataLocalityTimeout { std::chrono::milliseconds(500) }; // for which a task waits for room in the rack that holds its data
         Duration roomClaimTimeout { std::chrono::milliseconds(750) }; // of a claim to the room of runs that are stopped; a stop and its report take less
         Duration clearingTimeout { std::chrono::milliseconds(2000) }; // of a claim to the room that short runs leave
-        double maxClearedShare { 0.1 }; // of the workers on which the room that short runs leave may be claimed
+        double maxClearedShare { 0.1 }; // share of the workers on which room that short runs leave may be claimed at a time
         std::size_t maxUnplacedTasksPerPass { 48 }; // tasks that found no worker, after which a pass ends
         Duration lowHeadroomPollTimeout { std::chrono::milliseconds(350) }; // replaces pollWaitTimeout while best-effort tasks run beside a serving task near its target
         Duration longRunningYieldDelay { std::chrono::milliseconds(1500) }; // for which a long-running task leaves free room to short tasks
@@ -362,10 +362,10 @@
     JobExecution* findJobExecution(const JobId& job);
     const QueueRule& queueRuleOf(const JobExecution& job) const;
 
-    // reportWaits() logs why the tasks that have waited longest do not run, the long-running ones first. waitReasonOf() is the stage of
-    // a task, or what the last pass met at its step; a pass ends early when too many tasks find no room.
+    // reportWaits() logs why the tasks that have waited longest do not run, the long-running ones first: their stage, or the obstacle
+    // that the last pass met at their step.
     void reportWaits(CommandContext& context);
-    std::string_view waitReasonOf(const StepExecution& stepExecution, TaskStage stage) const;
+    PlacementOutcome obstacleOf(const StepExecution& stepExecution) const;
 
     // Runs of former leaders. A cell is reconciled when all workers on which any task may run are fenced and the store is followed
     // beyond that, or when the leases of former leaders have expired. Then tasks may be started that have no known run and are not
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -1,9 +1,8 @@
 // Placement: the order in which the dispatcher tries waiting tasks, their starts, and evictions.
 
-#include "scheduling/dispatcher.h"
+#include "scheduling/placement_pass.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -40,41 +39,14 @@
         return lateness * lateRank + 2 * priority + (urgency == UrgencyClass::LongRunning ? 1 : 0);
     }
 
-} // namespace
-
-// PlacementPass records the needs for which a pass found no room, so that it does not search for equal or larger ones.
-struct Dispatcher::PlacementPass {
-    struct UnplacedTask {
-        const CellName* cell;
-        const ServiceName* service;
-        const StepDefinition* step;
-        bool needsNearLabel { false }; // StepDefinition::nearLabel is required, not only preferred
-
-        // includes() says whether each worker with room for `other` would have room for this task, as far as the steps say.
-        bool includes(const UnplacedTask& other) const
-        {
-            const bool isSameKind = this->step->isBestEffort == other.step->isBestEffort && (!other.step->isBestEffort || this->step->image == other.step->image);
-            const bool hasRequiredLabel = this->step->requiredLabel.empty() || this->step->requiredLabel == other.step->requiredLabel;
-            const bool hasNearLabel = !this->needsNearLabel || (other.needsNearLabel && this->step->nearLabel == other.step->nearLabel);
-            return isSameKind && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
-        }
-    };
-    explicit PlacementPass(Fleet& fleet)
-        : heldRoom(fleet)
+    // avoidsFailedWorkers() says whether a task prefers workers without failed runs. A long-running task has no limit of attempts, so it
+    // may return to the worker on which it failed.
+    bool avoidsFailedWorkers(const JobExecution& job, const TaskId& task)
     {
+        return !job.definition().steps[task.step].isLongRunning && job.failures(task) > 0;
     }
 
-    std::vector<UnplacedTask> unplacedTasks;
-    std::size_t unplacedCount { 0 };
-    std::size_t evictionSearches { 0 };
-    std::size_t searches { 0 };
-    PlannedRoom heldRoom; // the free part of claimed room
-
-    bool hasNoRoomFor(const UnplacedTask& task) const
-    {
-        return std::any_of(this->unplacedTasks.begin(), this->unplacedTasks.end(), [&](const UnplacedTask& unplaced) { return unplaced.includes(task); });
-    }
-};
+} // namespace
 
 Dispatcher::PlacementOrder Dispatcher::placementOrder(Instant now)
 {
@@ -174,43 +146,6 @@
     }
 }
 
-void Dispatcher::placeClaimants(PlacementPass& pass, CommandContext& context)
-{
-    const std::map<TaskId, RoomClaim> claims = this->roomClaims.all();
-    for (const auto& [task, claim] : claims) {
-        JobExecution* job = this->findJobExecution(claim.task.job);
-        const TaskExecution* taskExecution = job && !isFinal(job->progress().phase) ? job->taskExecution(claim.task) : nullptr;
-        FleetWorker* worker = this->fleet.find(claim.worker);
-        const bool mayGetTasks = worker && worker->isListed && !worker->entry.isDraining && !worker->isSuspect;
-        const bool isAwaited = mayGetTasks && taskExecution && (taskExecution->stage == TaskStage::Waiting || taskExecution->stage == TaskStage::Stopping);
-        const bool isComplete = isAwaited && taskExecution->stage == TaskStage::Waiting && !this->obstacleTo(*job, claim.task, context.now) && fitsOn(*worker, this->requestFor(*job, claim.task, context.now));
-        if (isComplete && this->startWindow.hasRoom())
-            this->startTask(*job, claim.task, *worker, job->nextRun(*taskExecution), context);
-        else if (isComplete || (isAwaited && context.now < claim.until))
-            this->holdRoom(*job, claim, pass);
-        else
-            this->roomClaims.remove(claim.task);
-    }
-}
-
-void Dispatcher::holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass)
-{
-    FleetWorker* worker = this->fleet.find(claim.worker);
-    const TaskResources need = needOf(job.definition().steps[claim.task.step]);
-    const TaskResources room = worker->availableResources();
-    const auto smallerOf = [](std::int64_t a, std::int64_t b) { return std::max<std::int64_t>(std::min(a, b), 0); };
-    RunAllocation allocation;
-    allocation.need = { smallerOf(need.millicores, room.millicores), smallerOf(need.megabytes, room.megabytes), smallerOf(need.accelerators, room.accelerators) };
-    pass.heldRoom.add(*worker, claim.task, allocation);
-}
-
-void Dispatcher::claimRoom(const JobExecution& job, RoomClaim claim, PlacementPass& pass)
-{
-    pass.heldRoom.remove(claim.task);
-    this->holdRoom(job, claim, pass);
-    this->roomClaims.add(std::move(claim));
-}
-
 void Dispatcher::updatePause(CommandContext& context)
 {
     const bool isPaused = !this->mayStartTasks(context.now);
@@ -268,7 +203,7 @@
     const StepDefinition& step = job.definition().steps[task.step];
     const TaskExecution& taskExecution = *job.taskExecution(task);
     // A long-running task has no limit of attempts, so it may return to the worker on which it failed.
-    const bool hasFailed = !step.isLongRunning && job.failures(task) > 0;
+    const bool hasFailed = avoidsFailedWorkers(job, task);
     const bool hasFailedRecently = hasFailed && now < taskExecution.since + this->options.failureAvoidanceTimeout;
     return {
         .step = step,
@@ -320,7 +255,7 @@
     if (mayYield && this->isYielding(taskExecution, context.now))
         return PlacementOutcome::Yielding;
     const bool isSuspect = isCrashSuspect(job, task);
-    const bool mayAvoidWorkers = isSuspect || (!step.isLongRunning && job.failures(task) > 0);
+    const bool mayAvoidWorkers = isSuspect || avoidsFailedWorkers(job, task);
     const bool hasClaim = this->roomClaims.contains(task);
     const PlacementOutcome failure = hasClaim ? PlacementOutcome::RoomBeingFreed : mayAvoidWorkers ? PlacementOutcome::NoAdmittedWorker
                                                                                                    : PlacementOutcome::NoRoom;
@@ -477,34 +412,4 @@
     });
 }
 
-bool Dispatcher::evictFor(const JobExecution& job, const TaskId& task, const PlacementRequest& request, PlacementPass& pass, CommandContext& context)
-{
-    const int priority = this->queueRuleOf(job).priority;
-    const bool isOverdue = this->isOverdue(request.step, *job.taskExecution(task), context.now);
-    const EvictionTerms terms { .priority = priority, .restartCostSeconds = this->options.restartCostSeconds, .mayReplaceLongRunning = isOverdue, .minLongRunningTime = request.step.isLongRunning ? this->options.longRunningTurn : this->options.minLongRunningTime };
-    const auto eviction = chooseEviction(this->fleet, request, terms);
-    if (!eviction) {
-        const bool hasOnlyResourceNeeds = !request.isCrashSuspect && !request.avoidsFailingWorkers && request.mayIgnoreDataLocality && request.step.requiredLabel.empty() && request.step.maxPerWorker == 0;
-        if (hasOnlyResourceNeeds)
-            this->failedEvictionSearches.push_back({ request.cell, request.service, needOf(request.step), request.step.isLongRunning, isOverdue, priority, context.now + this->options.evictionSearchCooldown });
-        return false;
-    }
-    for (const TaskRunId& victim : eviction->victims)
-        this->stopRun(*eviction->worker, victim, "evicted", context);
-    this->claimRoom(job, { .task = task, .worker = eviction->worker->entry.id, .until = context.now + this->options.roomClaimTimeout }, pass);
-    return true;
-}
-
-bool Dispatcher::clearWorkerFor(const JobExecution& job, const TaskId& task, PlacementRequest request, PlacementPass& pass)
-{
-    const std::size_t maxClaims = static_cast<std::size_t>(std::ceil(this->options.maxClearedShare * static_cast<double>(this->fleet.all().size())));
-    if (this->roomClaims.clearingCount() >= maxClaims)
-        return false;
-    request.admits = [this, admits = std::move(request.admits)](const FleetWorker& worker) { return !this->roomClaims.isClaimed(worker.entry.id) && (!admits || admits(worker)); };
-    const FleetWorker* worker = chooseWorkerToClear(this->fleet, request, this->options.clearingTimeout);
-    if (worker)
-        this->claimRoom(job, { .task = task, .worker = worker->entry.id, .until = request.now + this->options.clearingTimeout, .isClearing = true }, pass);
-    return worker != nullptr;
-}
-
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_waits.cc
+++ b/packages/scheduling/dispatcher_waits.cc
@@ -74,21 +74,21 @@
     const auto steps = static_cast<std::int64_t>(waits.size());
     waits.resize(count);
     for (const WaitingStep& wait : waits) {
-        LogDecision waiting { DecisionEvent::TaskWaiting, formatRun({ wait.task, wait.taskExecution->run }), wait.taskExecution->worker.value(), std::string(this->waitReasonOf(*wait.stepExecution, wait.taskExecution->stage)), wait.job->version(), toMilliseconds(context.now - wait.absentSince), this->viewAge(context.now) };
+        const TaskStage stage = wait.taskExecution->stage;
+        const std::string_view reason = stage == TaskStage::Waiting ? placementOutcomeNames.nameOf(this->obstacleOf(*wait.stepExecution)) : taskStageNames.nameOf(stage);
+        LogDecision waiting { DecisionEvent::TaskWaiting, formatRun({ wait.task, wait.taskExecution->run }), wait.taskExecution->worker.value(), std::string(reason), wait.job->version(), toMilliseconds(context.now - wait.absentSince), this->viewAge(context.now) };
         waiting.inputs = { { DecisionInput::AbsentTasks, wait.absentTasks }, { DecisionInput::WaitingSteps, steps }, { DecisionInput::NeededMillicores, needOf(wait.job->definition().steps[wait.task.step]).millicores } };
         context.add(std::move(waiting));
     }
 }
 
-std::string_view Dispatcher::waitReasonOf(const StepExecution& stepExecution, TaskStage stage) const
+PlacementOutcome Dispatcher::obstacleOf(const StepExecution& stepExecution) const
 {
-    if (stage != TaskStage::Waiting)
-        return taskStageNames.nameOf(stage);
     if (this->areStartsPaused)
-        return "starts-paused";
+        return PlacementOutcome::StartsPaused;
     if (stepExecution.lastTriedAt != Instant() && stepExecution.lastTriedAt == this->lastPass)
-        return placementOutcomeNames.nameOf(stepExecution.lastOutcome);
-    return this->startWindow.hasRoom() ? "not-reached" : "window-full";
+        return stepExecution.lastOutcome;
+    return this->startWindow.hasRoom() ? PlacementOutcome::NotReached : PlacementOutcome::WindowFull;
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -43,7 +43,7 @@
     return stage == TaskStage::Starting || stage == TaskStage::Unclear || stage == TaskStage::Running || stage == TaskStage::Stopping;
 }
 
-// PlacementOutcome is the result of trying to start one task.
+// PlacementOutcome is the result of trying to start one task, or why it was not tried.
 enum class PlacementOutcome {
     Started,
     NoRoom, // nor is there any for the other tasks of the step
@@ -54,6 +54,9 @@
     NoAdmittedWorker, // it avoids workers, after failed runs or as a suspect of crashes; this says nothing about other tasks
     CrashNotRecorded, // the store does not hold the crash that is attributed to it yet
     GangIncomplete, // other tasks of its gang can't start
+    StartsPaused, // what is known of the store is too old to start tasks
+    WindowFull, // as many starts are under way as can be delivered
+    NotReached, // the last pass ended before it
 };
 
 inline constexpr NameTable placementOutcomeNames { std::to_array<NameEntry<PlacementOutcome>>({
@@ -66,8 +69,11 @@
     { PlacementOutcome::NoAdmittedWorker, "no-admitted-worker" },
     { PlacementOutcome::CrashNotRecorded, "crash-not-recorded" },
     { PlacementOutcome::GangIncomplete, "gang-incomplete" },
+    { PlacementOutcome::StartsPaused, "starts-paused" },
+    { PlacementOutcome::WindowFull, "window-full" },
+    { PlacementOutcome::NotReached, "not-reached" },
 }) };
-static_assert(placementOutcomeNames.isWhole(PlacementOutcome::GangIncomplete));
+static_assert(placementOutcomeNames.isWhole(PlacementOutcome::NotReached));
 
 // TaskExecution is the state of one task of an open step.
 struct TaskExecution {
