scheduling: calls meant for a former incarnation of a worker have no effect on the next

Cause: a deadline is a time on the clock of one incarnation. The first poll after a restart still carried one on the former clock. On the new clock it lies far ahead, so the worker granted its own maximum of 6 s, while the leader counted on 4.98 s, placed tasks under that lease at once, and gave them up while they ran. The same holds for every call that is meant for one incarnation and reaches the next: the header that names the worker holds the id alone.

Fix: one rule for all of them. The fencing token now has two parts, the epoch of the leader and the number of restarts that it has seen. A leader that learns of a restart sends a higher token, so that late polls, starts, stops and acknowledgements of the former incarnation are rejected. No task is placed on the new incarnation before it has answered such a poll, and before a poll grants a lease, on its own clock, that outlasts any that a former deadline can have given it; what a successor and the roster derive from the lease then holds too. A run that no report has named may have been begun by an incarnation that has not answered yet; its lease counts at the worker's maximum.

The simulated worker now shortens leases to 6 s, as the platform does. Leader_olderIncarnationAnswersAfterNewerOne waits 2 s instead of 1 s for the tasks to start after the restart, and forces the status of its old report, which the worker would now reject; its checks are the same.

--- a/packages/entry/agent_client.cc
+++ b/packages/entry/agent_client.cc
@@ -17,10 +17,10 @@
             std::get<TaskCallEnded>(end).status = status;
     }
 
-    SchedulerCommand endOf(const PollWorker& call) { return PollEnded { .worker = call.to.worker, .epoch = call.to.epoch, .sentAt = BootClock::now() }; }
-    SchedulerCommand endOf(const StartTask& call) { return TaskCallEnded { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }; }
-    SchedulerCommand endOf(const StopTask& call) { return TaskCallEnded { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }; }
-    SchedulerCommand endOf(const SetTaskSpeed& call) { return TaskCallEnded { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }; }
+    SchedulerCommand endOf(const PollWorker& call) { return PollEnded { .worker = call.to.worker, .token = call.to.token, .sentAt = BootClock::now() }; }
+    SchedulerCommand endOf(const StartTask& call) { return TaskCallEnded { TaskCallKind::Start, call.to.worker, call.to.token, call.run, {} }; }
+    SchedulerCommand endOf(const StopTask& call) { return TaskCallEnded { TaskCallKind::Stop, call.to.worker, call.to.token, call.run, {} }; }
+    SchedulerCommand endOf(const SetTaskSpeed& call) { return TaskCallEnded { TaskCallKind::SetSpeed, call.to.worker, call.to.token, call.run, {} }; }
 
     Duration waitOf(const PollWorker& call) { return call.wait; }
     template <typename TaskCall>
--- a/packages/entry/agent_delivery_test.cc
+++ b/packages/entry/agent_delivery_test.cc
@@ -74,7 +74,7 @@
             this->agent.stop();
         }
 
-        WorkerAddress address() const { return { WorkerId("worker"), this->worker.endpoint(), 1, this->agent.endpoint() }; }
+        WorkerAddress address() const { return { WorkerId("worker"), this->worker.endpoint(), { 1 }, this->agent.endpoint() }; }
         static TaskRunId runOf(std::uint64_t run) { return { { JobId("a"), 0, 0, 0 }, run }; }
 
         void send(WorkerCall call)
--- a/packages/entry/agent_encoding.cc
+++ b/packages/entry/agent_encoding.cc
@@ -41,7 +41,7 @@
         row.push_back(to.worker.value());
         row.push_back(to.endpoint.address);
         row.push_back(to.endpoint.port);
-        row.push_back(to.epoch);
+        row.push_back(toNumber(to.token));
     }
 
     void append(Json& row, const TaskRunId& run)
@@ -63,10 +63,10 @@
 
         WorkerAddress address()
         {
-            WorkerAddress to { WorkerId(this->next().get<std::string>()), {}, 0 };
+            WorkerAddress to { WorkerId(this->next().get<std::string>()), {}, {} };
             to.endpoint.address = this->next().get<std::string>();
             to.endpoint.port = numberOf<std::uint16_t>(this->next(), maxPort);
-            to.epoch = ordinalOf(this->next());
+            to.token = fencingTokenOf(ordinalOf(this->next()));
             return to;
         }
 
--- a/packages/entry/agent_encoding_test.cc
+++ b/packages/entry/agent_encoding_test.cc
@@ -12,7 +12,7 @@
 
     struct AgentEncodingFixture {
         Instant now { std::chrono::hours(1) };
-        WorkerAddress to { WorkerId("i-1"), { "10.0.0.1", 8000 }, 7 };
+        WorkerAddress to { WorkerId("i-1"), { "10.0.0.1", 8000 }, { .epoch = 7, .restarts = 2 } };
         TaskRunId run { { JobId("5c0e7a21d94b36f8"), 1, 2, 3 }, 4 };
 
         AgentRequest request() const
@@ -52,7 +52,7 @@
     const auto& start = std::get<StartTask>(decoded->calls[1].call);
     CHECK(decoded->specs == std::map<JobId, std::string> { { this->run.task.job, "spec" } });
     CHECK(start.run == this->run);
-    CHECK(start.to.epoch == 7);
+    CHECK(start.to.token == this->to.token);
     CHECK(start.to.endpoint == this->to.endpoint);
     CHECK(start.expiresAt == later + std::chrono::milliseconds(700));
     CHECK(std::get<StopTask>(decoded->calls[2].call).run == this->run);
--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -118,7 +118,7 @@
 
 void SchedulingDuty::carryOut(PollWorker effect)
 {
-    PollEnded failed { .worker = effect.to.worker, .epoch = effect.to.epoch, .sentAt = BootClock::now(), .status = WorkerCallStatus::NotSent };
+    PollEnded failed { .worker = effect.to.worker, .token = effect.to.token, .sentAt = BootClock::now(), .status = WorkerCallStatus::NotSent };
     if (!this->rings.workers.tryPush(std::move(effect), RingRoom::Reserved))
         this->decide(std::move(failed));
 }
@@ -126,7 +126,7 @@
 template <typename TaskCall>
 void SchedulingDuty::callWorker(TaskCallKind kind, TaskCall call, RingRoom room)
 {
-    TaskCallEnded failed { kind, call.to.worker, call.to.epoch, call.run, WorkerCallStatus::NotSent };
+    TaskCallEnded failed { kind, call.to.worker, call.to.token, call.run, WorkerCallStatus::NotSent };
     if (!this->rings.workers.tryPush(std::move(call), room))
         this->decide(std::move(failed));
 }
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -82,6 +82,7 @@
     options.dispatcher.agents = { .self = settings.host, .linkMegabits = settings.linkMegabits, .processorShare = settings.processorShare };
     options.dispatcher.processorShare = settings.processorShare;
     options.dispatcher.startWindow.targetDelay = options.dispatcher.startValidity / 2;
+    options.dispatcher.fleet.maxLease = settings.leaseLimit;
     options.dispatcher.fleet.lease = std::chrono::duration_cast<Duration>(settings.leaseLimit * leasePart);
     options.dispatcher.stopTimeout = settings.stopTimeout;
     options.dispatcher.maxJobsViewAge = settings.cancellationLimit - options.dispatcher.startValidity;
--- a/packages/entry/worker_call_duty_test.cc
+++ b/packages/entry/worker_call_duty_test.cc
@@ -35,7 +35,7 @@
         EntryRings rings;
         WorkerCallDuty duty { this->rings, protocol };
         DutyThread thread { { .name = "workers" }, [this] { this->duty.run(); } };
-        WorkerAddress address { WorkerId("worker"), this->worker.endpoint(), 1 };
+        WorkerAddress address { WorkerId("worker"), this->worker.endpoint(), { 1 } };
 
         ~WorkerCallDutyFixture() { this->duty.stop(); }
 
--- a/packages/entry/worker_caller.cc
+++ b/packages/entry/worker_caller.cc
@@ -23,7 +23,7 @@
     this->client.send(call.to.endpoint, this->protocol.encodePoll(call), call.wait + workerCallTimeout, [this, sentAt, to = call.to, completion = std::move(completion)](HttpOutcome outcome) {
         PollEnded end = this->protocol.decodePoll(outcome);
         end.worker = to.worker;
-        end.epoch = to.epoch;
+        end.token = to.token;
         end.sentAt = sentAt;
         end.receivedAt = BootClock::now();
         completion(std::move(end));
@@ -32,17 +32,17 @@
 
 void WorkerCaller::perform(const StartTask& call, TaskCompletion completion)
 {
-    this->enqueue(CallImportance::Start, { { TaskCallKind::Start, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call), call.expiresAt, std::move(completion) });
+    this->enqueue(CallImportance::Start, { { TaskCallKind::Start, call.to.worker, call.to.token, call.run, {} }, call.to.endpoint, this->protocol.encodeStart(call), call.expiresAt, std::move(completion) });
 }
 
 void WorkerCaller::perform(const StopTask& call, TaskCompletion completion)
 {
-    this->enqueue(CallImportance::Stop, { { TaskCallKind::Stop, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call), {}, std::move(completion) });
+    this->enqueue(CallImportance::Stop, { { TaskCallKind::Stop, call.to.worker, call.to.token, call.run, {} }, call.to.endpoint, this->protocol.encodeStop(call), {}, std::move(completion) });
 }
 
 void WorkerCaller::perform(const SetTaskSpeed& call, TaskCompletion completion)
 {
-    this->enqueue(CallImportance::Speed, { { TaskCallKind::SetSpeed, call.to.worker, call.to.epoch, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call), {}, std::move(completion) });
+    this->enqueue(CallImportance::Speed, { { TaskCallKind::SetSpeed, call.to.worker, call.to.token, call.run, {} }, call.to.endpoint, this->protocol.encodeSetSpeed(call), {}, std::move(completion) });
 }
 
 void WorkerCaller::enqueue(CallImportance importance, TaskCall call)
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -331,7 +331,7 @@
 {
     const AgentCandidate* agent = this->agents.agentFor(worker.entry.dataCentre, worker.entry.id.value(), now);
     const auto cell = this->cells.find(worker.cell);
-    return { worker.entry.id, worker.entry.endpoint, cell == this->cells.end() ? 0 : cell->second.epoch, agent ? agent->endpoint : Endpoint() };
+    return { worker.entry.id, worker.entry.endpoint, { cell == this->cells.end() ? 0 : cell->second.epoch, worker.restarts }, agent ? agent->endpoint : Endpoint() };
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -343,7 +343,11 @@
     std::vector<std::string> labelsOf(const CellName& name) const;
     void logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context);
     bool mayPoll(const FleetWorker& worker, Instant now) const;
+    // isFencedByOther() returns true if a call was rejected for the token of another leader, not for one that this leader has sent
+    // since, after a restart of the worker.
+    static bool isFencedByOther(const FleetWorker& worker, const FencingToken& token, WorkerCallStatus status);
     Duration grantableLease(const FleetWorker& worker, Instant now) const;
+    Duration pollWait(const FleetWorker& worker, Duration granted, Instant now) const; // for which a worker may delay its answer to a poll with a lease
     void stopRun(FleetWorker& worker, const TaskRunId& run, const char* cause, CommandContext& context);
     WorkerAddress addressOf(const FleetWorker& worker, Instant now);
     // chargeStart() records that `agent` receives the spec of a job, which it does once, and returns the bytes of the start.
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -57,17 +57,17 @@
     PollWorker call { .to = this->addressOf(worker, context.now), .deadline = {}, .acknowledged = mayAcknowledge ? worker.acknowledged : 0, .wait = Duration(0) };
     worker.polledAcknowledged = call.acknowledged;
     // The lease of a worker that does not answer is renewed only for a while, so that its runs can be given up in the end.
+    const Duration lease = this->grantableLease(worker, context.now);
     const bool mayRenew = !worker.reportedLease && (!worker.isSuspect || context.now < worker.lastAnswer + this->options.renewalTimeout);
     if (mayRenew && worker.isFenced && !worker.isRestartListed())
-        call.deadline = worker.deadlineAt(context.now, this->grantableLease(worker, context.now));
+        call.deadline = worker.deadlineAt(context.now, lease);
     worker.acceptsUntilAfterPoll = {};
     if (call.deadline)
-        this->fleet.recordPollLease(worker, context.now);
+        this->fleet.recordPollLease(worker, context.now, lease);
     else
         worker.leaseEndBeforePoll = worker.leaseEnd;
-    const bool isLeased = context.now < worker.acceptsUntil; // tasks can be placed only after the answer to a poll with a lease
-    if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline && isLeased)
-        call.wait = this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
+    if (worker.isFenced && !worker.isSuspect && worker.unacknowledgedEnds.empty() && call.deadline)
+        call.wait = this->pollWait(worker, lease, context.now);
     if (this->crashSuspects.isIsolated(worker.entry.id))
         call.wait = std::min(call.wait, this->options.crashes.crashWindow);
     worker.polledWait = call.wait;
@@ -76,6 +76,14 @@
     context.add(std::move(call));
 }
 
+Duration Dispatcher::pollWait(const FleetWorker& worker, Duration granted, Instant now) const
+{
+    if (now < worker.acceptsUntil)
+        return this->bestEffortControl.isHeadroomLow(worker) ? this->options.lowHeadroomPollTimeout : this->options.pollWaitTimeout;
+    // Tasks can be placed only after the answer to a poll with a lease.
+    return std::min(this->fleet.timeUntilStarts(worker, now, granted), this->options.pollWaitTimeout);
+}
+
 Duration Dispatcher::grantableLease(const FleetWorker& worker, Instant now) const
 {
     // A successor has to wait for the last lease of this leader when it can't reach a worker.
@@ -117,6 +125,11 @@
 
 } // namespace
 
+bool Dispatcher::isFencedByOther(const FleetWorker& worker, const FencingToken& token, WorkerCallStatus status)
+{
+    return status == WorkerCallStatus::Fenced && token.restarts >= worker.restarts;
+}
+
 std::size_t Dispatcher::chargeStart(JobExecution& job, const TaskExecution& taskExecution, const Endpoint& agent)
 {
     const bool carriesSpec = agent == Endpoint() || job.agentsWithSpec.insert(agent).second;
@@ -139,10 +152,10 @@
     this->endDelivery(end, context);
     FleetWorker* worker = this->fleet.find(end.worker);
     const auto cell = worker ? this->cells.find(worker->cell) : this->cells.end();
-    if (cell == this->cells.end() || cell->second.epoch != end.epoch)
+    if (cell == this->cells.end() || cell->second.epoch != end.token.epoch)
         return;
-    if (end.status == WorkerCallStatus::Fenced) {
-        this->lastFencedEpoch = end.epoch;
+    if (isFencedByOther(*worker, end.token, end.status)) {
+        this->lastFencedEpoch = end.token.epoch;
         return;
     }
     if (end.kind == TaskCallKind::Start)
@@ -166,7 +179,7 @@
     }
     if (end.status == WorkerCallStatus::Unclear)
         return job->setStage(end.run.task, TaskStage::Unclear, context.now);
-    context.add(LogDecision { DecisionEvent::TaskLost, formatRun(end.run), worker.entry.id.value(), std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - taskExecution->since) });
+    context.add(LogDecision { DecisionEvent::TaskLost, formatRun(end.run), worker.entry.id.value(), std::string(workerCallStatusNames.nameOf(end.status)), end.token.epoch, toMilliseconds(context.now - taskExecution->since) });
     if (end.status == WorkerCallStatus::NoRoom || end.status == WorkerCallStatus::TooLate || end.status == WorkerCallStatus::Expired)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.noRoomCooldown);
     if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Rejected)
--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -48,7 +48,7 @@
 {
     if (suspects.empty() && worker.entry.isDraining)
         return;
-    LogDecision crashed { DecisionEvent::WorkerCrashed, worker.entry.id.value(), {}, "other-incarnation", this->addressOf(worker, context.now).epoch, toMilliseconds(context.now - worker.lastAnswer) };
+    LogDecision crashed { DecisionEvent::WorkerCrashed, worker.entry.id.value(), {}, "other-incarnation", this->addressOf(worker, context.now).token.epoch, toMilliseconds(context.now - worker.lastAnswer) };
     crashed.inputs = { { DecisionInput::Suspects, static_cast<std::int64_t>(suspects.size()) } };
     context.add(std::move(crashed));
     for (const TaskRunId& run : suspects) {
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -386,12 +386,13 @@
     if (isCrashSuspect(job, task))
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
     this->bestEffortControl.summarizeServing(worker);
-    this->fleet.recordLease(worker, context.now);
+    const Instant expiresAt = context.now + this->options.startValidity;
+    this->fleet.recordStart(worker, context.now, expiresAt);
     const WorkerAddress address = this->addressOf(worker, context.now);
     const std::size_t bytes = this->chargeStart(job, taskExecution, address.agent);
     this->startWindow.sent(bytes);
     this->startsUnderWay[id] = { bytes, context.now };
-    context.add(StartTask { .to = address, .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = context.now + this->options.startValidity });
+    context.add(StartTask { .to = address, .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = expiresAt });
     context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, this->viewAge(context.now) });
 }
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -15,12 +15,12 @@
     const auto cell = this->cells.find(worker->cell);
     if (cell == this->cells.end())
         return;
-    if (end.epoch != cell->second.epoch) {
+    if (end.token.epoch != cell->second.epoch) {
         worker->nextPollAt = context.now;
         return;
     }
-    if (end.status == WorkerCallStatus::Fenced) {
-        this->lastFencedEpoch = end.epoch;
+    if (isFencedByOther(*worker, end.token, end.status)) {
+        this->lastFencedEpoch = end.token.epoch;
         return;
     }
     if (end.status != WorkerCallStatus::Ok)
@@ -49,18 +49,20 @@
         this->markFormerRunsLost(worker, end, context);
         this->expectLateStarts(worker, context);
         this->attributeCrash(worker, suspects, context);
-        worker.acceptsUntil = {};
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
         worker.forgottenEnd = 0;
         worker.unacknowledgedEnds.clear();
+        this->fleet.beginIncarnation(worker, context.now);
+    } else if (worker.hasCallsOfFormerIncarnation()) {
+        this->fleet.incarnationFenced(worker, context.now);
     }
     this->attributeLapsedRuns(worker, isOtherStart || isClockReset, context);
     worker.forgottenEnd = std::max(worker.forgottenEnd, std::min(worker.polledAcknowledged, worker.acknowledged));
     if (end.startedAt != 0)
         worker.answeredStartedAt = end.startedAt;
     if (worker.isSuspect)
-        context.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.epoch, toMilliseconds(context.now - worker.lastAnswer) });
+        context.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.token.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     worker.isSuspect = false;
     if (!worker.isFenced) // a former leader may have granted leases until now
         this->fleet.recordLease(worker, context.now);
@@ -96,7 +98,7 @@
     if (end.status == WorkerCallStatus::NotSent)
         worker.leaseEnd = worker.leaseEndBeforePoll;
     if (!worker.isSuspect)
-        context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.epoch, toMilliseconds(context.now - worker.lastAnswer) });
+        context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.token.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     if (!worker.isSuspect) {
         const bool isConnectionBroken = context.now <= end.sentAt + std::max(worker.polledWait, this->options.crashes.crashWindow);
         worker.contactLostAt = isConnectionBroken ? context.now : Instant();
@@ -415,7 +417,8 @@
     const bool mayReportEnds = worker.isListed && context.now < worker.leaseEnd + this->options.silentRunRetention;
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
-        if (!mayReportEnds || allocation.isLongRunning)
+        const bool hasLapsed = context.now >= worker.leaseEndOf(allocation);
+        if (hasLapsed && (!mayReportEnds || allocation.isLongRunning))
             runs.push_back(run);
     }
     if (!runs.empty() && !worker.entry.isDraining)
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -70,7 +70,7 @@
         const auto cell = this->cellOf.find(entry.dataCentre);
         if (cell == this->cellOf.end())
             continue; // an entry of another writer; it says nothing about the worker
-        FleetWorker& worker = this->workers[entry.id];
+        FleetWorker& worker = this->findOrAdd(entry.id);
         if (worker.entry.endpoint != entry.endpoint)
             worker.enrolment = Enrolment::None; // a successor would not find it by the stored roster
         const bool wasSeenBefore = worker.isListed && !change.isWhole;
@@ -98,7 +98,7 @@
 
 FleetWorker& Fleet::addInherited(const CellName& cell, const WorkerId& id, const RosterEntry& entry, Instant formerLeaseEnd)
 {
-    FleetWorker& worker = this->workers[id];
+    FleetWorker& worker = this->findOrAdd(id);
     if (!worker.isListed) {
         worker.entry.id = id;
         worker.entry.endpoint = entry.endpoint;
@@ -111,6 +111,14 @@
     return worker;
 }
 
+FleetWorker& Fleet::findOrAdd(const WorkerId& worker)
+{
+    const auto [found, isNew] = this->workers.try_emplace(worker);
+    if (isNew)
+        found->second.restarts = this->restarts;
+    return found->second;
+}
+
 FleetWorker* Fleet::find(const WorkerId& worker)
 {
     const auto found = this->workers.find(worker);
@@ -132,6 +140,7 @@
         reset.isPollInFlight = worker.isPollInFlight;
         reset.polledEndpoint = worker.polledEndpoint;
         reset.nextPollAt = now;
+        reset.restarts = this->restarts;
         worker = std::move(reset);
     }
 }
@@ -166,21 +175,54 @@
 
 Duration Fleet::remainingLease(const FleetWorker& worker, Instant now)
 {
-    const Duration remaining = (worker.isFenced ? worker.leaseEnd : worker.formerLeaseEnd) - now;
+    Instant end = worker.isFenced ? worker.leaseEnd : worker.formerLeaseEnd;
+    for (const auto& [run, allocation] : worker.runs)
+        end = std::max(end, worker.leaseEndOf(allocation));
+    const Duration remaining = end - now;
     return std::max<Duration>(std::chrono::ceil<std::chrono::milliseconds>(remaining), Duration(0));
 }
 
+void Fleet::beginIncarnation(FleetWorker& worker, Instant now)
+{
+    worker.restarts = ++this->restarts;
+    worker.otherClockLeaseEnd = Instant::max();
+    worker.acceptsUntil = {};
+    worker.acceptsUntilAfterPoll = {};
+    worker.leaseEnd = std::max(worker.leaseEnd, this->latestLeaseEnd(now, this->options.maxLease));
+}
+
+void Fleet::incarnationFenced(FleetWorker& worker, Instant now)
+{
+    worker.otherClockLeaseEnd = this->latestLeaseEnd(now, this->options.maxLease);
+    worker.leaseEnd = std::max(worker.leaseEnd, worker.otherClockLeaseEnd);
+}
+
+Duration Fleet::timeUntilStarts(const FleetWorker& worker, Instant now, Duration granted) const
+{
+    if (worker.hasCallsOfFormerIncarnation())
+        return Duration(0);
+    return std::max<Duration>(std::chrono::ceil<std::chrono::milliseconds>(worker.otherClockLeaseEnd - this->latestLeaseEnd(now, granted)), Duration(0));
+}
+
 void Fleet::recordLease(FleetWorker& worker, Instant now)
 {
     worker.leaseEndBeforePoll = std::max(worker.leaseEndBeforePoll, this->latestLeaseEnd(now, this->options.lease));
     worker.leaseEnd = std::max(worker.leaseEnd, worker.leaseEndBeforePoll);
 }
 
-void Fleet::recordPollLease(FleetWorker& worker, Instant now)
+void Fleet::recordStart(FleetWorker& worker, Instant now, Instant expiresAt)
+{
+    this->recordLease(worker, now);
+    worker.unknownIncarnationLeaseEnd = std::max(worker.unknownIncarnationLeaseEnd, this->latestLeaseEnd(expiresAt, this->options.maxLease));
+}
+
+void Fleet::recordPollLease(FleetWorker& worker, Instant now, Duration granted)
 {
     worker.leaseEndBeforePoll = worker.leaseEnd;
     worker.leaseEnd = std::max(worker.leaseEnd, this->latestLeaseEnd(now, this->options.lease));
-    worker.acceptsUntilAfterPoll = now + std::chrono::duration_cast<Duration>(this->options.lease * this->options.maxUsedLease);
+    worker.unknownIncarnationLeaseEnd = std::max(worker.unknownIncarnationLeaseEnd, this->latestLeaseEnd(now, this->options.maxLease));
+    if (this->latestLeaseEnd(now, granted) >= worker.otherClockLeaseEnd)
+        worker.acceptsUntilAfterPoll = now + std::chrono::duration_cast<Duration>(this->options.lease * this->options.maxUsedLease);
 }
 
 void Fleet::pollAnswered(FleetWorker& worker)
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -36,7 +36,7 @@
     Instant lastConfirmedAt {}; // when a start was last answered or a report last named it
     Duration latencyTarget { 0 };
     ImageName image {};
-    std::uint64_t lastReportNumber { 0 }; // number of the last report that named it
+    std::uint64_t lastReportNumber { 0 }; // number of the last report that named it; 0: none has, so that an incarnation which has not answered yet may have begun it
     std::int64_t load { 0 }; // as last reported; see RunningTask::load
     double minHeadroomAlone { 0 }; // of a serving run: the least recent headroom without what best-effort tasks took; 0: not measured
     int speedPercent { 100 }; // last requested
@@ -99,6 +99,8 @@
     Enrolment enrolment { Enrolment::None };
     std::uint64_t enrolmentReport { 0 }; // first report that enrols it, if Requested
     bool wasClosed { false }; // after it answered, a report of this leader named the only tasks that may run there, or dropped it from the roster
+    std::uint32_t restarts { 0 }; // FencingToken::restarts of the calls to it
+    Instant otherClockLeaseEnd; // by which leases until a time on the clock of a former incarnation have expired; Instant::max(): calls with such a lease may still take effect
     WallTime answeredStartedAt { 0 }; // start of the incarnation that last answered; 0: none. The list may show another one
     bool isPollInFlight { false };
     Endpoint polledEndpoint; // of the last poll
@@ -106,6 +108,7 @@
     std::optional<std::int64_t> clock; // ms on the worker's steady clock at clockReadAt; nothing before the first answer
     Instant clockReadAt;
     Instant leaseEnd; // by which every granted lease has expired on the worker
+    Instant unknownIncarnationLeaseEnd; // leaseEnd of runs that no report has named: an incarnation that has not answered yet measures it on another clock
     Instant leaseEndBeforePoll; // leaseEnd without the lease that the poll in flight grants
     Instant acceptsUntil; // by then the lease that an answered poll granted is too short for new runs
     Instant acceptsUntilAfterPoll; // acceptsUntil once the poll in flight is answered; zero: it grants no lease
@@ -138,6 +141,10 @@
     // does not drain and has answered, at the latest `timeout` ago if the last poll had no answer.
     bool mayGetTasks(Instant now, Duration timeout) const;
 
+    // hasCallsOfFormerIncarnation() says whether calls that were meant for a former incarnation may still take effect: no poll with
+    // the token that fences them has been answered.
+    bool hasCallsOfFormerIncarnation() const { return this->otherClockLeaseEnd == Instant::max(); }
+
     // isClockReset() says whether `reading`, taken after `time`, shows that the clock of the worker has started anew.
     bool isClockReset(std::int64_t reading, Instant time, Duration margin, double maxDrift) const;
 
@@ -147,6 +154,9 @@
     // availableResources() is the capacity that no run occupies.
     TaskResources availableResources() const;
 
+    // leaseEndOf() is the time by which every lease on a run has expired on the worker.
+    Instant leaseEndOf(const RunAllocation& run) const { return run.lastReportNumber == 0 ? std::max(this->leaseEnd, this->unknownIncarnationLeaseEnd) : this->leaseEnd; }
+
     // isRestartListed() says whether the list, read since the poll that was last answered was sent, shows another incarnation
     // than that answer. What is known of the runs, the ends and the clock of the worker does not hold for it.
     bool isRestartListed() const;
@@ -164,6 +174,7 @@
 public:
     struct Options {
         Duration lease { std::chrono::milliseconds(4500) }; // granted with each poll
+        Duration maxLease { std::chrono::milliseconds(6000) }; // to which a worker shortens any lease, on its own clock
         double maxUsedLease { 2.0 / 3 }; // share of a worker's lease that may have passed when a task is started; the rest has to cover a lost poll
         Duration clockMargin { std::chrono::milliseconds(300) }; // added to a lease on top of the drift
         double maxClockDrift { 0.02 }; // share by which a worker's clock may run slow, as the platform states
@@ -191,15 +202,26 @@
     void allocate(FleetWorker& worker, const TaskRunId& run, RunAllocation allocation);
     void release(FleetWorker& worker, const TaskRunId& run);
 
+    // beginIncarnation() records that another incarnation of the worker has answered. Calls to it get a higher token, and no task is
+    // placed on it before incarnationFenced() and a poll whose lease outlasts any that a deadline for a former incarnation gave it.
+    void beginIncarnation(FleetWorker& worker, Instant now);
+
+    // incarnationFenced() records that the incarnation has answered a poll with that token.
+    void incarnationFenced(FleetWorker& worker, Instant now);
+
+    // timeUntilStarts() is the time until a poll that grants a lease of length `granted` lets the worker accept tasks; zero: at once.
+    Duration timeUntilStarts(const FleetWorker& worker, Instant now, Duration granted) const;
+
     // recordLease() records that a lease granted at `now` may take effect on the worker, whatever becomes of the poll in
-    // flight.
+    // flight. recordStart() records the same of a start that is sent before `expiresAt`.
     void recordLease(FleetWorker& worker, Instant now);
+    void recordStart(FleetWorker& worker, Instant now, Instant expiresAt);
 
     // pollAnswered() records that the worker has granted the lease of the poll in flight, if it carried one.
     static void pollAnswered(FleetWorker& worker);
 
-    // recordPollLease() records a lease granted at `now` that takes effect unless the poll that carries it is never sent.
-    void recordPollLease(FleetWorker& worker, Instant now);
+    // recordPollLease() records a lease of length `granted` from `now` that takes effect unless the poll that carries it is never sent.
+    void recordPollLease(FleetWorker& worker, Instant now, Duration granted);
 
     // remove() deletes a worker. It must have no runs.
     void remove(const WorkerId& worker);
@@ -213,7 +235,7 @@
     const std::map<WorkerId, FleetWorker>& all() const { return this->workers; }
 
     // remainingLease() is the time for which leases on the worker may last, granted by this leader or a former one, in whole
-    // milliseconds.
+    // milliseconds. Linear in its runs.
     static Duration remainingLease(const FleetWorker& worker, Instant now);
 
     // latestLeaseEnd() is the time by which a lease granted at `now` has expired on every worker.
@@ -222,12 +244,14 @@
     Duration lease() const { return this->options.lease; }
 
 private:
+    FleetWorker& findOrAdd(const WorkerId& worker);
     void regroup();
     static void unlist(FleetWorker& worker, Instant now);
 
     Options options;
     std::map<DataCentreName, CellName> cellOf;
     std::map<WorkerId, FleetWorker> workers;
+    std::uint32_t restarts { 0 }; // of any worker. It never falls, so that a worker that is added again gets no lower token than before
     std::map<CellName, std::map<ServiceName, std::vector<FleetWorker*>>> groups;
     bool isRegroupDue { false };
 };
--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -42,7 +42,7 @@
         // fullReport() returns a report that names as many ends as fit, and no run.
         PollEnded fullReport(Epoch epoch)
         {
-            PollEnded report = this->w1().poll({ .to = { WorkerId("w1"), {}, epoch }, .deadline = {}, .acknowledged = 0, .wait = Duration(0) }, this->now);
+            PollEnded report = this->w1().poll({ .to = { WorkerId("w1"), {}, { epoch } }, .deadline = {}, .acknowledged = 0, .wait = Duration(0) }, this->now);
             report.running.clear();
             report.hasMoreEnds = true;
             for (std::uint64_t number = 1; number <= reportedEnds; ++number)
@@ -53,7 +53,7 @@
         // extendLease() lets a leader that the fixture does not run extend the lease of w1.
         void extendLease(Epoch epoch)
         {
-            (void)this->w1().poll({ .to = { WorkerId("w1"), {}, epoch }, .deadline = toMilliseconds(this->now - this->startedAt) + 4500, .acknowledged = 0, .wait = Duration(0) }, this->now);
+            (void)this->w1().poll({ .to = { WorkerId("w1"), {}, { epoch } }, .deadline = toMilliseconds(this->now - this->startedAt) + 4500, .acknowledged = 0, .wait = Duration(0) }, this->now);
         }
 
         Epoch epoch() const
@@ -253,9 +253,10 @@
 TEST_CASE_METHOD(LostRunFixture, "Leader_olderIncarnationAnswersAfterNewerOne_runsOfNewerOneAreNotStartedAgain", "[lost-run]")
 {
     this->w1().restart(this->now);
-    this->run({ "a" }, std::chrono::seconds(1));
+    this->run({ "a" }, std::chrono::seconds(2));
     this->startTasks(1);
     PollEnded report = this->fullReport(this->epoch());
+    report.status = WorkerCallStatus::Ok;
     report.ended.clear();
     report.hasMoreEnds = false;
     report.sentAt = this->startedAt; // before the restart
--- a/packages/scheduling/recorder_test.cc
+++ b/packages/scheduling/recorder_test.cc
@@ -187,7 +187,7 @@
     this->runHolding(std::chrono::milliseconds(400));
     REQUIRE(this->held.size() == 1); // contains the end of the task on the first worker
     this->unresponsive = { this->first };
-    this->sendHolding(TaskCallEnded { TaskCallKind::Stop, this->second, earlier, {}, WorkerCallStatus::Fenced });
+    this->sendHolding(TaskCallEnded { TaskCallKind::Stop, this->second, { earlier }, {}, WorkerCallStatus::Fenced });
     this->runHolding(std::chrono::milliseconds(400));
     REQUIRE(this->storedEpoch() == earlier + 1);
     REQUIRE(this->held.size() == 1);
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -92,7 +92,7 @@
         this->slowStarts.pop_front();
         const bool isExpired = this->now >= start.call.expiresAt;
         const WorkerCallStatus status = isExpired ? WorkerCallStatus::Expired : this->startOn(start);
-        const TaskCallEnded end { TaskCallKind::Start, start.call.to.worker, start.call.to.epoch, start.call.run, status };
+        const TaskCallEnded end { TaskCallKind::Start, start.call.to.worker, start.call.to.token, start.call.run, status };
         if (this->startPropagation > Duration(0))
             this->deliverAfter(this->startPropagation, start.host, end);
         else
@@ -320,7 +320,7 @@
 
 void SchedulerFixture::execute(const std::string& name, const PollWorker& effect)
 {
-    PollEnded end { .worker = effect.to.worker, .epoch = effect.to.epoch, .sentAt = this->now, .status = WorkerCallStatus::Unclear };
+    PollEnded end { .worker = effect.to.worker, .token = effect.to.token, .sentAt = this->now, .status = WorkerCallStatus::Unclear };
     Duration delay = tickInterval;
     if (this->unreachable.contains(effect.to.worker)) {
         end.status = WorkerCallStatus::NotSent;
@@ -333,6 +333,8 @@
         else
             end = std::move(answer);
         this->pollsToLose = std::max(this->pollsToLose - 1, 0);
+    } else {
+        delay = this->pollTimeout;
     }
     this->delayedReports.push_back({ name, std::move(end), this->now + delay });
 }
@@ -363,7 +365,7 @@
     const StepDefinition definition = this->stepOf(effect.run);
     SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
-    TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Unclear };
+    TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Unclear };
     if (this->replaced.contains(effect.to.worker)) {
         end.status = WorkerCallStatus::OtherIncarnation;
         return this->send(name, end);
@@ -385,7 +387,7 @@
 
 void SchedulerFixture::execute(const std::string& name, const StopTask& effect)
 {
-    TaskCallEnded end { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Unclear };
+    TaskCallEnded end { TaskCallKind::Stop, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Unclear };
     if (!this->canReach(name, effect.to.worker))
         return this->deliverAfter(callTimeout, name, end);
     if (this->stopsToLose > 0) {
@@ -403,7 +405,7 @@
 
 void SchedulerFixture::execute(const std::string& name, const SetTaskSpeed& effect)
 {
-    this->send(name, TaskCallEnded { TaskCallKind::SetSpeed, effect.to.worker, effect.to.epoch, effect.run, WorkerCallStatus::Ok });
+    this->send(name, TaskCallEnded { TaskCallKind::SetSpeed, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Ok });
 }
 
 void SchedulerFixture::execute(const std::string&, const ReplyToClient& effect)
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -143,6 +143,7 @@
     bool shouldTasksFail { false };
     bool areProgressWritesRefused { false };
     bool shouldDeliverLists { true }; // whether hosts receive answers of the feed of workers
+    Duration pollTimeout { std::chrono::milliseconds(20) }; // after which a poll without an answer ends
     std::set<WorkerId> unlisted; // workers that are missing from the list
     std::set<WorkerId> unreachable; // workers to which polls can't be sent
     std::set<WorkerId> crashed; // workers whose process does not run
--- a/packages/scheduling/scheduler_test.cc
+++ b/packages/scheduling/scheduler_test.cc
@@ -314,7 +314,7 @@
     this->submit("a", job, { stepOfTasks(1, 4) });
     this->run({ "a" }, feedDelay);
     const StartTask start = this->starts.back();
-    this->send("a", TaskCallEnded { TaskCallKind::Start, start.to.worker, start.to.epoch, start.run, WorkerCallStatus::Unclear });
+    this->send("a", TaskCallEnded { TaskCallKind::Start, start.to.worker, start.to.token, start.run, WorkerCallStatus::Unclear });
     this->run({ "a" }, std::chrono::seconds(3));
     CHECK(this->runningOf(job).size() == 1);
     CHECK(this->starts.size() == 1);
--- a/packages/scheduling/scheduling_benchmark.cc
+++ b/packages/scheduling/scheduling_benchmark.cc
@@ -162,13 +162,13 @@
                 this->nextEnds[effect.to.worker] = end;
             SimulatedRun work { .id = effect.run, .need = need, .end = end, .isFailing = false, .checkpoint = {} };
             const WorkerCallStatus status = this->workers.at(effect.to.worker).start(effect, work, this->now);
-            this->answer(TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.epoch, effect.run, status });
+            this->answer(TaskCallEnded { TaskCallKind::Start, effect.to.worker, effect.to.token, effect.run, status });
             ++this->startCount;
         }
         void carryOut(const StopTask& effect)
         {
             const WorkerCallStatus status = this->workers.at(effect.to.worker).stop(effect, this->now);
-            this->answer(TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.epoch, effect.run, status });
+            this->answer(TaskCallEnded { TaskCallKind::Stop, effect.to.worker, effect.to.token, effect.run, status });
         }
         void carryOut(const SetTaskSpeed&) { ++this->speedChangeCount; }
         void carryOut(const ReplyToClient&) { }
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -78,7 +78,7 @@
 // PollEnded is the result of a PollWorker.
 struct PollEnded {
     WorkerId worker;
-    Epoch epoch { 0 }; // under which the poll was sent
+    FencingToken token {}; // of the poll
     Instant sentAt;
     Instant receivedAt {}; // when the answer arrived
     WorkerCallStatus status { WorkerCallStatus::Unclear };
@@ -107,7 +107,7 @@
 struct TaskCallEnded {
     TaskCallKind kind { TaskCallKind::Start };
     WorkerId worker;
-    Epoch epoch { 0 }; // under which the call was sent
+    FencingToken token {}; // of the call
     TaskRunId run;
     WorkerCallStatus status { WorkerCallStatus::Unclear };
 };
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -40,11 +40,11 @@
     JobId job;
 };
 
-// WorkerAddress is the destination of a call to a worker, with the epoch of the caller as a fencing token.
+// WorkerAddress is the destination of a call to a worker, with the fencing token of the call.
 struct WorkerAddress {
     WorkerId worker; // another worker at the endpoint rejects the call
     Endpoint endpoint;
-    Epoch epoch { 0 };
+    FencingToken token {};
     Endpoint agent {}; // host that delivers the call; port 0: this host does
 };
 
--- a/packages/scheduling/simulation/simulated_worker.cc
+++ b/packages/scheduling/simulation/simulated_worker.cc
@@ -1,9 +1,16 @@
 #include "scheduling/simulation/simulated_worker.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace dragonflytray {
 
+namespace {
+
+    constexpr std::int64_t maxLeaseMilliseconds = 6000; // a longer lease is shortened to this
+
+} // namespace
+
 SimulatedWorker::SimulatedWorker(ListedWorker entry, Instant start)
     : listed(std::move(entry))
     , startedAt(start)
@@ -40,22 +47,27 @@
     return hasBegunToDrain || this->listings.upper_bound(begin) != this->listings.upper_bound(end);
 }
 
-bool SimulatedWorker::isFenced(Epoch epoch)
+bool SimulatedWorker::isFenced(const FencingToken& token)
 {
-    if (epoch < this->highestEpoch)
+    if (token < this->highestToken)
         return true;
-    this->highestEpoch = epoch;
+    this->highestToken = token;
     return false;
 }
 
+void SimulatedWorker::extendLease(std::int64_t deadline, Instant now)
+{
+    this->leaseEnd = std::max(this->leaseEnd, std::min(deadline, this->clockAt(now) + maxLeaseMilliseconds));
+}
+
 WorkerCallStatus SimulatedWorker::start(const StartTask& call, SimulatedRun work, Instant now)
 {
     this->advance(now);
-    if (this->isFenced(call.to.epoch))
+    if (this->isFenced(call.to.token))
         return WorkerCallStatus::Fenced;
     if (call.deadline <= this->clockAt(now))
         return WorkerCallStatus::TooLate;
-    this->leaseEnd = std::max(this->leaseEnd, call.deadline);
+    this->extendLease(call.deadline, now);
     if (this->runs.contains(call.run))
         return WorkerCallStatus::Ok;
     if (const auto last = this->highestEndedRuns.find(call.run.task); last != this->highestEndedRuns.end() && call.run.run <= last->second)
@@ -73,7 +85,7 @@
 WorkerCallStatus SimulatedWorker::stop(const StopTask& call, Instant now)
 {
     this->advance(now);
-    if (this->isFenced(call.to.epoch))
+    if (this->isFenced(call.to.token))
         return WorkerCallStatus::Fenced;
     std::uint64_t& last = this->highestEndedRuns[call.run.task];
     last = std::max(last, call.run.run);
@@ -85,13 +97,13 @@
 PollEnded SimulatedWorker::poll(const PollWorker& call, Instant now)
 {
     this->advance(now);
-    PollEnded end { .worker = this->listed.id, .epoch = call.to.epoch, .sentAt = now, .receivedAt = now, .status = WorkerCallStatus::Ok, .clock = this->clockAt(now), .startedAt = this->listed.startedAt };
-    if (this->isFenced(call.to.epoch)) {
+    PollEnded end { .worker = this->listed.id, .token = call.to.token, .sentAt = now, .receivedAt = now, .status = WorkerCallStatus::Ok, .clock = this->clockAt(now), .startedAt = this->listed.startedAt };
+    if (this->isFenced(call.to.token)) {
         end.status = WorkerCallStatus::Fenced;
         return end;
     }
     if (call.deadline)
-        this->leaseEnd = std::max(this->leaseEnd, *call.deadline);
+        this->extendLease(*call.deadline, now);
     while (!this->unacknowledgedEnds.empty() && this->unacknowledgedEnds.front().number <= call.acknowledged) {
         if (this->unacknowledgedEnds.front().outcome == RunOutcome::Done)
             this->acknowledge(this->unacknowledgedEnds.front().id);
--- a/packages/scheduling/simulation/simulated_worker.h
+++ b/packages/scheduling/simulation/simulated_worker.h
@@ -73,12 +73,13 @@
     void finish(const TaskRunId& run, RunOutcome outcome, Instant now);
     void acknowledge(const TaskRunId& run);
     void setListed(Instant time, bool isListed);
-    bool isFenced(Epoch epoch);
+    bool isFenced(const FencingToken& token);
+    void extendLease(std::int64_t deadline, Instant now);
 
     ListedWorker listed;
     Instant startedAt;
     std::optional<Instant> drainingSince;
-    Epoch highestEpoch { 0 };
+    FencingToken highestToken;
     std::int64_t leaseEnd { 0 }; // ms on the worker's clock
     std::map<TaskRunId, SimulatedRun> runs;
     std::map<TaskId, std::uint64_t> highestEndedRuns; // highest number of a run that ended or was stopped, by task
--- a/packages/scheduling/unplaced_task_test.cc
+++ b/packages/scheduling/unplaced_task_test.cc
@@ -126,7 +126,7 @@
     this->send("a", RequestCancellation { ReplyToken { 2 }, this->configuration.queues.front().host, "/q/" + otherJob });
     REQUIRE(this->stopsToLose == 0);
     this->delayedCommands.clear(); // the stop is answered as follows
-    this->send("a", TaskCallEnded { TaskCallKind::Stop, WorkerId("w1"), 1, runs.front(), WorkerCallStatus::Rejected });
+    this->send("a", TaskCallEnded { TaskCallKind::Stop, WorkerId("w1"), { 1 }, runs.front(), WorkerCallStatus::Rejected });
     this->run({ "a" }, std::chrono::seconds(3));
     CHECK(this->runningOf(otherJob).empty());
 }
--- a/packages/scheduling/worker_evidence_test.cc
+++ b/packages/scheduling/worker_evidence_test.cc
@@ -94,7 +94,7 @@
             continue;
         this->send("b", WorkersListed { { formerEntry }, {}, false, 0 });
         const Epoch epoch = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch;
-        this->send("b", PollEnded { .worker = WorkerId("w1"), .epoch = epoch, .sentAt = this->now, .status = WorkerCallStatus::OtherIncarnation });
+        this->send("b", PollEnded { .worker = WorkerId("w1"), .token = { epoch }, .sentAt = this->now, .status = WorkerCallStatus::OtherIncarnation });
     }
     CHECK(this->maxConcurrentRuns == 1);
 }
@@ -141,7 +141,7 @@
     const ListedWorker entry = this->replaceWorker("w1", 2, { "127.0.0.1", 2 }).entry();
     this->send("a", WorkersListed { { entry }, {}, false, 0 });
     const Epoch epoch = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch;
-    this->send("a", PollEnded { .worker = WorkerId("w1"), .epoch = epoch, .sentAt = this->now, .status = WorkerCallStatus::OtherIncarnation });
+    this->send("a", PollEnded { .worker = WorkerId("w1"), .token = { epoch }, .sentAt = this->now, .status = WorkerCallStatus::OtherIncarnation });
     this->run({ "a" }, std::chrono::seconds(3));
     REQUIRE(this->submit("a", job, { stepOfTasks(4, 4) }) == ReplyStatus::Accepted);
     this->run({ "a" }, std::chrono::seconds(30));
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -7,10 +7,32 @@
 //     RunningTask running { .id = { task, 3 }, .checkpoint = "c-17", .percent = 100, .load = 2500 };
 
 #include "scheduling/job_types.h"
+#include <algorithm>
 #include <optional>
 
 namespace dragonflytray {
 
+// FencingToken orders the calls of all leaders to a worker, which does nothing for a lower token than it has seen. A leader that
+// learns of a restart sends a higher one, so that calls which were meant for the former incarnation have no effect on the next.
+struct FencingToken {
+    Epoch epoch { 0 }; // of the leader
+    std::uint32_t restarts { 0 }; // of workers, that the leader had seen when it last learnt of the incarnation of this one
+
+    auto operator<=>(const FencingToken&) const = default;
+};
+
+// toNumber() returns a token as a number of the same order, as messages carry it. fencingTokenOf() is its inverse.
+inline constexpr std::uint32_t fencingTokenRestartBits = 20;
+constexpr std::uint64_t toNumber(const FencingToken& token)
+{
+    constexpr std::uint64_t maxRestarts = (std::uint64_t { 1 } << fencingTokenRestartBits) - 1;
+    return (token.epoch << fencingTokenRestartBits) | std::min<std::uint64_t>(token.restarts, maxRestarts);
+}
+constexpr FencingToken fencingTokenOf(std::uint64_t number)
+{
+    return { .epoch = number >> fencingTokenRestartBits, .restarts = static_cast<std::uint32_t>(number & ((std::uint64_t { 1 } << fencingTokenRestartBits) - 1)) };
+}
+
 // ListedWorker is one entry of the platform's list of workers.
 struct ListedWorker {
     WorkerId id;
