scheduling: the log says which condition keeps a best-effort task waiting

A best-effort task waits with no-room when no worker has enough idle cores, or when it would harm the serving tasks wherever there are. The lines of task-waiting did not tell these apart, and gave 0 as the cores that it needs.

They now give its cores and the number of workers with memory, with idle cores and with headroom for it (withMemory, withIdleCores, withHeadroom). Of equal waits the oldest jobs are named first.

--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -69,6 +69,9 @@
     // admits() says whether, as far as is known, every target holds with one more best-effort task of that image.
     bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
+    // keepsHeadroom() says the same apart from idle cores, without which the task is only slower.
+    bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+
     // risk() is the headroom that one more best-effort task is predicted to take, summed over the serving tasks on the
     // worker. Used to choose among workers.
     double risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
@@ -97,7 +100,6 @@
     const ServingHeadroom* summaryOf(const FleetWorker& worker, const ImageName& image) const;
     void updateMinHeadrooms(FleetWorker& worker, Instant now) const;
     bool maySpeedUp(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
-    bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     void learnUsage(FleetWorker& worker, Instant now) const;
     void slowDown(FleetWorker& worker, double missingHeadroom, double minEffect, std::size_t serving, std::vector<SpeedChange>& changes);
     void speedUp(FleetWorker& worker, std::vector<SpeedChange>& changes);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -369,6 +369,7 @@
     // reportWaits() logs why the tasks that have waited longest do not run, the long-running ones first: their stage, or the obstacle
     // that the last pass met at their step.
     void reportWaits(CommandContext& context);
+    void addBestEffortInputs(JobExecution& job, const TaskId& task, Instant now, LogDecision& line);
     PlacementOutcome obstacleOf(const StepExecution& stepExecution) const;
 
     // Runs of former leaders. A cell is reconciled when all workers on which any task may run are fenced and the store is followed
--- a/packages/scheduling/dispatcher_waits.cc
+++ b/packages/scheduling/dispatcher_waits.cc
@@ -69,7 +69,7 @@
     }
     const std::size_t count = std::min(waits.size(), this->options.maxWaitsPerReport);
     std::partial_sort(waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(count), waits.end(), [](const WaitingStep& a, const WaitingStep& b) {
-        return std::tuple(!a.isLongRunning, a.absentSince) < std::tuple(!b.isLongRunning, b.absentSince);
+        return std::tuple(!a.isLongRunning, a.absentSince, a.job->definition().acceptedAt) < std::tuple(!b.isLongRunning, b.absentSince, b.job->definition().acceptedAt);
     });
     const auto steps = static_cast<std::int64_t>(waits.size());
     waits.resize(count);
@@ -77,11 +77,20 @@
         const TaskStage stage = wait.taskExecution->stage;
         const std::string_view reason = stage == TaskStage::Waiting ? placementOutcomeNames.nameOf(this->obstacleOf(*wait.stepExecution)) : taskStageNames.nameOf(stage);
         LogDecision waiting { DecisionEvent::TaskWaiting, formatRun({ wait.task, wait.taskExecution->run }), wait.taskExecution->worker.value(), std::string(reason), wait.job->version(), toMilliseconds(context.now - wait.absentSince), this->viewAge(context.now) };
-        waiting.inputs = { { DecisionInput::AbsentTasks, wait.absentTasks }, { DecisionInput::WaitingSteps, steps }, { DecisionInput::NeededMillicores, needOf(wait.job->definition().steps[wait.task.step]).millicores } };
+        waiting.inputs = { { DecisionInput::AbsentTasks, wait.absentTasks }, { DecisionInput::WaitingSteps, steps }, { DecisionInput::NeededMillicores, wait.job->definition().steps[wait.task.step].need.millicores } };
+        this->addBestEffortInputs(*wait.job, wait.task, context.now, waiting);
         context.add(std::move(waiting));
     }
 }
 
+void Dispatcher::addBestEffortInputs(JobExecution& job, const TaskId& task, Instant now, LogDecision& line)
+{
+    if (!job.definition().steps[task.step].isBestEffort)
+        return;
+    const BestEffortRoom room = countBestEffortRoom(this->fleet, this->requestFor(job, task, now));
+    line.inputs.insert(line.inputs.end(), { { DecisionInput::WorkersWithMemory, room.withMemory }, { DecisionInput::WorkersWithIdleCores, room.withIdleCores }, { DecisionInput::WorkersWithHeadroom, room.withHeadroom } });
+}
+
 PlacementOutcome Dispatcher::obstacleOf(const StepExecution& stepExecution) const
 {
     if (this->areStartsPaused)
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -135,6 +135,21 @@
     return best;
 }
 
+BestEffortRoom countBestEffortRoom(Fleet& fleet, const PlacementRequest& request)
+{
+    BestEffortRoom room;
+    const TaskResources need = needOf(request.step);
+    for (const FleetWorker* worker : fleet.workersOf(request.cell, request.service)) {
+        if (!need.fitsIn(worker->availableResources()) || !isEligible(*worker, request))
+            continue;
+        const std::int64_t millicores = request.step.need.millicores;
+        ++room.withMemory;
+        room.withIdleCores += request.bestEffortControl.idleMillicores(*worker) >= static_cast<double>(millicores) ? 1 : 0;
+        room.withHeadroom += request.bestEffortControl.keepsHeadroom(*worker, request.image, millicores) ? 1 : 0;
+    }
+    return room;
+}
+
 namespace {
 
     // evictionCost() is the work lost by stopping a run, in millicore seconds; nothing if it must not be stopped for the
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -44,6 +44,17 @@
 // chooseWorker() is the best worker with room, or null. Linear in the workers of the cell and service.
 FleetWorker* chooseWorker(Fleet& fleet, const PlacementRequest& request);
 
+// BestEffortRoom is the number of workers on which a best-effort task meets each condition besides that of a reservation.
+struct BestEffortRoom {
+    std::int64_t withMemory { 0 }; // room for what it reserves
+    std::int64_t withIdleCores { 0 };
+    std::int64_t withHeadroom { 0 }; // no serving task is harmed
+};
+
+// countBestEffortRoom() counts the workers that accept the task by the conditions that they meet. Linear in the workers of the cell
+// and service.
+BestEffortRoom countBestEffortRoom(Fleet& fleet, const PlacementRequest& request);
+
 // chooseWorkerToClear() is the worker on which the fewest cores are missing, among those that have enough room once their short
 // runs of less than `maxRunTime` have ended; null if there is none. Linear in the workers and runs of the cell and service.
 FleetWorker* chooseWorkerToClear(Fleet& fleet, const PlacementRequest& request, Duration maxRunTime);
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -237,6 +237,9 @@
     AbsentTasks, // of the step that do not run
     WaitingSteps, // with such tasks
     NeededMillicores, // by each task of the step
+    WorkersWithMemory, // that accept the task and have room for what it reserves
+    WorkersWithIdleCores, // the same, with enough idle cores for a best-effort task
+    WorkersWithHeadroom, // the same, on which a best-effort task harms no serving task
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -256,8 +259,11 @@
     { DecisionInput::AbsentTasks, "absent" },
     { DecisionInput::WaitingSteps, "waitingSteps" },
     { DecisionInput::NeededMillicores, "needMillicores" },
+    { DecisionInput::WorkersWithMemory, "withMemory" },
+    { DecisionInput::WorkersWithIdleCores, "withIdleCores" },
+    { DecisionInput::WorkersWithHeadroom, "withHeadroom" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::NeededMillicores));
+static_assert(decisionInputNames.isWhole(DecisionInput::WorkersWithHeadroom));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
