scheduling: a best-effort job with nothing running starts at a reduced speed

Cause: a best-effort task is placed only where its full effect leaves every serving task its headroom. Where workers with idle cores all serve, and those that don't are full, no worker ever meets both conditions, and nothing bounds the wait. The class: an admission rule with no second choice.

Fix: at the end of a pass, one task of each job that has waited for 5 s with nothing running may start on cores that no other task could use, at the speed at which its effect counts as harmless, and one on a worker at a time. The leader sends the speed as soon as the run is confirmed; reports raise it.

BestEffortTask_everyWorkerServes_itIsStartedAtReducedSpeed fails with the wait limit set to an hour, which leaves the former behaviour.

BestEffortTask_smallerTasksKeepArriving_largeOneIsStarted shows another way to wait for long and is known red.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -295,6 +295,22 @@
     return this->idleMillicores(worker) >= static_cast<double>(millicores) && this->keepsHeadroom(worker, image, millicores);
 }
 
+bool BestEffortControl::admitsThrottled(const FleetWorker& worker, std::int64_t millicores) const
+{
+    const bool isThrottling = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.isBestEffort && entry.second.speedPercent < 100; });
+    return !isThrottling && this->idleMillicores(worker) >= static_cast<double>(millicores);
+}
+
+int BestEffortControl::startSpeedPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    if (this->keepsHeadroom(worker, image, millicores))
+        return 100;
+    double maxEffect = 0;
+    for (const ServingHeadroom& entry : worker.servingHeadrooms)
+        maxEffect = std::max(maxEffect, this->effectOf(entry.image, image) * this->exposureOf(worker, millicores));
+    return std::clamp(static_cast<int>(100 * this->options.harmfulEffect / 2 / maxEffect), this->options.minSpeedPercent, 100);
+}
+
 double BestEffortControl::risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
     const double exposure = this->exposureOf(worker, millicores);
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -72,6 +72,14 @@
     // keepsHeadroom() says the same apart from idle cores, without which the task is only slower.
     bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
+    // admitsThrottled() says whether one more best-effort task may start at startSpeedPercent(): enough cores are idle, and no other
+    // best-effort task on the worker is throttled.
+    bool admitsThrottled(const FleetWorker& worker, std::int64_t millicores) const;
+
+    // startSpeedPercent() is the speed at which a new best-effort task of that image harms no serving task: 100 where its full
+    // effect is admissible.
+    int startSpeedPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+
     // risk() is the headroom that one more best-effort task is predicted to take, summed over the serving tasks on the
     // worker. Used to choose among workers.
     double risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -82,6 +82,8 @@
         Duration roomClaimTimeout { std::chrono::milliseconds(750) }; // of a claim to the room of runs that are stopped; a stop and its report take less
         Duration clearingTimeout { std::chrono::milliseconds(2000) }; // of a claim to the room that short runs leave
         double maxClearedShare { 0.1 }; // share of the workers on which room that short runs leave may be claimed at a time
+        Duration bestEffortWaitLimit { std::chrono::seconds(5) }; // for which a best-effort task waits for a worker that admits it at full speed, while nothing of its job runs
+        std::size_t maxFailedThrottledSearchesPerPass { 4 }; // for a worker that admits one at a reduced speed
         std::size_t maxUnplacedTasksPerPass { 48 }; // tasks that found no worker, after which a pass ends
         Duration lowHeadroomPollTimeout { std::chrono::milliseconds(350) }; // replaces pollWaitTimeout while best-effort tasks run beside a serving task near its target
         Duration longRunningYieldDelay { std::chrono::milliseconds(1500) }; // for which a long-running task leaves free room to short tasks
@@ -291,6 +293,8 @@
     void adoptOrphanedRuns(JobExecution& job, CommandContext& context);
     void handleMissingRun(FleetWorker& worker, const TaskRunId& run, const PollEnded& end, CommandContext& context);
     void throttleBestEffort(FleetWorker& worker, CommandContext& context);
+    void applyStartSpeed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context); // call it once a run is confirmed
+    void setSpeed(const FleetWorker& worker, const SpeedChange& change, CommandContext& context);
     void markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context);
     // After a restart of a worker, markFormerRunsLost() gives up the runs that were confirmed before the poll was sent.
     // expectLateStarts() lets the others be stopped again: their starts may still arrive at the new incarnation.
@@ -412,9 +416,13 @@
     std::optional<Instant> overdueSince(JobExecution& job, Instant now) const;
     // obstacleTo() is what forbids a start of the task wherever there is room.
     std::optional<PlacementOutcome> obstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
+    // placeThrottled() starts one best-effort task of each job that has waited for Options::bestEffortWaitLimit with nothing running, at a
+    // speed that harms no serving task. It takes the cores that no other task could use in the pass.
+    void placeThrottled(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context);
     void placeStep(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
+    bool mayBeThrottled(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     PlacementOutcome placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     // findGangWorkers() returns the workers for the members of a gang, in their order; fewer if not all of them find one.
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -175,7 +175,8 @@
         context.stageTimes[Stage::Start].record(context.now - taskExecution->since);
         worker.runs[end.run].lastConfirmedAt = context.now;
         worker.runs[end.run].firstConfirmedAt = context.now;
-        return this->markRunning(*job, end.run.task, context);
+        this->markRunning(*job, end.run.task, context);
+        return this->applyStartSpeed(worker, end.run, context);
     }
     if (end.status == WorkerCallStatus::Unclear)
         return job->setStage(end.run.task, TaskStage::Unclear, context.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -128,6 +128,7 @@
         pass.unplacedCount = 0;
         this->placeJobs(order.jobs, false, pass, context);
         evictionSearches += pass.evictionSearches;
+        this->placeThrottled(order.jobs, pass, context);
     }
     const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
     this->lastPassCost = std::chrono::duration<double>(costPerWorker) * static_cast<double>(this->fleet.all().size());
@@ -146,6 +147,25 @@
     }
 }
 
+void Dispatcher::placeThrottled(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context)
+{
+    pass.mayThrottle = true;
+    std::size_t failures = 0;
+    for (JobExecution* job : jobs) {
+        for (auto& [number, stepExecution] : job->openSteps()) {
+            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& waiting) {
+                return waiting.stage == TaskStage::Waiting && context.now >= waiting.nextSearchAt && this->mayBeThrottled(*job, job->definition().steps[stepExecution.step], waiting, context.now);
+            });
+            if (task == stepExecution.tasks.end())
+                continue;
+            if (failures >= this->options.maxFailedThrottledSearchesPerPass || !this->startWindow.hasRoom())
+                return;
+            const auto index = static_cast<std::uint32_t>(std::distance(stepExecution.tasks.begin(), task));
+            failures += this->placeTask(*job, { job->definition().id, stepExecution.occurrence, stepExecution.step, index }, pass, context) == PlacementOutcome::Started ? 0 : 1;
+        }
+    }
+}
+
 void Dispatcher::updatePause(CommandContext& context)
 {
     const bool isPaused = !this->mayStartTasks(context.now);
@@ -228,6 +248,11 @@
     return step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout;
 }
 
+bool Dispatcher::mayBeThrottled(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
+{
+    return step.isBestEffort && !step.isGang && now >= taskExecution.since + this->options.bestEffortWaitLimit && !job.hasTaskOnWorker();
+}
+
 FleetWorker* Dispatcher::findWorker(JobExecution& job, const TaskId& task, Instant now)
 {
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
@@ -263,11 +288,12 @@
         return failure;
     const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
     const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now) };
-    const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
+    const bool isKnownNotToFit = !isSuspect && !pass.mayThrottle && pass.hasNoRoomFor(unplaced);
     const bool maySearch = !hasClaim && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
         return failure;
-    const PlacementRequest request = this->requestFor(job, task, context.now);
+    PlacementRequest request = this->requestFor(job, task, context.now);
+    request.mayBeThrottled = pass.mayThrottle;
     pass.searches += isKnownNotToFit ? 0 : 1;
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
@@ -286,7 +312,7 @@
         ++pass.unplacedCount;
     if (!isKnownNotToFit && !mayAvoidWorkers && step.maxPerWorker == 0)
         pass.unplacedTasks.push_back(unplaced);
-    if (!hasOnlyResourceNeeds)
+    if (!hasOnlyResourceNeeds || pass.mayThrottle)
         taskExecution.nextSearchAt = context.now + std::max(this->options.searchCooldown, searchCooldownPasses * this->passInterval());
     if (!maySearch)
         return failure;
@@ -382,6 +408,8 @@
     RunAllocation allocation = this->allocationFor(job, step);
     if (wasAbsent)
         allocation.returnedAt = context.now;
+    if (step.isBestEffort)
+        allocation.speedPercent = this->bestEffortControl.startSpeedPercent(worker, this->bestEffortControl.imageNumber(step.image), step.need.millicores);
     this->fleet.allocate(worker, id, std::move(allocation));
     if (isCrashSuspect(job, task))
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -273,8 +273,10 @@
     TaskExecution* taskExecution = job ? job->taskExecution(task.id.task) : nullptr;
     if (!taskExecution || taskExecution->run != task.id.run)
         return;
-    if (taskExecution->stage == TaskStage::Starting || taskExecution->stage == TaskStage::Unclear)
+    if (taskExecution->stage == TaskStage::Starting || taskExecution->stage == TaskStage::Unclear) {
         this->markRunning(*job, task.id.task, context);
+        this->applyStartSpeed(worker, task.id, context);
+    }
     taskExecution->speedPercent = task.percent;
     if (!task.checkpoint.empty())
         taskExecution->checkpoint = task.checkpoint;
@@ -365,10 +367,21 @@
 void Dispatcher::throttleBestEffort(FleetWorker& worker, CommandContext& context)
 {
     this->bestEffortControl.observe(worker, context.now);
-    for (const SpeedChange& change : this->bestEffortControl.speedChangesFor(worker, context.now)) {
-        context.add(SetTaskSpeed { this->addressOf(worker, context.now), change.run, change.percent });
-        context.add(LogDecision { DecisionEvent::TaskSpeedChanged, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
-    }
+    for (const SpeedChange& change : this->bestEffortControl.speedChangesFor(worker, context.now))
+        this->setSpeed(worker, change, context);
+}
+
+void Dispatcher::applyStartSpeed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context)
+{
+    // A worker begins every run at full speed.
+    if (const int percent = worker.runs.at(run).speedPercent; percent < 100)
+        this->setSpeed(worker, { run, percent }, context);
+}
+
+void Dispatcher::setSpeed(const FleetWorker& worker, const SpeedChange& change, CommandContext& context)
+{
+    context.add(SetTaskSpeed { this->addressOf(worker, context.now), change.run, change.percent });
+    context.add(LogDecision { DecisionEvent::TaskSpeedChanged, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
 }
 
 void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context)
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -185,6 +185,8 @@
     const JobDefinition& definition() const { return this->record->definition; }
     const JobProgress& progress() const { return this->currentProgress; }
     std::map<std::uint32_t, StepExecution>& openSteps() { return this->stepExecutions; }
+    // hasTaskOnWorker() returns true if a run of some task may be on a worker. Linear in the tasks of the open steps.
+    bool hasTaskOnWorker() const;
     std::uint32_t waiting() const { return this->waitingTasks; }
 
     // generation() is incremented with each change of the progress by this execution; recorded() is the generation that the store contains.
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -59,7 +59,9 @@
     {
         if (!need.fitsIn(worker.availableResources()))
             return false;
-        return !request.step.isBestEffort || request.bestEffortControl.admits(worker, request.image, request.step.need.millicores);
+        if (!request.step.isBestEffort || request.bestEffortControl.admits(worker, request.image, request.step.need.millicores))
+            return true;
+        return request.mayBeThrottled && request.bestEffortControl.admitsThrottled(worker, request.step.need.millicores);
     }
 
     double servingScore(const FleetWorker& worker, std::size_t image)
--- a/packages/scheduling/placement_pass.h
+++ b/packages/scheduling/placement_pass.h
@@ -40,6 +40,7 @@
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
     std::size_t searches { 0 };
+    bool mayThrottle { false }; // best-effort tasks may start at a reduced speed
     PlannedRoom heldRoom; // the free part of claimed room
 
     bool hasNoRoomFor(const UnplacedTask& task) const
