--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -153,8 +153,9 @@
     std::size_t failures = 0;
     for (JobExecution* job : jobs) {
         for (auto& [number, stepExecution] : job->openSteps()) {
-            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& waiting) {
-                return waiting.stage == TaskStage::Waiting && context.now >= waiting.nextSearchAt && this->mayBeThrottled(*job, job->definition().steps[stepExecution.step], waiting, context.now);
+            const StepDefinition& step = job->definition().steps[stepExecution.step];
+            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&, job](const TaskExecution& waiting) {
+                return waiting.stage == TaskStage::Waiting && context.now >= waiting.nextSearchAt && this->mayBeThrottled(*job, step, waiting, context.now);
             });
             if (task == stepExecution.tasks.end())
                 continue;
