--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -22,6 +22,7 @@
     CHECK(settings->dataCentres.size() == 1);
     CHECK(settings->leadershipScope == LeadershipScope::Whole);
     CHECK(schedulerOptions(*settings).dispatcher.fleet.lease == std::chrono::milliseconds(4500));
+    CHECK(schedulerOptions(*settings).dispatcher.fleet.maxLease == std::chrono::milliseconds(6000));
     CHECK(isEntrySettings(this->text, "entry.yaml"));
 }
 
