scheduling: a job counts its tasks on workers

The last part of a pass, which starts best-effort tasks at a reduced speed, asked each job whether a run of it may be on a worker, once for each waiting task and in linear time. On a cell with hundreds of waiting steps that is work without use in every pass. The job now keeps the number, and jobs and steps that can't qualify are passed over before their tasks are looked at.

Behaviour is unchanged: BestEffortTask_everyWorkerServes_itIsStartedAtReducedSpeed and the tests of restarts and takeovers pass.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -422,7 +422,6 @@
     void placeStep(JobExecution& job, StepExecution& stepExecution, bool areOverdue, PlacementPass& pass, CommandContext& context);
     PlacementRequest requestFor(JobExecution& job, const TaskId& task, Instant now);
     FleetWorker* findWorker(JobExecution& job, const TaskId& task, Instant now);
-    bool mayBeThrottled(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     bool mayIgnoreDataLocality(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
     PlacementOutcome placeGang(JobExecution& job, StepExecution& stepExecution, PlacementPass& pass, CommandContext& context);
     // findGangWorkers() returns the workers for the members of a gang, in their order; fewer if not all of them find one.
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -154,8 +154,10 @@
     for (JobExecution* job : jobs) {
         for (auto& [number, stepExecution] : job->openSteps()) {
             const StepDefinition& step = job->definition().steps[stepExecution.step];
-            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&, job](const TaskExecution& waiting) {
-                return waiting.stage == TaskStage::Waiting && context.now >= waiting.nextSearchAt && this->mayBeThrottled(*job, step, waiting, context.now);
+            if (stepExecution.waiting == 0 || !step.isBestEffort || step.isGang || job->hasTaskOnWorker())
+                continue;
+            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& waiting) {
+                return waiting.stage == TaskStage::Waiting && context.now >= std::max(waiting.nextSearchAt, waiting.since + this->options.bestEffortWaitLimit);
             });
             if (task == stepExecution.tasks.end())
                 continue;
@@ -249,11 +251,6 @@
     return step.nearLabel.empty() || now >= taskExecution.since + this->options.dataLocalityTimeout;
 }
 
-bool Dispatcher::mayBeThrottled(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
-{
-    return step.isBestEffort && !step.isGang && now >= taskExecution.since + this->options.bestEffortWaitLimit && !job.hasTaskOnWorker();
-}
-
 FleetWorker* Dispatcher::findWorker(JobExecution& job, const TaskId& task, Instant now)
 {
     return chooseWorker(this->fleet, this->requestFor(job, task, now));
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -163,6 +163,10 @@
     }
     if (taskExecution.stage == TaskStage::Running)
         taskExecution.absentSince = now;
+    if (isOnWorker(taskExecution.stage))
+        --this->tasksOnWorkers;
+    if (isOnWorker(stage))
+        ++this->tasksOnWorkers;
     taskExecution.stage = stage;
     taskExecution.since = now;
     if (stage == TaskStage::Waiting) {
@@ -260,14 +264,6 @@
     return static_cast<std::uint32_t>(found->second.size()) - (taskExecution ? taskExecution->acquittedCrashes : 0);
 }
 
-bool JobExecution::hasTaskOnWorker() const
-{
-    return std::any_of(this->stepExecutions.begin(), this->stepExecutions.end(), [](const auto& entry) {
-        const auto& tasks = entry.second.tasks;
-        return std::any_of(tasks.begin(), tasks.end(), [](const TaskExecution& task) { return isOnWorker(task.stage); });
-    });
-}
-
 bool JobExecution::isDone(const TaskId& task) const
 {
     const StepProgress* progress = this->findProgress(task.occurrence, task.step);
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -185,8 +185,8 @@
     const JobDefinition& definition() const { return this->record->definition; }
     const JobProgress& progress() const { return this->currentProgress; }
     std::map<std::uint32_t, StepExecution>& openSteps() { return this->stepExecutions; }
-    // hasTaskOnWorker() returns true if a run of some task may be on a worker. Linear in the tasks of the open steps.
-    bool hasTaskOnWorker() const;
+    // hasTaskOnWorker() returns true if a run of some task may be on a worker.
+    bool hasTaskOnWorker() const { return this->tasksOnWorkers > 0; }
     std::uint32_t waiting() const { return this->waitingTasks; }
 
     // generation() is incremented with each change of the progress by this execution; recorded() is the generation that the store contains.
@@ -234,6 +234,7 @@
     std::uint64_t recordedGeneration { 0 };
     std::map<std::uint32_t, StepExecution> stepExecutions; // of open steps, by stepExecutionNumber()
     std::uint32_t waitingTasks { 0 }; // tasks of open steps in stage Waiting
+    std::uint32_t tasksOnWorkers { 0 }; // the same for which isOnWorker() holds
 };
 
 // criticalPathOf() returns the estimated run time of the longest chain of dependent steps of a job.
