scheduling: best-effort jobs don't start at a reduced speed for now

The call is taken out; Dispatcher::placeThrottled() stays until its searches are bounded. BestEffortTask_everyWorkerServes_itIsStartedAtReducedSpeed is known red again, and the postmortem says that the fault is not fixed.

--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -128,7 +128,6 @@
         pass.unplacedCount = 0;
         this->placeJobs(order.jobs, false, pass, context);
         evictionSearches += pass.evictionSearches;
-        this->placeThrottled(order.jobs, pass, context);
     }
     const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
     this->lastPassCost = std::chrono::duration<double>(costPerWorker) * static_cast<double>(this->fleet.all().size());
