scheduling: a best-effort job with nothing running starts at a reduced speed

Cause: a best-effort task was admitted only where its whole effect left every serving task its headroom, and its whole need of cores was idle. An image that harms most serving images finds no such worker for as long as those serve, and throttled tasks, which use next to nothing, kept their whole need from others. Nothing bounded the wait.

Now a task of a job that has had nothing running for bestEffortWaitLimit starts wherever some of its cores are idle, at the highest speed at which no target is in danger. It goes through the ordinary pass, in the order of ranks and with the pass's memory of failed searches: placeThrottled(), which searched all workers once more, is gone.

The stand-in of a worker counted the cores of best-effort tasks against its capacity, which workers do not; it rejected every such start beside a full worker.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -268,13 +268,16 @@
     });
 }
 
-bool BestEffortControl::keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+int BestEffortControl::harmlessPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
     const double exposure = this->exposureOf(worker, millicores);
-    return std::all_of(worker.servingHeadrooms.begin(), worker.servingHeadrooms.end(), [&](const ServingHeadroom& entry) {
+    double share = 1;
+    for (const ServingHeadroom& entry : worker.servingHeadrooms) {
         const double effect = this->effectOf(entry.image, image) * exposure;
-        return effect < this->options.harmfulEffect || entry.minHeadroomAlone - entry.predictedLoss - effect >= this->options.admissionHeadroom;
-    });
+        if (effect >= this->options.harmfulEffect)
+            share = std::min(share, (entry.minHeadroomAlone - entry.predictedLoss - this->options.admissionHeadroom) / effect);
+    }
+    return std::max(static_cast<int>(100 * std::max(share, 0.0)), this->options.minSpeedPercent);
 }
 
 bool BestEffortControl::isHeadroomLow(const FleetWorker& worker) const
@@ -290,25 +293,18 @@
     return idle * this->options.overcommitRatio - static_cast<double>(worker.bestEffortMillicores);
 }
 
-bool BestEffortControl::admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+double BestEffortControl::idleMillicoresAtSpeeds(const FleetWorker& worker) const
 {
-    return this->idleMillicores(worker) >= static_cast<double>(millicores) && this->keepsHeadroom(worker, image, millicores);
+    double idle = this->idleMillicores(worker);
+    for (const auto& [run, allocation] : worker.runs)
+        idle += static_cast<double>(allocation.bestEffortMillicores) * (100 - allocation.speedPercent) / 100;
+    return idle;
 }
 
-bool BestEffortControl::admitsThrottled(const FleetWorker& worker, std::int64_t millicores) const
+bool BestEffortControl::admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const
 {
-    const bool isThrottling = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.isBestEffort && entry.second.speedPercent < 100; });
-    return !isThrottling && this->idleMillicores(worker) >= static_cast<double>(millicores);
-}
-
-int BestEffortControl::startSpeedPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
-{
-    if (this->keepsHeadroom(worker, image, millicores))
-        return 100;
-    double maxEffect = 0;
-    for (const ServingHeadroom& entry : worker.servingHeadrooms)
-        maxEffect = std::max(maxEffect, this->effectOf(entry.image, image) * this->exposureOf(worker, millicores));
-    return std::clamp(static_cast<int>(100 * this->options.harmfulEffect / 2 / maxEffect), this->options.minSpeedPercent, 100);
+    const double idle = minPercent < 100 ? this->idleMillicoresAtSpeeds(worker) : this->idleMillicores(worker);
+    return idle >= static_cast<double>(millicores) * minPercent / 100 && this->harmlessPercent(worker, image, millicores) >= minPercent;
 }
 
 double BestEffortControl::risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -66,19 +66,17 @@
     // idleMillicores() is what best-effort tasks may still use on the worker; negative when they want too much already.
     double idleMillicores(const FleetWorker& worker) const;
 
-    // admits() says whether, as far as is known, every target holds with one more best-effort task of that image.
-    bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+    // idleMillicoresAtSpeeds() is idleMillicores(), but throttled tasks want only what their speed lets them use. Linear in the runs of
+    // the worker.
+    double idleMillicoresAtSpeeds(const FleetWorker& worker) const;
 
-    // keepsHeadroom() says the same apart from idle cores, without which the task is only slower.
-    bool keepsHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+    // admits() says whether one more best-effort task of that image may run at `minPercent` of its full speed or more: so many of its
+    // cores are idle, and as far as is known every target holds at that speed. At Options::minSpeedPercent no target is in danger.
+    bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const;
 
-    // admitsThrottled() says whether one more best-effort task may start at startSpeedPercent(): enough cores are idle, and no other
-    // best-effort task on the worker is throttled.
-    bool admitsThrottled(const FleetWorker& worker, std::int64_t millicores) const;
-
-    // startSpeedPercent() is the speed at which a new best-effort task of that image harms no serving task: 100 where its full
-    // effect is admissible.
-    int startSpeedPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+    // harmlessPercent() is the highest speed at which, as far as is known, every target holds with one more best-effort task of that
+    // image; at least Options::minSpeedPercent.
+    int harmlessPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
 
     // risk() is the headroom that one more best-effort task is predicted to take, summed over the serving tasks on the
     // worker. Used to choose among workers.
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr int fullSpeed = 100;
+
     // BestEffortControlFixture simulates the reports of one worker whose serving task is slowed only by image "heavy".
     class BestEffortControlFixture {
     protected:
@@ -100,7 +102,32 @@
 {
     this->worker.used.millicores = 64000;
     this->worker.servingMillicores = 0;
-    CHECK_FALSE(this->control.admits(this->worker, this->control.imageNumber(ImageName("light")), 8000));
+    CHECK_FALSE(this->control.admits(this->worker, this->control.imageNumber(ImageName("light")), 8000, fullSpeed));
+}
+
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_littleHeadroom_admitsHarmfulTaskOnlyBelowItsHarmlessSpeed")
+{
+    this->learn();
+    for (int i = 0; i < 20; ++i)
+        this->report(0.6);
+    const std::size_t heavy = this->control.imageNumber(ImageName("heavy"));
+    const int harmless = this->control.harmlessPercent(this->worker, heavy, 8000);
+    REQUIRE(harmless < fullSpeed);
+    CHECK(this->control.admits(this->worker, heavy, 8000, harmless));
+    CHECK_FALSE(this->control.admits(this->worker, heavy, 8000, fullSpeed));
+    CHECK(this->control.admits(this->worker, this->control.imageNumber(ImageName("light")), 8000, fullSpeed));
+}
+
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_throttledTasksWantAllCores_admitsTaskAtReducedSpeed")
+{
+    for (int number = 0; number < 8; ++number) {
+        const std::string job = std::to_string(number);
+        this->add(this->worker, job, bestEffort("light"));
+        this->runOf(job).speedPercent = 5;
+    }
+    const std::size_t light = this->control.imageNumber(ImageName("light"));
+    CHECK_FALSE(this->control.admits(this->worker, light, 8000, fullSpeed));
+    CHECK(this->control.admits(this->worker, light, 8000, 5));
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/best_effort_wait_test.cc
+++ b/packages/scheduling/best_effort_wait_test.cc
@@ -30,6 +30,17 @@
             this->run({ "a" }, std::chrono::seconds(3));
         }
 
+        void serveOnEveryWorker()
+        {
+            StepDefinition serving = stepOfTasks(1, 4);
+            serving.isLongRunning = true;
+            serving.latencyTarget = std::chrono::milliseconds(20);
+            serving.image = ImageName("desk");
+            REQUIRE(this->submit("a", servingJob, { serving }) == ReplyStatus::Accepted);
+            this->run({ "a" }, std::chrono::seconds(5));
+            REQUIRE(this->runningOf(servingJob).size() == 1);
+        }
+
         bool hasBegun(const std::string& id) const
         {
             return std::any_of(this->begunRuns.begin(), this->begunRuns.end(), [&](const BegunRun& run) { return run.start.call.run.task.job.value() == id; });
@@ -52,13 +63,7 @@
 
 TEST_CASE_METHOD(BestEffortWaitFixture, "BestEffortTask_everyWorkerServes_itIsStartedAtReducedSpeed")
 {
-    StepDefinition serving = stepOfTasks(1, 4);
-    serving.isLongRunning = true;
-    serving.latencyTarget = std::chrono::milliseconds(20);
-    serving.image = ImageName("desk");
-    REQUIRE(this->submit("a", servingJob, { serving }) == ReplyStatus::Accepted);
-    this->run({ "a" }, std::chrono::seconds(5));
-    REQUIRE(this->runningOf(servingJob).size() == 1);
+    this->serveOnEveryWorker();
     REQUIRE(this->submit("a", job, { bestEffortStep(2, 10) }) == ReplyStatus::Accepted);
     this->run({ "a" }, acceptedWait);
     CHECK(this->hasBegun(job));
@@ -66,4 +71,13 @@
     CHECK(isThrottled);
 }
 
+TEST_CASE_METHOD(BestEffortWaitFixture, "BestEffortTask_everyWorkerServesAndItsJobRuns_itWaitsForFullSpeed")
+{
+    this->taskDuration = 3 * acceptedWait;
+    this->serveOnEveryWorker();
+    REQUIRE(this->submit("a", job, { bestEffortStep(2, 10) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, 2 * acceptedWait);
+    CHECK(this->runningOf(job).size() == 1);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -146,26 +146,10 @@
     }
 }
 
-void Dispatcher::placeThrottled(const std::vector<JobExecution*>& jobs, PlacementPass& pass, CommandContext& context)
+int Dispatcher::minSpeedPercentFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
 {
-    pass.mayThrottle = true;
-    std::size_t failures = 0;
-    for (JobExecution* job : jobs) {
-        for (auto& [number, stepExecution] : job->openSteps()) {
-            const StepDefinition& step = job->definition().steps[stepExecution.step];
-            if (stepExecution.waiting == 0 || !step.isBestEffort || step.isGang || job->hasTaskOnWorker())
-                continue;
-            const auto task = std::find_if(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& waiting) {
-                return waiting.stage == TaskStage::Waiting && context.now >= std::max(waiting.nextSearchAt, waiting.since + this->options.bestEffortWaitLimit);
-            });
-            if (task == stepExecution.tasks.end())
-                continue;
-            if (failures >= this->options.maxFailedThrottledSearchesPerPass || !this->startWindow.hasRoom())
-                return;
-            const auto index = static_cast<std::uint32_t>(std::distance(stepExecution.tasks.begin(), task));
-            failures += this->placeTask(*job, { job->definition().id, stepExecution.occurrence, stepExecution.step, index }, pass, context) == PlacementOutcome::Started ? 0 : 1;
-        }
-    }
+    const bool hasWaitedTooLong = step.isBestEffort && !job.hasTaskOnWorker() && now >= taskExecution.since + this->options.bestEffortWaitLimit;
+    return hasWaitedTooLong ? this->options.bestEffort.minSpeedPercent : 100;
 }
 
 void Dispatcher::updatePause(CommandContext& context)
@@ -241,6 +225,7 @@
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
         .admits = this->admissionOf(job, task),
+        .minSpeedPercent = this->minSpeedPercentFor(job, step, taskExecution, now),
         .isCrashSuspect = isCrashSuspect(job, task),
     };
 }
@@ -284,13 +269,12 @@
     if (context.now < taskExecution.nextSearchAt)
         return failure;
     const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now) };
-    const bool isKnownNotToFit = !isSuspect && !pass.mayThrottle && pass.hasNoRoomFor(unplaced);
+    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now), this->minSpeedPercentFor(job, step, taskExecution, context.now) };
+    const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
     const bool maySearch = !hasClaim && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
         return failure;
     PlacementRequest request = this->requestFor(job, task, context.now);
-    request.mayBeThrottled = pass.mayThrottle;
     pass.searches += isKnownNotToFit ? 0 : 1;
     FleetWorker* worker = isKnownNotToFit ? nullptr : chooseWorker(this->fleet, request);
     if (worker && mayYield && taskExecution.yieldingSince == Instant()) {
@@ -309,7 +293,7 @@
         ++pass.unplacedCount;
     if (!isKnownNotToFit && !mayAvoidWorkers && step.maxPerWorker == 0)
         pass.unplacedTasks.push_back(unplaced);
-    if (!hasOnlyResourceNeeds || pass.mayThrottle)
+    if (!hasOnlyResourceNeeds)
         taskExecution.nextSearchAt = context.now + std::max(this->options.searchCooldown, searchCooldownPasses * this->passInterval());
     if (!maySearch)
         return failure;
@@ -406,7 +390,7 @@
     if (wasAbsent)
         allocation.returnedAt = context.now;
     if (step.isBestEffort)
-        allocation.speedPercent = this->bestEffortControl.startSpeedPercent(worker, this->bestEffortControl.imageNumber(step.image), step.need.millicores);
+        allocation.speedPercent = this->bestEffortControl.harmlessPercent(worker, this->bestEffortControl.imageNumber(step.image), step.need.millicores);
     this->fleet.allocate(worker, id, std::move(allocation));
     if (isCrashSuspect(job, task))
         this->crashSuspects.isolate(worker.entry.id, job.crashSuspectOf(task));
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -12,6 +12,9 @@
     // A best-effort task goes where it is predicted to harm least, and among equals where most cores are idle.
     constexpr double riskWeight = 50000; // millicores for a headroom of 1
 
+    // A best-effort task that may start at a reduced speed goes where it may be fastest.
+    constexpr double speedWeight = 2000; // millicores for a percent of speed
+
     // Workers on which few best-effort images are harmless come first, so that the others stay free for more images.
     constexpr double compatibilityWeight = 30000; // millicores; half a worker for a compatibility of 1
 
@@ -59,9 +62,7 @@
     {
         if (!need.fitsIn(worker.availableResources()))
             return false;
-        if (!request.step.isBestEffort || request.bestEffortControl.admits(worker, request.image, request.step.need.millicores))
-            return true;
-        return request.mayBeThrottled && request.bestEffortControl.admitsThrottled(worker, request.step.need.millicores);
+        return !request.step.isBestEffort || request.bestEffortControl.admits(worker, request.image, request.step.need.millicores, request.minSpeedPercent);
     }
 
     double servingScore(const FleetWorker& worker, std::size_t image)
@@ -72,13 +73,21 @@
         return score;
     }
 
+    double bestEffortScore(const FleetWorker& worker, const PlacementRequest& request)
+    {
+        const BestEffortControl& control = request.bestEffortControl;
+        const std::int64_t millicores = request.step.need.millicores;
+        const double score = control.risk(worker, request.image, millicores) * riskWeight + control.compatibility(worker) * compatibilityWeight - control.idleMillicores(worker);
+        return request.minSpeedPercent == 100 ? score : score - control.harmlessPercent(worker, request.image, millicores) * speedWeight;
+    }
+
     // placementScore() orders workers that have room; the least is the best.
     double placementScore(const FleetWorker& worker, const PlacementRequest& request)
     {
         const StepDefinition& step = request.step;
         double score = static_cast<double>(worker.availableResources().millicores);
         if (step.isBestEffort)
-            score = request.bestEffortControl.risk(worker, request.image, step.need.millicores) * riskWeight + request.bestEffortControl.compatibility(worker) * compatibilityWeight - request.bestEffortControl.idleMillicores(worker);
+            score = bestEffortScore(worker, request);
         else if (step.latencyTarget > Duration(0))
             score += servingScore(worker, request.image);
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
@@ -147,7 +156,7 @@
         const std::int64_t millicores = request.step.need.millicores;
         ++room.withMemory;
         room.withIdleCores += request.bestEffortControl.idleMillicores(*worker) >= static_cast<double>(millicores) ? 1 : 0;
-        room.withHeadroom += request.bestEffortControl.keepsHeadroom(*worker, request.image, millicores) ? 1 : 0;
+        room.withHeadroom += request.bestEffortControl.harmlessPercent(*worker, request.image, millicores) >= 100 ? 1 : 0;
     }
     return room;
 }
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -29,7 +29,7 @@
     std::string rack; // the only rack allowed; empty: any
     std::function<std::uint32_t(const WorkerId&)> countRunsOfStep; // on a worker, for StepDefinition::maxPerWorker; may be empty
     std::function<bool(const FleetWorker&)> admits {}; // whether the task may be placed on a worker, apart from the rest; empty: on all
-    bool mayBeThrottled { false }; // a best-effort task that may start at a reduced speed where it is not admitted at full speed
+    int minSpeedPercent { 100 }; // of its full speed, below which a best-effort task is not started
     bool isCrashSuspect { false }; // its failure to find a worker says nothing about other tasks
 };
 
--- a/packages/scheduling/placement_pass.h
+++ b/packages/scheduling/placement_pass.h
@@ -20,6 +20,7 @@
         const ServiceName* service;
         const StepDefinition* step;
         bool needsNearLabel { false }; // StepDefinition::nearLabel is required, not only preferred
+        int minSpeedPercent { 100 }; // of a best-effort task
 
         // includes() says whether each worker with room for `other` would have room for this task, as far as the steps say.
         bool includes(const UnplacedTask& other) const
@@ -27,7 +28,7 @@
             const bool isSameKind = this->step->isBestEffort == other.step->isBestEffort && (!other.step->isBestEffort || this->step->image == other.step->image);
             const bool hasRequiredLabel = this->step->requiredLabel.empty() || this->step->requiredLabel == other.step->requiredLabel;
             const bool hasNearLabel = !this->needsNearLabel || (other.needsNearLabel && this->step->nearLabel == other.step->nearLabel);
-            return isSameKind && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
+            return isSameKind && this->minSpeedPercent <= other.minSpeedPercent && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
         }
     };
 
@@ -40,7 +41,6 @@
     std::size_t unplacedCount { 0 };
     std::size_t evictionSearches { 0 };
     std::size_t searches { 0 };
-    bool mayThrottle { false }; // best-effort tasks may start at a reduced speed
     PlannedRoom heldRoom; // the free part of claimed room
 
     bool hasNoRoomFor(const UnplacedTask& task) const
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -363,7 +363,7 @@
 {
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
-    SimulatedRun work { .id = effect.run, .need = definition.need, .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
+    SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
     TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Unclear };
     if (this->replaced.contains(effect.to.worker)) {
