scheduling: task-waiting tells reported headroom from the headroom that admission assumes

Admission rests on the least headroom seen recently, less what is predicted to be lost. The line that says why a best-effort task waits gave only the number of workers that pass this test, so that a load that is really high looked like an estimate that is too low. It now gives the number by the last reports alone, the number of workers that serve at all, and the speed at which the task would start.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -280,6 +280,15 @@
     return std::max(static_cast<int>(100 * std::max(share, 0.0)), this->options.minSpeedPercent);
 }
 
+bool BestEffortControl::keepsReportedHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    const double exposure = this->exposureOf(worker, millicores);
+    return std::all_of(worker.servingHeadrooms.begin(), worker.servingHeadrooms.end(), [&](const ServingHeadroom& entry) {
+        const double effect = this->effectOf(entry.image, image) * exposure;
+        return effect < this->options.harmfulEffect || entry.headroom - effect >= this->options.admissionHeadroom;
+    });
+}
+
 bool BestEffortControl::isHeadroomLow(const FleetWorker& worker) const
 {
     if (worker.bestEffortMillicores == 0)
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -66,6 +66,10 @@
     // idleMillicores() is what best-effort tasks may still use on the worker; negative when they want too much already.
     double idleMillicores(const FleetWorker& worker) const;
 
+    // keepsReportedHeadroom() says whether, by the last reports alone, every target holds with one more best-effort task at full speed.
+    // harmlessPercent() rests on the least headroom seen recently instead.
+    bool keepsReportedHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+
     // idleMillicoresAtSpeeds() is idleMillicores(), but throttled tasks want only what their speed lets them use. Linear in the runs of
     // the worker.
     double idleMillicoresAtSpeeds(const FleetWorker& worker) const;
--- a/packages/scheduling/dispatcher_waits.cc
+++ b/packages/scheduling/dispatcher_waits.cc
@@ -87,8 +87,17 @@
 {
     if (!job.definition().steps[task.step].isBestEffort)
         return;
-    const BestEffortRoom room = countBestEffortRoom(this->fleet, this->requestFor(job, task, now));
-    line.inputs.insert(line.inputs.end(), { { DecisionInput::WorkersWithMemory, room.withMemory }, { DecisionInput::WorkersWithIdleCores, room.withIdleCores }, { DecisionInput::WorkersWithHeadroom, room.withHeadroom } });
+    const PlacementRequest request = this->requestFor(job, task, now);
+    const BestEffortRoom room = countBestEffortRoom(this->fleet, request);
+    const std::array inputs {
+        DecisionInputValue { DecisionInput::WorkersWithMemory, room.withMemory },
+        DecisionInputValue { DecisionInput::WorkersWithIdleCores, room.withIdleCores },
+        DecisionInputValue { DecisionInput::WorkersWithHeadroom, room.withHeadroom },
+        DecisionInputValue { DecisionInput::WorkersWithReportedHeadroom, room.withReportedHeadroom },
+        DecisionInputValue { DecisionInput::ServingWorkers, room.serving },
+        DecisionInputValue { DecisionInput::MinSpeedPercent, request.minSpeedPercent },
+    };
+    line.inputs.insert(line.inputs.end(), inputs.begin(), inputs.end());
 }
 
 PlacementOutcome Dispatcher::obstacleOf(const StepExecution& stepExecution) const
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -156,6 +156,8 @@
         const std::int64_t millicores = request.step.need.millicores;
         ++room.withMemory;
         room.withIdleCores += request.bestEffortControl.idleMillicores(*worker) >= static_cast<double>(millicores) ? 1 : 0;
+        room.serving += worker->servingRuns > 0 ? 1 : 0;
+        room.withReportedHeadroom += request.bestEffortControl.keepsReportedHeadroom(*worker, request.image, millicores) ? 1 : 0;
         room.withHeadroom += request.bestEffortControl.harmlessPercent(*worker, request.image, millicores) >= 100 ? 1 : 0;
     }
     return room;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -50,6 +50,8 @@
     std::int64_t withMemory { 0 }; // room for what it reserves
     std::int64_t withIdleCores { 0 };
     std::int64_t withHeadroom { 0 }; // no serving task is harmed
+    std::int64_t withReportedHeadroom { 0 }; // the same by the last reports alone
+    std::int64_t serving { 0 }; // serving tasks run there
 };
 
 // countBestEffortRoom() counts the workers that accept the task by the conditions that they meet. Linear in the workers of the cell
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -240,6 +240,9 @@
     WorkersWithMemory, // that accept the task and have room for what it reserves
     WorkersWithIdleCores, // the same, with enough idle cores for a best-effort task
     WorkersWithHeadroom, // the same, on which a best-effort task harms no serving task
+    WorkersWithReportedHeadroom, // the same by the last reports alone, without the least headroom seen before
+    ServingWorkers, // those of WorkersWithMemory on which serving tasks run
+    MinSpeedPercent, // of its full speed, at which a best-effort task would start
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -262,8 +265,11 @@
     { DecisionInput::WorkersWithMemory, "withMemory" },
     { DecisionInput::WorkersWithIdleCores, "withIdleCores" },
     { DecisionInput::WorkersWithHeadroom, "withHeadroom" },
+    { DecisionInput::WorkersWithReportedHeadroom, "withReportedHeadroom" },
+    { DecisionInput::ServingWorkers, "serving" },
+    { DecisionInput::MinSpeedPercent, "minSpeedPercent" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::WorkersWithHeadroom));
+static_assert(decisionInputNames.isWhole(DecisionInput::MinSpeedPercent));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
