scheduling: the bound on the wait of best-effort jobs holds for each job, and together

What the review and its tests found in the bound on the wait:

- The wait was a task's time in its stage.
A start that expired or was rejected began it anew, and a younger task hid an older one of its step.
The job knows now since when nothing of it has run.
- A gang asked for full speed and waited without bound.
- Any number of tasks could start at the least speed beside one serving task, whose target they would miss together.
Together they now take less than the headroom above 1 that admission keeps.
- A throttled task stayed throttled once the last serving task had left its worker: speeds were only changed where a serving task runs.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -24,6 +24,16 @@
         return static_cast<double>(toMilliseconds(allocation.latencyTarget)) / static_cast<double>(allocation.load);
     }
 
+    bool isThrottled(const RunAllocation& allocation)
+    {
+        return allocation.isBestEffort && allocation.speedPercent < 100;
+    }
+
+    bool hasThrottledRun(const FleetWorker& worker)
+    {
+        return std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return isThrottled(entry.second); });
+    }
+
 } // namespace
 
 BestEffortControl::BestEffortControl(Options options)
@@ -198,7 +208,7 @@
 std::vector<SpeedChange> BestEffortControl::speedChangesFor(FleetWorker& worker, Instant now)
 {
     std::vector<SpeedChange> changes;
-    if (worker.bestEffortMillicores == 0 || worker.servingRuns == 0)
+    if (worker.bestEffortMillicores == 0)
         return changes;
     double least = std::numeric_limits<double>::infinity();
     std::size_t serving = unknownImage;
@@ -268,7 +278,7 @@
     });
 }
 
-int BestEffortControl::harmlessPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+double BestEffortControl::harmlessShare(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
 {
     const double exposure = this->exposureOf(worker, millicores);
     double share = 1;
@@ -277,7 +287,12 @@
         if (effect >= this->options.harmfulEffect)
             share = std::min(share, (entry.minHeadroomAlone - entry.predictedLoss - this->options.admissionHeadroom) / effect);
     }
-    return std::max(static_cast<int>(100 * std::max(share, 0.0)), this->options.minSpeedPercent);
+    return std::max(share, 0.0);
+}
+
+int BestEffortControl::harmlessPercent(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    return std::max(static_cast<int>(100 * this->harmlessShare(worker, image, millicores)), this->options.minSpeedPercent);
 }
 
 bool BestEffortControl::keepsReportedHeadroom(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
@@ -313,7 +328,25 @@
 bool BestEffortControl::admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const
 {
     const double idle = minPercent < 100 ? this->idleMillicoresAtSpeeds(worker) : this->idleMillicores(worker);
-    return idle >= static_cast<double>(millicores) * minPercent / 100 && this->harmlessPercent(worker, image, millicores) >= minPercent;
+    if (idle < static_cast<double>(millicores) * minPercent / 100)
+        return false;
+    if (100 * this->harmlessShare(worker, image, millicores) >= minPercent)
+        return true;
+    return minPercent == this->options.minSpeedPercent && (!hasThrottledRun(worker) || this->areThrottledRunsBearable(worker, image, millicores));
+}
+
+bool BestEffortControl::areThrottledRunsBearable(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
+{
+    const double exposure = this->exposureOf(worker, millicores * this->options.minSpeedPercent / 100);
+    return std::all_of(worker.servingHeadrooms.begin(), worker.servingHeadrooms.end(), [&](const ServingHeadroom& entry) {
+        double loss = this->effectOf(entry.image, image) * exposure;
+        for (const auto& [run, allocation] : worker.runs) {
+            const auto number = isThrottled(allocation) ? this->imageNumbers.find(allocation.image) : this->imageNumbers.end();
+            if (number != this->imageNumbers.end())
+                loss += this->effectOf(entry.image, number->second) * this->exposureOf(worker, allocation);
+        }
+        return loss < this->options.admissionHeadroom - 1;
+    });
 }
 
 double BestEffortControl::risk(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -75,7 +75,9 @@
     double idleMillicoresAtSpeeds(const FleetWorker& worker) const;
 
     // admits() says whether one more best-effort task of that image may run at `minPercent` of its full speed or more: so many of its
-    // cores are idle, and as far as is known every target holds at that speed. At Options::minSpeedPercent no target is in danger.
+    // cores are idle, and as far as is known every target holds at that speed. One task at Options::minSpeedPercent is admitted whatever
+    // is known of the targets, and further ones as long as all throttled tasks on the worker together take less than
+    // the headroom above 1 that admission keeps.
     bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const;
 
     // harmlessPercent() is the highest speed at which, as far as is known, every target holds with one more best-effort task of that
@@ -100,6 +102,9 @@
     static constexpr std::size_t unknownImage = std::numeric_limits<std::size_t>::max();
 
 private:
+    // harmlessShare() is the share of its full speed that harmlessPercent() rounds; 0: a target may be missed at any speed.
+    double harmlessShare(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
+    bool areThrottledRunsBearable(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const; // with one more at the least speed
     double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
     double exposureOf(const FleetWorker& worker, const RunAllocation& allocation) const;
     void learn(const FleetWorker& worker, const BestEffortSample& sample);
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -130,4 +130,30 @@
     CHECK(this->control.admits(this->worker, light, 8000, 5));
 }
 
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_targetMissedAndThrottledTasksHarmTogether_admitsNoOtherOne")
+{
+    this->learn();
+    this->report(0.85);
+    const std::size_t heavy = this->control.imageNumber(ImageName("heavy"));
+    int admitted = 0;
+    for (; admitted < 20 && this->control.admits(this->worker, heavy, 8000, 5); ++admitted) {
+        const std::string job = std::to_string(admitted);
+        this->add(this->worker, job, bestEffort("heavy"));
+        this->runOf(job).speedPercent = 5;
+    }
+    CHECK(admitted >= 1);
+    CHECK(admitted * 0.05 * this->control.risk(this->worker, heavy, 8000) < BestEffortControl::Options {}.admissionHeadroom - 1);
+}
+
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_servingTaskLeaves_throttledTaskIsSpedUp")
+{
+    this->add(this->worker, "bad", bestEffort("heavy"));
+    this->runOf("bad").speedPercent = 5;
+    this->fleet.release(this->worker, { { JobId("serving"), 0, 0, 0 }, 1 });
+    this->control.summarizeServing(this->worker);
+    for (int i = 0; i < 5; ++i)
+        (void)this->control.speedChangesFor(this->worker, this->now);
+    CHECK(this->runOf("bad").speedPercent == fullSpeed);
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -146,9 +146,9 @@
     }
 }
 
-int Dispatcher::minSpeedPercentFor(const JobExecution& job, const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const
+int Dispatcher::minSpeedPercentFor(const JobExecution& job, const StepDefinition& step, Instant now) const
 {
-    const bool hasWaitedTooLong = step.isBestEffort && !job.hasTaskOnWorker() && now >= taskExecution.since + this->options.bestEffortWaitLimit;
+    const bool hasWaitedTooLong = step.isBestEffort && !job.hasTaskOnWorker() && now >= job.idleSince() + this->options.bestEffortWaitLimit;
     return hasWaitedTooLong ? this->options.bestEffort.minSpeedPercent : 100;
 }
 
@@ -225,7 +225,7 @@
         .rack = {},
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
         .admits = this->admissionOf(job, task),
-        .minSpeedPercent = this->minSpeedPercentFor(job, step, taskExecution, now),
+        .minSpeedPercent = this->minSpeedPercentFor(job, step, now),
         .isCrashSuspect = isCrashSuspect(job, task),
     };
 }
@@ -269,7 +269,7 @@
     if (context.now < taskExecution.nextSearchAt)
         return failure;
     const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now), this->minSpeedPercentFor(job, step, taskExecution, context.now) };
+    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now), this->minSpeedPercentFor(job, step, context.now) };
     const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
     const bool maySearch = !hasClaim && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
@@ -356,7 +356,7 @@
     for (std::uint32_t index = 0; index < stepExecution.tasks.size(); ++index) {
         const TaskId task { job.definition().id, stepExecution.occurrence, stepExecution.step, index };
         const auto admits = [&excludedRacks, admission = this->admissionOf(job, task)](const FleetWorker& worker) { return !excludedRacks.contains(worker.entry.rack) && (!admission || admission(worker)); };
-        const PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = admits };
+        const PlacementRequest request { .step = step, .bestEffortControl = this->bestEffortControl, .image = this->bestEffortControl.imageNumber(step.image), .cell = job.definition().cell, .service = this->queueRuleOf(job).service, .now = now, .avoidedWorker = {}, .rack = rack, .countRunsOfStep = [&](const WorkerId& worker) { return this->countRunsOfStep(task, worker); }, .admits = admits, .minSpeedPercent = this->minSpeedPercentFor(job, step, now) };
         FleetWorker* worker = chooseWorker(this->fleet, request);
         if (!worker)
             break;
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -118,6 +118,8 @@
         stepExecution.done += taskExecution.stage == TaskStage::Done ? 1 : 0;
         stepExecution.waiting += taskExecution.stage == TaskStage::Waiting ? 1 : 0;
     }
+    if (this->waitingTasks == 0 && this->tasksOnWorkers == 0)
+        this->lastIdleSince = now;
     this->waitingTasks += stepExecution.waiting;
     this->stepExecutions.emplace(this->stepExecutionNumber(occurrence, step), std::move(stepExecution));
 }
@@ -167,6 +169,9 @@
         --this->tasksOnWorkers;
     if (isOnWorker(stage))
         ++this->tasksOnWorkers;
+    const bool mayHaveRun = taskExecution.stage == TaskStage::Running || taskExecution.stage == TaskStage::Stopping;
+    if (mayHaveRun && this->tasksOnWorkers == 0)
+        this->lastIdleSince = now;
     taskExecution.stage = stage;
     taskExecution.since = now;
     if (stage == TaskStage::Waiting) {
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -187,6 +187,9 @@
     std::map<std::uint32_t, StepExecution>& openSteps() { return this->stepExecutions; }
     // hasTaskOnWorker() returns true if a run of some task may be on a worker.
     bool hasTaskOnWorker() const { return this->tasksOnWorkers > 0; }
+    // idleSince() returns the time since which no run of the job has been at work, while !hasTaskOnWorker(). A start that a worker
+    // rejected does not count as work.
+    Instant idleSince() const { return this->lastIdleSince; }
     std::uint32_t waiting() const { return this->waitingTasks; }
 
     // generation() is incremented with each change of the progress by this execution; recorded() is the generation that the store contains.
@@ -234,6 +237,7 @@
     std::uint64_t recordedGeneration { 0 };
     std::map<std::uint32_t, StepExecution> stepExecutions; // of open steps, by stepExecutionNumber()
     std::uint32_t waitingTasks { 0 }; // tasks of open steps in stage Waiting
+    Instant lastIdleSince;
     std::uint32_t tasksOnWorkers { 0 }; // the same for which isOnWorker() holds
 };
 
