scheduling: the cost of learning effects does not grow with the fleet

What callers saw: on a deployment of 540 workers too little was served (SHORT); the leader's processor is nearly used up.

Cause: every report of a worker updated a model for each of its serving runs, at a cost of the square of the number of best-effort images, whether or not anything had changed.

A report between which and the last one the use of best-effort images changed by a quarter of a task or more is always a sample. Of the others, which tell the noise and little else, one is taken for each serving image in 50 ms.

BestEffortControl_manyWorkersReportUnchangedUse_samplesDoNotGrowWithTheFleet: 500 workers, 10 s: at most 200 samples. Without the change the code takes one for each report but the first, 9,500.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -173,22 +173,40 @@
     for (const auto& [image, exposure] : worker.bestEffortSample.exposures)
         changes[image] -= exposure;
     LatencySample difference { .when = sample.at, .logLatency = 0, .count = requestsInReport, .load = assumedLoad, .exposures = {} };
-    for (const auto& [image, change] : changes)
+    double largestChange = 0;
+    for (const auto& [image, change] : changes) {
         difference.exposures.push_back({ BatchClassName(image.value()), change });
+        largestChange = std::max(largestChange, std::abs(change));
+    }
     std::map<std::size_t, ImageName> learned;
     for (const auto& [run, headroom] : sample.headrooms) {
         const auto before = worker.bestEffortSample.headrooms.find(run);
         if (before == worker.bestEffortSample.headrooms.end())
             continue;
-        difference.logLatency = before->second - headroom;
         const ImageName& image = worker.runs.at(run).image;
+        const std::size_t number = this->imageNumber(image);
+        if (largestChange < this->options.informativeChange && !this->mayTakeRoutineSample(number, sample.at))
+            continue;
+        difference.logLatency = before->second - headroom;
         this->estimators.try_emplace(image, SlowdownEstimator::Options {}).first->second.observe(difference);
-        learned[this->imageNumber(image)] = image;
+        ++this->samples;
+        learned[number] = image;
     }
     for (const auto& [number, image] : learned)
         this->refreshEffects(number, image);
 }
 
+bool BestEffortControl::mayTakeRoutineSample(std::size_t serving, Instant now)
+{
+    if (this->nextRoutineSamples.size() <= serving)
+        this->nextRoutineSamples.resize(serving + 1);
+    Instant& next = this->nextRoutineSamples[serving];
+    if (now < next)
+        return false;
+    next = now + this->options.routineSampleInterval;
+    return true;
+}
+
 void BestEffortControl::learnUsage(FleetWorker& worker, Instant now) const
 {
     double inUse = 0;
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -48,6 +48,8 @@
         double starvedShare { 0.5 }; // of the wanted cores; with less in use no idle cores are left
         double overcommitRatio { 1.1 }; // of what best-effort tasks may want to what is idle
         Duration reportInterval { std::chrono::milliseconds(500) }; // at which workers report
+        double informativeChange { 0.25 }; // of the exposure to one image between two reports, from which every sample is taken
+        Duration routineSampleInterval { std::chrono::milliseconds(50) }; // between the other samples of one serving image, so that their number does not grow with the fleet
     };
 
     explicit BestEffortControl(Options options);
@@ -59,6 +61,10 @@
     // Quadratic in the runs of the worker.
     std::vector<SpeedChange> speedChangesFor(FleetWorker& worker, Instant now);
 
+    // sampleCount() is the number of samples from which effects have been learned. A sample costs as much as the square of the number of
+    // best-effort images.
+    std::uint64_t sampleCount() const { return this->samples; }
+
     // isHeadroomLow() says whether best-effort tasks run beside a serving task that is near its target or not measured
     // yet.
     bool isHeadroomLow(const FleetWorker& worker) const;
@@ -108,6 +114,8 @@
     double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
     double exposureOf(const FleetWorker& worker, const RunAllocation& allocation) const;
     void learn(const FleetWorker& worker, const BestEffortSample& sample);
+    // mayTakeRoutineSample() says whether a sample whose exposures have hardly changed is due, and counts on it being taken.
+    bool mayTakeRoutineSample(std::size_t serving, Instant now);
     double effectOf(std::size_t serving, std::size_t bestEffort) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
     double predictedLossOf(const FleetWorker& worker, std::size_t serving) const;
@@ -124,6 +132,8 @@
     std::map<ImageName, std::size_t> imageNumbers;
     std::vector<std::vector<double>> effects; // of a full task on headroom, by number of the serving and of the best-effort image
     std::vector<double> compatibilities; // by number of the serving image
+    std::vector<Instant> nextRoutineSamples; // by number of the serving image
+    std::uint64_t samples { 0 };
 };
 
 } // namespace dragonflytray
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -98,6 +98,34 @@
     CHECK(this->runOf("bad").speedPercent > slowedPercent);
 }
 
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_manyWorkersReportUnchangedUse_samplesDoNotGrowWithTheFleet")
+{
+    constexpr int reports = 20; // of each worker, half a second apart
+    constexpr Duration betweenWorkers = std::chrono::milliseconds(1);
+    std::vector<FleetWorker> workers(500);
+    for (FleetWorker& other : workers) {
+        other.entry.capacity = { 64000, 256000, 0 };
+        this->add(other, "serving", { .need = { 12000, 1000, 0 }, .isServing = true, .latencyTarget = std::chrono::milliseconds(18), .image = ImageName("serving") });
+        this->add(other, "fill", bestEffort("light"));
+        for (auto& [run, allocation] : other.runs)
+            allocation.load = allocation.isServing ? 10 : 8000;
+    }
+    for (int report = 0; report < reports; ++report) {
+        for (FleetWorker& other : workers) {
+            this->now += betweenWorkers;
+            this->control.observe(other, this->now);
+        }
+    }
+    CHECK(this->control.sampleCount() <= 10 * reports);
+    CHECK(this->control.sampleCount() >= 5 * reports);
+}
+
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_bestEffortTaskComesAndGoes_everyReportIsASample")
+{
+    this->learn();
+    CHECK(this->control.sampleCount() >= 100);
+}
+
 TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_nothingIdle_admitsNoTask")
 {
     this->worker.used.millicores = 64000;
