--- a/packages/dispatch/agent_choice_test.cc
+++ b/packages/dispatch/agent_choice_test.cc
@@ -51,6 +51,13 @@
 
 } // namespace
 
+TEST_CASE_METHOD(AgentChoiceFixture, "AgentChoice_workersTakeAllOfLargeHostsProcessor_delegates", "[dispatch]")
+{
+    this->choice = AgentChoice({ .self = HostName("leader"), .linkMegabits = 200, .processorShare = 0.5 });
+    this->choice.workersCounted({ { here, 270 }, { there, 270 } });
+    CHECK(this->choice.isDelegating());
+}
+
 TEST_CASE_METHOD(AgentChoiceFixture, "AgentChoice_leaderTooSmall_agentsAreNearTheWorkersAndNotTheLeader", "[dispatch]")
 {
     CHECK(this->choice.isDelegating());
