--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -185,7 +185,7 @@
             continue;
         const ImageName& image = worker.runs.at(run).image;
         const std::size_t number = this->imageNumber(image);
-        if (largestChange < this->options.informativeChange && !this->mayTakeRoutineSample(number, sample.at))
+        if (largestChange < this->options.informativeChange && !this->takeRoutineSample(number, sample.at))
             continue;
         difference.logLatency = before->second - headroom;
         this->estimators.try_emplace(image, SlowdownEstimator::Options {}).first->second.observe(difference);
@@ -196,14 +196,16 @@
         this->refreshEffects(number, image);
 }
 
-bool BestEffortControl::mayTakeRoutineSample(std::size_t serving, Instant now)
+bool BestEffortControl::takeRoutineSample(std::size_t serving, Instant now)
 {
-    if (this->nextRoutineSamples.size() <= serving)
-        this->nextRoutineSamples.resize(serving + 1);
-    Instant& next = this->nextRoutineSamples[serving];
-    if (now < next)
+    if (this->routineSamples.size() <= serving)
+        this->routineSamples.resize(serving + 1);
+    RoutineSamples& current = this->routineSamples[serving];
+    if (now >= current.begin + std::chrono::seconds(1))
+        current = { .begin = now };
+    if (current.count >= this->options.maxRoutineSamplesPerSecond)
         return false;
-    next = now + this->options.routineSampleInterval;
+    ++current.count;
     return true;
 }
 
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -49,7 +49,7 @@
         double overcommitRatio { 1.1 }; // of what best-effort tasks may want to what is idle
         Duration reportInterval { std::chrono::milliseconds(500) }; // at which workers report
         double informativeChange { 0.25 }; // of the exposure to one image between two reports, from which every sample is taken
-        Duration routineSampleInterval { std::chrono::milliseconds(50) }; // between the other samples of one serving image, so that their number does not grow with the fleet
+        std::uint32_t maxRoutineSamplesPerSecond { 250 }; // of the other samples, for each serving image, so that their cost does not grow with the fleet
     };
 
     explicit BestEffortControl(Options options);
@@ -114,8 +114,8 @@
     double exposureOf(const FleetWorker& worker, std::int64_t millicores) const;
     double exposureOf(const FleetWorker& worker, const RunAllocation& allocation) const;
     void learn(const FleetWorker& worker, const BestEffortSample& sample);
-    // mayTakeRoutineSample() says whether a sample whose exposures have hardly changed is due, and counts on it being taken.
-    bool mayTakeRoutineSample(std::size_t serving, Instant now);
+    // takeRoutineSample() counts a sample whose exposures have hardly changed. It returns false where there are enough in this second.
+    bool takeRoutineSample(std::size_t serving, Instant now);
     double effectOf(std::size_t serving, std::size_t bestEffort) const;
     void refreshEffects(std::size_t serving, const ImageName& image);
     double predictedLossOf(const FleetWorker& worker, std::size_t serving) const;
@@ -132,7 +132,12 @@
     std::map<ImageName, std::size_t> imageNumbers;
     std::vector<std::vector<double>> effects; // of a full task on headroom, by number of the serving and of the best-effort image
     std::vector<double> compatibilities; // by number of the serving image
-    std::vector<Instant> nextRoutineSamples; // by number of the serving image
+    // RoutineSamples is the number of samples in the second from `begin` on.
+    struct RoutineSamples {
+        Instant begin;
+        std::uint32_t count { 0 };
+    };
+    std::vector<RoutineSamples> routineSamples; // by number of the serving image
     std::uint64_t samples { 0 };
 };
 
