--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -753,6 +753,7 @@
 {
     Json routes = Json::array();
     routes.push_back({ { "name", "r-3hwrr6x" }, { "host", "nony24.example" }, { "path-prefix", "/lohu930/" }, { "kind", "non_idempotent" }, { "timeout-ms", 3000 }, { "target-latency-ms", 600 }, { "priority", 0 }, { "service", world.service }, { "max-attempts", maxAttempts }, { "slack-factor", 1.5 } });
+    routes.push_back({ { "name", "r-73d3zji" }, { "host", "ficu95.example" }, { "path-prefix", "/pufi791/" }, { "kind", "non_idempotent" }, { "timeout-ms", 3000 }, { "target-latency-ms", 1000 }, { "priority", 2 }, { "service", world.service }, { "max-attempts", maxAttempts }, { "slack-factor", 2 } });
     Json services = Json::array();
     services.push_back({ { "name", world.service }, { "health-path", "/health" }, { "max-connections", 64 }, { "protocol", "h1" }, { "tls", false }, { "enforce-limits", guards }, { "standby", false } });
     return { { "version", version }, { "routes", routes }, { "services", services }, { "limits", { { "max-header-bytes", 16384 }, { "max-body-bytes", 262144 }, { "header-timeout-ms", 3000 }, { "idle-timeout-ms", 15000 } } } };
@@ -760,7 +761,7 @@
 
 Response Client::send(const Host& host, const std::string& method, const std::string& id, const std::string& body, int timeoutMs)
 {
-    const Response response = call(host.callers(), method, "/lohu930/" + id, "nony24.example", body, timeoutMs);
+    const Response response = call(host.callers(), method, (route == 0 ? "/lohu930/" : "/pufi791/") + id, route == 0 ? "nony24.example" : "ficu95.example", body, timeoutMs);
     const std::string shown = method == "POST" ? " (" + std::to_string(body.size()) + " bytes)" : "";
     world.record.line("client: " + method + " " + id + shown + " at " + host.hostName() + " -> " + (response.status == 0 ? "no answer" : std::to_string(response.status) + " " + response.body));
     return response;
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -297,10 +297,14 @@
     // submit() sends a job and repeats it at other hosts as long as the answer is unclear or a refusal, for `timeoutMs`.
     bool submit(std::vector<Host*> hosts, const std::string& id, const Json& body, int timeoutMs);
     Response send(const Host& host, const std::string& method, const std::string& id, const std::string& body = "", int timeoutMs = 3000);
+
+    // useRoute() selects the route of the calls that follow: 0 has priority 0, 1 has priority 2.
+    void useRoute(int number) { route = number; }
     std::string stateOf(const std::vector<Host*>& hosts, const std::string& id);
 
 private:
     World& world;
+    int route { 0 };
 };
 
 } // namespace lab
