--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -164,6 +164,7 @@
             std::thread([this, body, delay, key] {
                 sleepMs(delay);
                 const Response response = transact(body);
+                lateAt = nowMs();
                 record.line("store: the late transaction of the row " + key + " is carried out with status " + std::to_string(response.status));
             }).detach();
             waitWhileSilent();
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -49,6 +49,8 @@
     // loseLate() leaves the transactions that insert the row `key` without an answer, and carries them out after `delayMs` if their
     // conditions hold then.
     void loseLate(const std::string& key, std::int64_t delayMs);
+    // lateWriteAt() is when the last such transaction was carried out; before the start if there was none.
+    std::int64_t lateWriteAt() const { return lateAt; }
     void loseNone() { loseLate("", 0); }
 
     // rejections() is the number of transactions that were refused since a row or the call was too large.
@@ -90,6 +92,7 @@
     std::atomic<bool> down { false };
     std::string lateKey;
     std::int64_t lateDelayMs { 0 };
+    std::atomic<std::int64_t> lateAt { -3600000 };
     std::atomic<int> tooLarge { 0 };
     std::atomic<std::size_t> largest { 0 };
     std::unique_ptr<Server> server;
