scheduling: a cancellation of a job that is not stored is stored before 410

Cause: 410 rested on a reading of the present. That a row is absent says nothing about a write that the store executes late, nor about a repeated submission at another host; what the process remembered of unclear submissions was not asked, and would not have covered another host or a restart.

The cancellation is now stored by a transaction that requires the definition to be absent, and 410 follows its commit; without a clear answer the reply is 504 or 503. Whoever reads the definition later finds the job cancelled. Rows that match no job are removed after five minutes by a transaction that requires the definition to be absent still, and are at most 5,000. A whole scan makes a host forget rows that the scan lacks: before, a host whose history was gone answered "accepted" for a job that was no longer stored.

--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -1,7 +1,18 @@
 #include "scheduling/client_requests.h"
 
+#include <algorithm>
+
 namespace dragonflytray {
 
+namespace {
+
+    bool containsRow(const JobRowsRead& read, StoredRowKind kind)
+    {
+        return std::any_of(read.rows.begin(), read.rows.end(), [kind](const StoredRowChange& row) { return row.key.kind == kind && row.value; });
+    }
+
+} // namespace
+
 ClientRequests::ClientRequests(Options options)
     : options(options)
 {
@@ -27,7 +38,7 @@
         return this->refuse(token, job.id.value(), ReplyStatus::Refused, ReplyReason::StoreUnavailable, context);
     if (this->isFull())
         return this->refuse(token, job.id.value(), this->unclearJobs.contains(job.id) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
-    this->write({ { StoredRowKind::Definition, job.id.value() }, job }, call, context);
+    this->write(WriteKind::AcceptJob, { { StoredRowKind::Definition, job.id.value() }, job }, call, context);
 }
 
 void ClientRequests::cancel(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context)
@@ -38,7 +49,7 @@
         return this->read(job, call, context);
     if (isFinal(record->phase()))
         return this->answerFound(call, *record, context);
-    this->write({ { StoredRowKind::Cancellation, job.value() }, CancellationRequest { context.wallTime } }, call, context);
+    this->write(WriteKind::CancelJob, { { StoredRowKind::Cancellation, job.value() }, CancellationRequest { context.wallTime } }, call, context);
 }
 
 void ClientRequests::lookUp(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context)
@@ -49,8 +60,10 @@
     this->read(job, call, context);
 }
 
-void ClientRequests::write(StoredRowPut put, Call call, CommandContext& context)
+void ClientRequests::write(WriteKind kind, StoredRowPut put, Call call, CommandContext& context)
 {
+    // The row that each kind of write requires to be absent, in the order of WriteKind.
+    static constexpr std::array<StoredRowKind, 3> absentRows { StoredRowKind::Definition, StoredRowKind::Cancellation, StoredRowKind::Definition };
     const auto inFlight = this->writeNumbers.find(put.key);
     if (inFlight != this->writeNumbers.end()) {
         this->writes.at(inFlight->second).calls.push_back(call);
@@ -59,8 +72,8 @@
     const std::uint64_t number = context.nextWrite++;
     this->writeNumbers.emplace(put.key, number);
     const StoredRowKey key = put.key;
-    context.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { key, 0 } }, .puts = { put }, .removals = {} });
-    this->writes.emplace(number, Write { JobId(key.name), std::move(put), { call }, context.now });
+    context.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { { absentRows[indexOf(kind)], key.name }, 0 } }, .puts = { put }, .removals = {} });
+    this->writes.emplace(number, Write { kind, JobId(key.name), std::move(put), { call }, context.now });
 }
 
 void ClientRequests::read(const JobId& job, Call call, CommandContext& context)
@@ -77,18 +90,18 @@
     const Write write = std::move(found->second);
     this->writes.erase(found);
     this->writeNumbers.erase(write.put.key);
-    const bool isStored = end.status == TransactionStatus::Committed || end.status == TransactionStatus::Conflict;
-    for (const Call& call : write.calls) {
-        if (isStored && call.kind == CallKind::Submit)
-            context.stageTimes[Stage::Accept].record(context.now - write.sentAt);
-        if (end.status == TransactionStatus::Ambiguous) {
-            this->recordUnclear(write.job);
-            this->read(write.job, call, context);
-        } else if (!isStored) {
+    // A conflict shows that the row is there already; that of CancelAbsentJob shows that the job has been stored meanwhile.
+    const bool isStored = end.status == TransactionStatus::Committed || (end.status == TransactionStatus::Conflict && write.kind != WriteKind::CancelAbsentJob);
+    if (end.status == TransactionStatus::Ambiguous)
+        this->recordUnclear(write.job);
+    for (Call call : write.calls) {
+        call.hasUnclearWrite |= end.status == TransactionStatus::Ambiguous;
+        if (isStored)
+            this->answerWritten(write, call, context);
+        else if (end.status == TransactionStatus::Unavailable)
             this->answerUnread(write.job, call, context);
-        } else {
-            context.add(ReplyToClient { .token = call.token, .status = call.kind == CallKind::Submit ? ReplyStatus::Accepted : ReplyStatus::Cancelled });
-        }
+        else
+            this->read(write.job, call, context);
     }
     const bool isJob = write.put.key.kind == StoredRowKind::Definition;
     if (isStored)
@@ -118,10 +131,19 @@
         else if (!end.isRead)
             this->answerUnread(end.job, call, context);
         else
-            this->answerAbsent(end.job, call, context);
+            this->answerAbsent(end, call, jobCache, context);
     }
 }
 
+void ClientRequests::answerWritten(const Write& write, const Call& call, CommandContext& context)
+{
+    if (write.kind == WriteKind::CancelAbsentJob)
+        return this->refuse(call.token, write.job.value(), ReplyStatus::NoSuchJob, ReplyReason::UnknownId, context);
+    if (call.kind == CallKind::Submit)
+        context.stageTimes[Stage::Accept].record(context.now - write.sentAt);
+    context.add(ReplyToClient { .token = call.token, .status = call.kind == CallKind::Submit ? ReplyStatus::Accepted : ReplyStatus::Cancelled });
+}
+
 void ClientRequests::answerFound(const Call& call, const JobRecord& record, CommandContext& context)
 {
     static constexpr std::array<ReplyStatus, 3> statuses { ReplyStatus::Accepted, ReplyStatus::Cancelled, ReplyStatus::JobFound };
@@ -135,12 +157,26 @@
     this->refuse(call.token, job.value(), isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, context);
 }
 
-void ClientRequests::answerAbsent(const JobId& job, const Call& call, CommandContext& context)
+void ClientRequests::answerAbsent(const JobRowsRead& end, const Call& call, const JobCache& jobCache, CommandContext& context)
 {
     // A submission is read back only after a write with an unknown result, which may still take effect.
     if (call.kind == CallKind::Submit)
-        return this->refuse(call.token, job.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
-    this->refuse(call.token, job.value(), ReplyStatus::NoSuchJob, ReplyReason::UnknownId, context);
+        return this->refuse(call.token, end.job.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
+    if (call.kind == CallKind::Cancel)
+        return this->cancelAbsent(end, call, jobCache, context);
+    this->refuse(call.token, end.job.value(), ReplyStatus::NoSuchJob, ReplyReason::UnknownId, context);
+}
+
+void ClientRequests::cancelAbsent(const JobRowsRead& end, const Call& call, const JobCache& jobCache, CommandContext& context)
+{
+    const std::string& name = end.job.value();
+    if (call.hasUnclearWrite && containsRow(end, StoredRowKind::Cancellation))
+        return this->refuse(call.token, name, ReplyStatus::NoSuchJob, ReplyReason::UnknownId, context);
+    if (call.hasUnclearWrite)
+        return this->refuse(call.token, name, ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
+    if (jobCache.unmatchedCancellations().size() >= this->options.maxUnmatchedCancellations)
+        return this->refuse(call.token, name, ReplyStatus::Refused, ReplyReason::TooManyCancellations, context);
+    this->write(WriteKind::CancelAbsentJob, { { StoredRowKind::Cancellation, name }, CancellationRequest { context.wallTime } }, call, context);
 }
 
 void ClientRequests::recordUnclear(const JobId& job)
--- a/packages/scheduling/client_requests.h
+++ b/packages/scheduling/client_requests.h
@@ -6,6 +6,10 @@
 // repeated submission at any host finds the same row. A submission is refused only if the job is certainly not stored. If
 // that is not known, the reply is Unclear, and the caller has to repeat the submission with the same id.
 //
+// A submission can take effect after its caller has cancelled the job, at another host or by a write that the store executes
+// late. A cancellation of a job that is not stored is therefore stored as well before it is answered: whoever reads the job
+// later finds it cancelled.
+//
 // Example:
 //
 //     ClientRequests clientRequests({});
@@ -31,6 +35,7 @@
         Duration retryAfter { std::chrono::seconds(1) }; // reported with a refusal; outages of the store last seconds
         std::size_t maxPendingCalls { 2000 }; // reads and writes in flight; bounds memory
         std::size_t maxUnclearJobs { 5000 }; // jobs remembered because their write may still take effect
+        std::size_t maxUnmatchedCancellations { 5000 }; // stored cancellations of jobs that are not stored; bounds rows and memory
     };
 
     explicit ClientRequests(Options options);
@@ -38,7 +43,8 @@
     // submit() stores a job, unless the cache contains it already. The reply follows when the store has answered.
     void submit(ReplyToken token, const JobDefinition& job, const JobCache& jobCache, CommandContext& context);
 
-    // cancel() stores a cancellation request, unless the job has ended. A job that is not cached is read first.
+    // cancel() stores a cancellation request, unless the job has ended. A job that is not cached is read first. The reply is
+    // NoSuchJob if it was not stored when the request was.
     void cancel(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context);
 
     // lookUp() replies with the phase of a job. A job that is not cached is read from the store first.
@@ -70,11 +76,19 @@
         Cancel,
         LookUp,
     };
+    // WriteKind is what a write does if the row that it requires to be absent is absent.
+    enum class WriteKind {
+        AcceptJob,
+        CancelJob,
+        CancelAbsentJob,
+    };
     struct Call {
         CallKind kind { CallKind::Submit };
         ReplyToken token {};
+        bool hasUnclearWrite { false }; // a write for this call may still take effect
     };
     struct Write {
+        WriteKind kind { WriteKind::AcceptJob };
         JobId job;
         StoredRowPut put;
         std::vector<Call> calls;
@@ -85,14 +99,18 @@
     };
 
     // write() and read() send a request to the store, or add `call` to the one in flight for the same row or job.
-    void write(StoredRowPut put, Call call, CommandContext& context);
+    void write(WriteKind kind, StoredRowPut put, Call call, CommandContext& context);
     void read(const JobId& job, Call call, CommandContext& context);
 
-    // answerFound() replies for a job that is known, answerUnread() if the store did not answer, answerAbsent() if the store
-    // does not contain the job.
+    // answerWritten() replies after a write that has taken effect, answerFound() for a job that is known, answerUnread() if the
+    // store did not answer, answerAbsent() if the store does not contain the job.
+    void answerWritten(const Write& write, const Call& call, CommandContext& context);
     void answerFound(const Call& call, const JobRecord& record, CommandContext& context);
     void answerUnread(const JobId& job, const Call& call, CommandContext& context);
-    void answerAbsent(const JobId& job, const Call& call, CommandContext& context);
+    void answerAbsent(const JobRowsRead& end, const Call& call, const JobCache& jobCache, CommandContext& context);
+
+    // cancelAbsent() stores the cancellation of a job that the store does not contain.
+    void cancelAbsent(const JobRowsRead& end, const Call& call, const JobCache& jobCache, CommandContext& context);
 
     // recordUnclear() remembers that a write of the job may still take effect. The oldest such job is forgotten if there are
     // too many.
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -14,6 +14,10 @@
     this->lastJobsRead = context.now;
     for (const StoredRowChange& change : read.rows)
         this->applyRow(change, context);
+    if (read.isWhole) {
+        for (const JobId& job : this->jobCache.retainListed(read.rows, read.revision))
+            this->dispatcher.jobRemoved(job);
+    }
     this->appliedVersion = std::max(this->appliedVersion, read.revision);
     this->dispatcher.storeFollowed(this->appliedVersion, this->jobCache, context);
     this->maintainLeases(context);
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -42,6 +42,7 @@
     this->dispatcher.tick(context);
     this->checkCancellations(context);
     this->removeEndedJobs(context);
+    this->removeUnmatchedCancellations(context);
     this->removeLostHosts(context);
     if (this->hasReadStore)
         this->registration.maintain(context);
@@ -70,6 +71,19 @@
     }
 }
 
+void Scheduler::removeUnmatchedCancellations(CommandContext& context)
+{
+    if (context.now < this->nextCancellationRemovalAt)
+        return;
+    this->nextCancellationRemovalAt = context.now + this->options.removalInterval;
+    this->unmatchedCancellations.observe(this->jobCache, context.now);
+    // The rows belong to no cell. The leader of the first one removes them.
+    if (!this->dispatcher.leads(this->leaderships.begin()->first))
+        return;
+    for (WriteStoredRows& write : this->unmatchedCancellations.removalsDue(this->nextWrite, context.now))
+        context.add(std::move(write));
+}
+
 void Scheduler::removeEndedJobs(CommandContext& context)
 {
     if (context.now < this->nextRemovalAt)
--- a/packages/scheduling/job_cache.cc
+++ b/packages/scheduling/job_cache.cc
@@ -35,16 +35,16 @@
         return nullptr;
     const JobId id(change.key.name);
     if (!change.value) {
-        if (change.key.kind == StoredRowKind::Definition) {
-            if (const JobRecord* record = this->find(id))
-                this->addContribution(*record, contributionOf(*record), -1);
-            this->records.erase(id);
-        }
+        this->applyRemoval(change);
         return nullptr;
     }
     JobRecord& record = this->records[id];
     const Contribution before = contributionOf(record);
     this->applyValue(record, change);
+    if (record.isUnmatchedCancellation())
+        this->unmatched.insert(id);
+    else
+        this->unmatched.erase(id);
     if (contributionOf(record) == before)
         return &record;
     this->addContribution(record, before, -1);
@@ -52,6 +52,43 @@
     return &record;
 }
 
+void JobCache::applyRemoval(const StoredRowChange& change)
+{
+    const auto found = this->records.find(JobId(change.key.name));
+    if (found == this->records.end())
+        return;
+    const JobRecord& record = found->second;
+    const bool isRecordRemoved = change.key.kind == StoredRowKind::Definition || (change.key.kind == StoredRowKind::Cancellation && record.isUnmatchedCancellation());
+    if (!isRecordRemoved)
+        return;
+    this->addContribution(record, contributionOf(record), -1);
+    this->unmatched.erase(found->first);
+    this->records.erase(found);
+}
+
+std::vector<JobId> JobCache::retainListed(const std::vector<StoredRowChange>& rows, RowVersion revision)
+{
+    std::set<StoredRowKey> listed;
+    for (const StoredRowChange& row : rows) {
+        if (row.value)
+            listed.insert(row.key);
+    }
+    std::vector<StoredRowChange> removals;
+    for (const auto& [id, record] : this->records) {
+        const StoredRowKind kind = record.isDefined() ? StoredRowKind::Definition : StoredRowKind::Cancellation;
+        const RowVersion version = record.isDefined() ? record.definitionVersion : record.cancellationVersion;
+        const StoredRowKey key { kind, id.value() };
+        if (version > 0 && version <= revision && !listed.contains(key))
+            removals.push_back({ key, revision, std::nullopt });
+    }
+    std::vector<JobId> removed;
+    for (const StoredRowChange& removal : removals) {
+        this->applyRemoval(removal);
+        removed.emplace_back(removal.key.name);
+    }
+    return removed;
+}
+
 void JobCache::applyValue(JobRecord& record, const StoredRowChange& change)
 {
     if (const auto* definition = std::get_if<JobDefinition>(&*change.value)) {
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -60,6 +60,7 @@
     : options(std::move(options))
     , clientRequests(this->options.clientRequests)
     , cancellationCheck(this->options.cancellationCheck)
+    , unmatchedCancellations(this->options.unmatchedCancellations)
     , dispatcher(this->options.dispatcher, cellsOf(this->options.dataCentres, this->options.scope))
     , registration({ .self = this->options.self, .entry = this->options.ownEntry })
 {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -18,6 +18,7 @@
 #include "scheduling/dispatcher.h"
 #include "scheduling/host_registration.h"
 #include "scheduling/scheduling_queries.h"
+#include "scheduling/unmatched_cancellations.h"
 #include <array>
 
 namespace dragonflytray {
@@ -68,6 +69,7 @@
         Duration maxCountAge { std::chrono::seconds(2) }; // of a number of pending jobs, as callers are promised
         Duration endedJobRetention { std::chrono::minutes(5) }; // before the rows of an ended job are removed
         Duration removalInterval { std::chrono::seconds(10) }; // between two removals of ended jobs
+        UnmatchedCancellations::Options unmatchedCancellations {};
         std::size_t maxJobsPerRemovalWrite { 30 }; // of three rows each; the platform accepts at most 100 entries per transaction
         double remoteCellCost { 0.15 }; // seconds by which loadOf() another cell must be lower for it to be chosen
     };
@@ -150,6 +152,7 @@
     double loadOf(const CellName& cell, const JobDefinition& job, Instant now) const;
 
     void removeEndedJobs(CommandContext& context);
+    void removeUnmatchedCancellations(CommandContext& context);
     void removeLostHosts(CommandContext& context);
 
     // checkCancellations() reads the cancellations of running jobs while the change feed is late. cancellationsChecked()
@@ -161,6 +164,7 @@
     JobCache jobCache;
     ClientRequests clientRequests;
     CancellationCheck cancellationCheck;
+    UnmatchedCancellations unmatchedCancellations;
     Dispatcher dispatcher;
     HostRegistration registration;
     std::map<CellName, CellLeadership> leaderships;
@@ -175,6 +179,7 @@
     std::uint64_t nextWrite { 1 }; // number
     std::map<std::uint64_t, Instant> writesInFlight; // when each was sent, by number
     Instant nextRemovalAt;
+    Instant nextCancellationRemovalAt;
     Instant nextHostRemovalAt;
     StageTimes stageTimes;
 };
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -114,6 +114,7 @@
     StoreUnavailable,
     StoreUnclear, // the store may or may not have executed a write
     TooManyPending, // too many calls wait for the store
+    TooManyCancellations, // of jobs that are not stored
     UnknownId,
     UnknownRoute, // no queue matches host and path
     BadRequest,
@@ -126,6 +127,7 @@
     { ReplyReason::StoreUnavailable, "store-unavailable" },
     { ReplyReason::StoreUnclear, "store-unclear" },
     { ReplyReason::TooManyPending, "too-many-pending" },
+    { ReplyReason::TooManyCancellations, "too-many-cancellations" },
     { ReplyReason::UnknownId, "unknown-id" },
     { ReplyReason::UnknownRoute, "unknown-route" },
     { ReplyReason::BadRequest, "bad-request" },
