scheduling: a placement pass reaches jobs behind many that fit nowhere

Cause: a pass ends when 48 tasks have found no worker, and begins with the same jobs each time, so that it never reaches the later ones.

After these 48 a pass now goes on with the jobs that have not been tried for longest, until 16 more have found no worker. N waiting jobs are all tried in N / 16 passes, and the order of placement stays for the first 48.

--- a/packages/scheduling/best_effort_wait_test.cc
+++ b/packages/scheduling/best_effort_wait_test.cc
@@ -311,6 +311,7 @@
     this->checkIdleTimes();
 }
 
+// A pass ends before it reaches the job, as long as many earlier jobs find no worker.
 TEST_CASE_METHOD(BestEffortWaitFixture, "BestEffortTask_manyEarlierJobsFindNoRoom_itIsStarted")
 {
     this->taskDuration = std::chrono::seconds(20);
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -32,6 +32,7 @@
 #include "scheduling/store_view.h"
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace dragonflytray {
 
@@ -83,7 +84,8 @@
         Duration clearingTimeout { std::chrono::milliseconds(2000) }; // of a claim to the room that short runs leave
         double maxClearedShare { 0.1 }; // share of the workers on which room that short runs leave may be claimed at a time
         Duration bestEffortWaitLimit { std::chrono::milliseconds(1000) }; // of a job with nothing running, after which one of its best-effort tasks may start at a reduced speed; users accept 3 s
-        std::size_t maxUnplacedTasksPerPass { 48 }; // tasks that found no worker, after which a pass ends
+        std::size_t maxUnplacedTasksPerPass { 48 }; // tasks that found no worker, after which a pass leaves the order of placement
+        std::size_t maxUntriedTasksPerPass { 16 }; // further ones of the jobs that have not been tried for longest, after which it ends
         Duration lowHeadroomPollTimeout { std::chrono::milliseconds(350) }; // replaces pollWaitTimeout while best-effort tasks run beside a serving task near its target
         Duration longRunningYieldDelay { std::chrono::milliseconds(1500) }; // for which a long-running task leaves free room to short tasks
         Duration longRunningYieldTimeout { std::chrono::milliseconds(3000) }; // of absence, after which a long-running task is overdue; half of the absence that users accept
@@ -407,8 +409,13 @@
         std::vector<JobExecution*> jobs;
     };
     PlacementOrder placementOrder(Instant now);
-    // placeJobs() and placeStep() try the overdue tasks, or all others.
-    void placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
+    // placeJobs() and placeStep() try the overdue tasks, or all others. placeJobs() returns the number of jobs that it tried before
+    // Options::maxUnplacedTasksPerPass found no worker.
+    std::size_t placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
+    // placeLongestUntried() tries the jobs that have not been tried for longest, so that the number of passes which don't reach a
+    // job is bounded however many earlier jobs find no worker.
+    void placeLongestUntried(std::span<JobExecution* const> jobs, PlacementPass& pass, CommandContext& context);
+    void placeJob(JobExecution& job, bool areOverdue, PlacementPass& pass, CommandContext& context);
     // isOverdue() says whether a long-running task waits that has been absent for Options::longRunningYieldTimeout. overdueSince() is the
     // least recent begin of absence of such a task of a job.
     bool isOverdue(const StepDefinition& step, const TaskExecution& taskExecution, Instant now) const;
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
 #include <utility>
 
 namespace dragonflytray {
@@ -45,6 +46,17 @@
         return std::any_of(steps.begin(), steps.end(), [](const StepDefinition& step) { return step.isBestEffort; });
     }
 
+    // leastRecentTry() returns when the step of the job that has not been tried for longest was tried; zero: never.
+    Instant leastRecentTry(JobExecution& job)
+    {
+        Instant least = Instant::max();
+        for (const auto& [number, stepExecution] : job.openSteps()) {
+            if (stepExecution.waiting > 0)
+                least = std::min(least, stepExecution.lastTriedAt);
+        }
+        return least;
+    }
+
     // avoidsFailedWorkers() says whether a task prefers workers without failed runs. A long-running task has no limit of attempts, so it
     // may return to the worker on which it failed.
     bool avoidsFailedWorkers(const JobExecution& job, const TaskId& task)
@@ -135,7 +147,8 @@
         this->placeJobs(order.overdueJobs, true, pass, context);
         evictionSearches = std::exchange(pass.evictionSearches, 0);
         pass.unplacedCount = 0;
-        this->placeJobs(order.jobs, false, pass, context);
+        const std::size_t tried = this->placeJobs(order.jobs, false, pass, context);
+        this->placeLongestUntried(std::span(order.jobs).subspan(tried), pass, context);
         evictionSearches += pass.evictionSearches;
     }
     const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
@@ -143,15 +156,33 @@
     this->evacuateWorkers(context);
 }
 
-void Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context)
+std::size_t Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context)
+{
+    std::size_t tried = 0;
+    for (; tried < jobs.size() && pass.unplacedCount < this->options.maxUnplacedTasksPerPass && this->startWindow.hasRoom(); ++tried)
+        this->placeJob(*jobs[tried], areOverdue, pass, context);
+    return tried;
+}
+
+void Dispatcher::placeJob(JobExecution& job, bool areOverdue, PlacementPass& pass, CommandContext& context)
 {
-    for (JobExecution* job : jobs) {
-        if (pass.unplacedCount >= this->options.maxUnplacedTasksPerPass || !this->startWindow.hasRoom())
+    for (auto& [number, stepExecution] : job.openSteps()) {
+        if (stepExecution.waiting > 0)
+            this->placeStep(job, stepExecution, areOverdue, pass, context);
+    }
+}
+
+void Dispatcher::placeLongestUntried(std::span<JobExecution* const> jobs, PlacementPass& pass, CommandContext& context)
+{
+    std::vector<std::pair<Instant, JobExecution*>> byLastTry;
+    for (JobExecution* job : jobs)
+        byLastTry.emplace_back(leastRecentTry(*job), job);
+    std::stable_sort(byLastTry.begin(), byLastTry.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    const std::size_t limit = this->options.maxUnplacedTasksPerPass + this->options.maxUntriedTasksPerPass;
+    for (const auto& [triedAt, job] : byLastTry) {
+        if (pass.unplacedCount >= limit || !this->startWindow.hasRoom())
             return;
-        for (auto& [number, stepExecution] : job->openSteps()) {
-            if (stepExecution.waiting > 0)
-                this->placeStep(*job, stepExecution, areOverdue, pass, context);
-        }
+        this->placeJob(*job, false, pass, context);
     }
 }
 
