scheduling: placement passes in a source of their own

What decides when a pass takes place and in which order it tries waiting tasks moves to dispatcher_passes.cc; urgencyOf(), which both use, to the private header. No change of behaviour.

--- a/packages/scheduling/best_effort_wait_test.cc
+++ b/packages/scheduling/best_effort_wait_test.cc
@@ -300,7 +300,7 @@
     this->checkIdleTimes();
 }
 
-// Four tasks have room at a time. Those of the jobs with the least deadlines took it again and again.
+// Four tasks have room at a time. In the order of deadlines those of the same jobs take it again and again.
 TEST_CASE_METHOD(BestEffortWaitFixture, "BestEffortJobs_manyWaitForLittleRoom_theyTakeTurns")
 {
     this->serveOnEveryWorker();
--- a/packages/scheduling/placement_pass.h
+++ b/packages/scheduling/placement_pass.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The state of one placement pass of the dispatcher; private to its sources.
+// The state of one placement pass of the dispatcher, and the urgency of jobs; private to its sources.
 //
 // Example:
 //
@@ -13,6 +13,17 @@
 
 namespace dragonflytray {
 
+// UrgencyClass says how a job stands against its objective.
+enum class UrgencyClass {
+    OnTime,
+    LongRunning,
+    Late, // past its objective: completion counts for less
+    Expired, // completion counts for nothing
+};
+
+// urgencyOf() returns how `job` stands at `now`.
+UrgencyClass urgencyOf(const JobExecution& job, Instant now);
+
 // PlacementPass records the needs for which a pass found no room, so that it does not search for equal or larger ones.
 struct Dispatcher::PlacementPass {
     struct UnplacedTask {
