scheduling: a failed run of a gang counts once for all its members

Cause: failures were counted for each member, and another member failed each time. A run of a gang is one attempt of all its tasks, so that failures() counts the runs in which any member failed.

--- a/packages/scheduling/failed_task_test.cc
+++ b/packages/scheduling/failed_task_test.cc
@@ -17,6 +17,24 @@
     constexpr Duration failureTime = std::chrono::milliseconds(300); // from the start of a run to its failure
     constexpr Duration acceptedWait = std::chrono::seconds(3); // for which a job may have no run although there is room
 
+    // FailedGangFixture has the execution of a job with one gang of four tasks.
+    class FailedGangFixture {
+    protected:
+        FailedGangFixture()
+        {
+            StepDefinition step = stepOfTasks(4, 1);
+            step.isGang = true;
+            this->record.definition.id = JobId(failedJob);
+            this->record.definition.steps = { step };
+            this->record.definitionVersion = 1;
+        }
+
+        TaskId member(std::uint32_t index) const { return { this->record.definition.id, 0, 0, index }; }
+
+        JobRecord record;
+        JobExecution execution { this->record, 1, false, Instant() };
+    };
+
     // FailedTaskFixture has host "a" as the leader of "w1", and of "w2" where a test fills that with a short task that goes on.
     struct FailedTaskFixture : SchedulerFixture {
         FailedTaskFixture()
@@ -80,6 +98,22 @@
 
 } // namespace
 
+// A gang that can't be done can fail at another member each time. Counted for each member, it is started too often.
+TEST_CASE_METHOD(FailedGangFixture, "JobExecution_membersOfGangFailInDifferentRuns_eachRunCounts")
+{
+    CHECK(this->execution.countFailure(this->member(0), 1001));
+    CHECK(this->execution.countFailure(this->member(2), 1002));
+    for (std::uint32_t index = 0; index < 4; ++index)
+        CHECK(this->execution.failures(this->member(index)) == 2);
+}
+
+TEST_CASE_METHOD(FailedGangFixture, "JobExecution_membersOfGangFailInOneRun_itCountsOnce")
+{
+    CHECK(this->execution.countFailure(this->member(0), 1001));
+    CHECK(this->execution.countFailure(this->member(1), 1001));
+    CHECK(this->execution.failures(this->member(0)) == 1);
+}
+
 TEST_CASE_METHOD(FailedTaskFixture, "FailedTasks_lastRunOfEachWorkerFailed_areStartedAgain")
 {
     this->addWorker("w2", 8);
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -245,6 +245,12 @@
     const StepProgress* progress = this->findProgress(task.occurrence, task.step);
     if (!progress)
         return 0;
+    if (this->definition().steps[task.step].isGang) {
+        TaskFailures runs; // members share the number of a run
+        for (const auto& [index, failures] : progress->failures)
+            runs.insert(failures.begin(), failures.end());
+        return static_cast<std::uint32_t>(runs.size());
+    }
     const auto found = progress->failures.find(task.index);
     return found == progress->failures.end() ? 0 : static_cast<std::uint32_t>(found->second.size());
 }
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -150,7 +150,7 @@
     // empty, or if the task is done or its step is not open.
     void updateCheckpoint(const TaskId& task, const std::string& checkpoint);
 
-    // failures() returns the number of failed runs of the task.
+    // failures() returns the number of failed runs of the task; of a gang, of the runs in which any of its members failed.
     std::uint32_t failures(const TaskId& task) const;
 
     // crashSuspectOf() returns the task that stands for `task` where crashes are counted: the first one of its gang, or itself.
