scheduling: late reads don't bring removed cancellations back

A row that was read before its removal and delivered afterwards stayed in the cache of the host, where nothing would remove it: a later job of that id was taken for cancelled, and the removal of the row conflicted for ever, together with the others of its transaction. An older row that was read late set the version back, with the same effect on the removal.

Reads of a job that is not stored leave the cache as it is, since the change feed delivers both the row and its removal; versions of cancellations never fall. Submission_removedCancellationIsReadLate_jobIsNotCancelled and UnmatchedCancellations_olderRowIsReadLate_rowIsRemoved failed before.

The second part of a placement pass counts from the tasks that the first one has not placed, which may exceed its limit by many of one job, and does not sort jobs that the start window has no room for. No test of its own.

--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -123,8 +123,13 @@
 void Scheduler::jobRowsRead(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& read = std::get<JobRowsRead>(command);
-    for (const StoredRowChange& change : read.rows)
-        this->jobCache.apply(change);
+    const JobRecord* cached = this->jobCache.find(read.job);
+    const bool isDefined = (cached && cached->isDefined()) || std::any_of(read.rows.begin(), read.rows.end(), [](const StoredRowChange& row) { return row.key.kind == StoredRowKind::Definition && row.value; });
+    // A job that is not stored is left to the change feed, which also delivers the removal of its cancellation.
+    for (const StoredRowChange& change : read.rows) {
+        if (isDefined)
+            this->jobCache.apply(change);
+    }
     this->clientRequests.rowsRead(read, this->jobCache, context);
 }
 
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -155,11 +155,14 @@
 
 void Dispatcher::placeLongestUntried(std::span<JobExecution* const> jobs, PlacementPass& pass, CommandContext& context)
 {
+    if (!this->startWindow.hasRoom())
+        return;
     std::vector<std::pair<Instant, JobExecution*>> byLastTry;
     for (JobExecution* job : jobs)
         byLastTry.emplace_back(leastRecentTry(*job), job);
     std::stable_sort(byLastTry.begin(), byLastTry.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    const std::size_t limit = this->options.maxUnplacedTasksPerPass + this->options.maxUntriedTasksPerPass;
+    // The last job before may have exceeded Options::maxUnplacedTasksPerPass by many tasks.
+    const std::size_t limit = pass.unplacedCount + this->options.maxUntriedTasksPerPass;
     for (const auto& [triedAt, job] : byLastTry) {
         if (pass.unplacedCount >= limit || !this->startWindow.hasRoom())
             return;
--- a/packages/scheduling/job_cache.cc
+++ b/packages/scheduling/job_cache.cc
@@ -1,5 +1,6 @@
 #include "scheduling/job_cache.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace dragonflytray {
@@ -103,7 +104,7 @@
             record.progressVersion = change.version;
         }
     } else if (std::holds_alternative<CancellationRequest>(*change.value)) {
-        record.cancellationVersion = change.version;
+        record.cancellationVersion = std::max(record.cancellationVersion, change.version);
     }
 }
 
--- a/packages/scheduling/unmatched_cancellations_test.cc
+++ b/packages/scheduling/unmatched_cancellations_test.cc
@@ -145,6 +145,32 @@
     CHECK(this->jobCache.find(JobId(idOf(4))) != nullptr); // written after the scan
 }
 
+// A removal that requires an outdated version conflicts again and again, together with all others of its transaction.
+TEST_CASE_METHOD(UnmatchedCancellationsFixture, "UnmatchedCancellations_olderRowIsReadLate_rowIsRemoved")
+{
+    this->put(StoredRowKind::Cancellation, job);
+    const StoredRowChange older = *this->store.find({ StoredRowKind::Cancellation, job });
+    this->put(StoredRowKind::Cancellation, job);
+    this->follow();
+    this->jobCache.apply(older);
+    this->pass(Duration(0));
+    this->pass(retention);
+    CHECK_FALSE(this->isStored(job));
+}
+
+// Nothing would ever remove a row from the cache that was read before its removal and delivered afterwards.
+TEST_CASE_METHOD(RowLimitFixture, "Submission_removedCancellationIsReadLate_jobIsNotCancelled")
+{
+    this->send("a", JobRowsRead { JobId(job), true, { { { StoredRowKind::Cancellation, job }, 1, CancellationRequest { 1 } } } });
+    REQUIRE(this->submit("a", job, { stepOfTasks(1, 1) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::seconds(1));
+    this->replies.clear();
+    this->send("a", LookUpJob { ReplyToken { 3 }, "desk.example", "/q/" + job });
+    REQUIRE(this->replies.size() == 1);
+    CHECK(this->replies.back().phase == JobPhase::Queued);
+    CHECK(this->phaseOf(job) == JobPhase::Queued);
+}
+
 TEST_CASE_METHOD(RowLimitFixture, "Cancellation_manyJobsAreUnknown_rowsAreBounded")
 {
     constexpr std::size_t maxRows = ClientRequests::Options {}.maxUnmatchedCancellations;
