scheduling: a job is given up only for crashes that are its own

Cause: the end of a worker accused every run there that no report had named for 500 ms, also one that was sent to a worker that was down, or that had run for long while a poll was under way. Two accusations were a verdict, though a suspect is filtered before the count, so that it always looked alone, and though one cause outside accuses the runs of all the workers that it ends. What a leader knew of a worker that had just ended was not stored, so that its successor saw a crash without suspects. What acquitted a task was not stored either.

Why this works: each piece of evidence counts for what it proves (crash_verdicts.h). A run is exposed to the end of its worker only if it had begun there, and not if it had outlived the window. A crash proves something only if the connection broke at once after the start, no other task's run had just begun there, and hardly any other worker was lost about then: two such crashes give a task up. A crash beside the loss of other workers counts nothing; any other makes the task a suspect, and four give it up, below the five starts that users accept. The verdict waits until losses at the same time are noticed, and the task waits for it. The roster names the exposed runs on a worker that gets no more tasks, and its incarnation, so that a successor counts the crash if another incarnation answers. A run that has settled voids earlier crashes for good, those of a gang too. A long-running task is not given up, as it has no limit of attempts: it starts again with a delay of 5 s. A row holds eight crashes.

--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -169,9 +169,14 @@
             for (const auto& [index, checkpoint] : stepProgress.checkpoints)
                 checkpoints.push_back({ index, checkpoint });
             Json crashes = Json::array();
-            for (const auto& [index, crashed] : stepProgress.crashes)
-                crashes.push_back({ index, crashed });
-            steps.push_back({ number, encodeBits(stepProgress.done), std::move(failures), std::move(checkpoints), std::move(crashes) });
+            Json verdicts = Json::array();
+            for (const auto& [index, crashed] : stepProgress.crashes) {
+                if (!crashed.runs.empty())
+                    crashes.push_back({ index, crashed.runs });
+                if (!crashed.provenRuns.empty() || crashed.settledRun != 0)
+                    verdicts.push_back({ index, crashed.provenRuns, crashed.settledRun });
+            }
+            steps.push_back({ number, encodeBits(stepProgress.done), std::move(failures), std::move(checkpoints), std::move(crashes), std::move(verdicts) });
         }
         return { { "phase", jobPhaseNames.nameOf(progress.phase) }, { "epoch", progress.epoch }, { "generation", progress.generation }, { "ended", progress.endedAt }, { "units", std::move(steps) } };
     }
@@ -195,7 +200,14 @@
             stepProgress.checkpoints[smallNumberOf(checkpoint.at(0))] = checkpoint.at(1);
         if (constexpr std::size_t sizeWithoutCrashes = 4; json.size() > sizeWithoutCrashes) {
             for (const Json& crashed : json.at(sizeWithoutCrashes))
-                stepProgress.crashes[smallNumberOf(crashed.at(0))] = decodeRunNumbers(crashed.at(1));
+                stepProgress.crashes[smallNumberOf(crashed.at(0))].runs = decodeRunNumbers(crashed.at(1));
+        }
+        if (constexpr std::size_t sizeWithoutVerdicts = 5; json.size() > sizeWithoutVerdicts) {
+            for (const Json& verdict : json.at(sizeWithoutVerdicts)) {
+                TaskCrashes& crashes = stepProgress.crashes[smallNumberOf(verdict.at(0))];
+                crashes.provenRuns = decodeRunNumbers(verdict.at(1));
+                crashes.settledRun = ordinalOf(verdict.at(2));
+            }
         }
         return stepProgress;
     }
@@ -258,8 +270,16 @@
                 for (const TaskId& task : *entry.possibleTasks)
                     tasks.push_back(encodeTask(task));
                 row.push_back(std::move(tasks));
-                if (entry.maxLease)
-                    row.push_back(toMilliseconds(*entry.maxLease));
+                // Releases that know no exposed runs read the sixth element as a lease.
+                if (entry.maxLease || !entry.exposedRuns.empty())
+                    row.push_back(entry.maxLease ? toMilliseconds(*entry.maxLease) : maxPeriod);
+                if (!entry.exposedRuns.empty()) {
+                    Json runs = Json::array();
+                    for (const TaskRunId& run : entry.exposedRuns)
+                        runs.push_back({ encodeTask(run.task), run.run });
+                    row.push_back(entry.startedAt);
+                    row.push_back(std::move(runs));
+                }
             }
             workers.push_back(std::move(row));
         }
@@ -276,8 +296,15 @@
                 for (const Json& task : worker.at(4))
                     entry.possibleTasks->insert(decodeTask(task));
             }
-            if (worker.size() > 5)
-                entry.maxLease = std::chrono::milliseconds(numberOf<std::int64_t>(worker.at(5), maxPeriod));
+            if (worker.size() > 5) {
+                const auto lease = numberOf<std::int64_t>(worker.at(5), maxPeriod);
+                entry.maxLease = lease < maxPeriod ? std::optional<Duration>(std::chrono::milliseconds(lease)) : std::nullopt;
+            }
+            if (worker.size() > 7) {
+                entry.startedAt = timeOf(worker.at(6));
+                for (const Json& run : worker.at(7))
+                    entry.exposedRuns.push_back({ decodeTask(run.at(0)), ordinalOf(run.at(1)) });
+            }
             roster.workers[WorkerId(worker.at(0))] = std::move(entry);
         }
         return roster;
--- a/packages/scheduling/crash_suspects.cc
+++ b/packages/scheduling/crash_suspects.cc
@@ -13,6 +13,18 @@
         return isSameStep && (allocation.isGang || task.index == suspect.index);
     }
 
+    // isEndTimeKnown() says whether the connection to a worker that does not answer broke, as it does when its process ends.
+    bool isEndTimeKnown(const FleetWorker& worker)
+    {
+        return worker.isSuspect && worker.contactLostAt != Instant();
+    }
+
+    // latestBeginOf() is the time by which a run had begun, if it has. A start whose call broke off may have been carried out.
+    Instant latestBeginOf(const RunAllocation& allocation)
+    {
+        return allocation.firstConfirmedAt != Instant() ? allocation.firstConfirmedAt : allocation.sentAt;
+    }
+
     bool hasUnsettledRunOf(const FleetWorker& worker, const TaskId& suspect)
     {
         return std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
@@ -53,14 +65,20 @@
 
 void CrashSuspects::keepLapsed(const FleetWorker& worker, Instant now)
 {
-    std::vector<TaskRunId> runs = this->suspectsOn(worker);
-    if (!runs.empty())
-        this->lapsed.push_back({ worker.entry.id, worker.entry.endpoint, std::move(runs), now });
+    WorkerEnd end = this->endOf(worker, now, std::nullopt);
+    if (!end.exposedRuns.empty())
+        this->lapsed.push_back({ .end = std::move(end), .endpoint = worker.entry.endpoint, .since = now });
+}
+
+void CrashSuspects::inherit(const WorkerId& worker, const RosterEntry& entry, Instant now)
+{
+    if (!entry.exposedRuns.empty() && entry.startedAt != 0)
+        this->lapsed.push_back({ .end = { .worker = worker, .noticedAt = now, .exposedRuns = entry.exposedRuns }, .endpoint = entry.endpoint, .startedAt = entry.startedAt, .since = now });
 }
 
 std::vector<CrashSuspects::LapsedRuns> CrashSuspects::takeLapsed(const FleetWorker& worker)
 {
-    const auto isOther = [&](const LapsedRuns& entry) { return entry.worker != worker.entry.id && entry.endpoint != worker.entry.endpoint; };
+    const auto isOther = [&](const LapsedRuns& entry) { return entry.end.worker != worker.entry.id && entry.endpoint != worker.entry.endpoint; };
     const auto taken = std::stable_partition(this->lapsed.begin(), this->lapsed.end(), isOther);
     std::vector<LapsedRuns> result(std::make_move_iterator(taken), std::make_move_iterator(this->lapsed.end()));
     this->lapsed.erase(taken, this->lapsed.end());
@@ -103,16 +121,53 @@
     return reserved == 0 || static_cast<double>(reserved + 1) <= this->options.maxReservedShare * static_cast<double>(workers);
 }
 
-std::vector<TaskRunId> CrashSuspects::suspectsOn(const FleetWorker& worker) const
+const CrashSuspects::LapsedRuns* CrashSuspects::inheritedFrom(const WorkerId& worker) const
+{
+    const auto found = std::find_if(this->lapsed.begin(), this->lapsed.end(), [&](const LapsedRuns& entry) { return entry.end.worker == worker && entry.startedAt != 0; });
+    return found == this->lapsed.end() ? nullptr : &*found;
+}
+
+bool CrashSuspects::isExposed(const FleetWorker& worker, const RunAllocation& allocation) const
+{
+    if (allocation.isSettled)
+        return false;
+    if (!isEndTimeKnown(worker))
+        return allocation.firstConfirmedAt != Instant();
+    return allocation.sentAt <= worker.contactLostAt && worker.contactLostAt < latestBeginOf(allocation) + this->options.crashWindow;
+}
+
+std::vector<TaskRunId> CrashSuspects::exposedRunsOn(const FleetWorker& worker) const
 {
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
-        // The connection to a worker breaks when its process ends.
-        const bool hasOutlivedWindow = worker.isSuspect && allocation.firstConfirmedAt != Instant() && worker.contactLostAt >= allocation.firstConfirmedAt + this->options.crashWindow;
-        if (!allocation.isSettled && !hasOutlivedWindow)
+        if (this->isExposed(worker, allocation))
             runs.push_back(run);
     }
     return runs;
 }
 
+bool CrashSuspects::isAlone(const FleetWorker& worker, const std::vector<TaskRunId>& runs) const
+{
+    if (runs.empty() || !isEndTimeKnown(worker))
+        return false;
+    return std::all_of(runs.begin(), runs.end(), [&](const TaskRunId& run) {
+        const RunAllocation& allocation = worker.runs.at(run);
+        return belongsTo(runs.front().task, run.task, allocation) && worker.contactLostAt < latestBeginOf(allocation) + this->options.proofWindow;
+    });
+}
+
+WorkerEnd CrashSuspects::endOf(const FleetWorker& worker, Instant now, std::optional<Instant> successorBegan) const
+{
+    const bool isTimeKnown = isEndTimeKnown(worker);
+    WorkerEnd end { .worker = worker.entry.id };
+    end.earliest = isTimeKnown ? worker.contactLostAt : worker.lastAnswer;
+    end.latest = isTimeKnown ? worker.contactLostAt : successorBegan.value_or(now);
+    end.noticedAt = worker.isSuspect ? worker.silentSince : now;
+    end.exposedRuns = this->exposedRunsOn(worker);
+    if (successorBegan)
+        std::erase_if(end.exposedRuns, [&](const TaskRunId& run) { return worker.runs.at(run).sentAt >= *successorBegan; });
+    end.isAlone = this->isAlone(worker, end.exposedRuns);
+    return end;
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -18,6 +18,7 @@
     , startWindow(options.startWindow)
     , bestEffortControl(options.bestEffort)
     , crashSuspects(options.crashes)
+    , crashVerdicts(options.crashVerdicts)
 {
 }
 
@@ -61,6 +62,7 @@
     if (this->cells.empty()) {
         this->startsUnderWay.clear();
         this->startWindow.reset();
+        this->crashVerdicts.clear();
     }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
@@ -252,6 +254,7 @@
     if (this->cells.empty())
         return;
     this->reconcileCells(context);
+    this->judgeCrashes(context);
     if (this->nextOccurrenceDue && context.wallTime >= *this->nextOccurrenceDue) {
         this->nextOccurrenceDue.reset();
         for (auto& [id, job] : this->jobExecutions)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -22,6 +22,7 @@
 #include "scheduling/cell_roster.h"
 #include "scheduling/command_context.h"
 #include "scheduling/crash_suspects.h"
+#include "scheduling/crash_verdicts.h"
 #include "scheduling/fleet.h"
 #include "scheduling/former_runs.h"
 #include "scheduling/job_execution.h"
@@ -53,6 +54,7 @@
         Recorder::Options recorder {};
         BestEffortControl::Options bestEffort {};
         CrashSuspects::Options crashes {};
+        CrashVerdicts::Options crashVerdicts {};
         Duration formerLeaderTimeout { std::chrono::seconds(5) }; // for which a former leader may act after its lease; equals CellLeadership::Options::storeOutageTimeout
         Duration maxLeaseAfterTerm { std::chrono::seconds(2) }; // for which a lease of a worker may outlast the time in which its grantor may act
         Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
@@ -307,17 +309,23 @@
     void giveUpLapsedRuns(FleetWorker& worker, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
-    // Crashes of workers. crashSuspectsOn() returns the runs that may have crashed a worker, before these are given up;
-    // attributeCrash() counts the crash against their tasks, and giveUp() fails the job of a task that has crashed too many.
-    // attributeLapsedRuns() does so for runs that were given up before the worker answered again. settleRuns() acquits suspects.
-    // admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true if one is kept for a suspect. A
-    // suspect starts again only once isCrashRecorded().
-    std::vector<TaskRunId> crashSuspectsOn(const FleetWorker& worker, const PollEnded& end);
+    // Crashes of workers. endOf() returns the end of a worker with the runs that may have caused it, before these are given up;
+    // attributeCrash() counts it against their tasks, and attributeLapsedRuns() does so for runs that were given up before the worker
+    // answered again. judgeCrashes() passes the verdicts that are due, and giveUp() fails the job of a task that has crashed too many
+    // workers. A long-running task is not given up, but starts with a delay. settleRuns() acquits suspects, a gang once
+    // isWholeRunSettled(). admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true if one is kept
+    // for a suspect. crashObstacleTo() is what forbids a start of a suspect.
+    WorkerEnd endOf(const FleetWorker& worker, const PollEnded& end, Instant now) const;
+    void recordContactLoss(const FleetWorker& worker, Instant now);
     std::vector<TaskRunId> crashSuspectsAmong(std::vector<TaskRunId> runs);
-    void attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, CommandContext& context);
-    void attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context);
+    void attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, WallTime startedAt, CommandContext& context);
+    void attributeCrash(const FleetWorker& worker, const WorkerEnd& end, CommandContext& context);
+    void judgeCrashes(CommandContext& context);
+    bool isCrashLimitReached(const JobExecution& job, const TaskId& suspect) const;
     void giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context);
-    void settleRuns(FleetWorker& worker, const PollEnded& end);
+    void settleRuns(FleetWorker& worker, const PollEnded& end, CommandContext& context);
+    bool isWholeRunSettled(JobExecution& job, const TaskRunId& run);
+    std::optional<PlacementOutcome> crashObstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
     static bool isCrashSuspect(const JobExecution& job, const TaskId& task);
     static bool isCrashRecorded(JobExecution& job, const TaskId& task);
     std::function<bool(const FleetWorker&)> admissionOf(const JobExecution& job, const TaskId& task) const;
@@ -386,6 +394,8 @@
     // boundLease() sets FleetWorker::reportedLease for a report that closes the worker, or takes it back. Leases are bounded on workers
     // that don't answer for a while or, when this leader hands over, that may be gone.
     void boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const;
+    // nameExposedRuns() names the runs that may crash the worker, or have, before a successor hears it.
+    void nameExposedRuns(const FleetWorker& worker, RosterEntry& entry) const;
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
@@ -459,6 +469,7 @@
     std::map<TaskRunId, StartUnderWay> startsUnderWay;
     BestEffortControl bestEffortControl;
     CrashSuspects crashSuspects;
+    CrashVerdicts crashVerdicts;
     JobExecutions jobExecutions;
     std::map<CellName, CellAcquired> acquiredCells; // until the store is followed up to their acquisition
     std::map<CellName, Cell> cells;
--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -11,16 +11,34 @@
     return job.suspectedCrashes(job.crashSuspectOf(task)) > 0;
 }
 
-std::vector<TaskRunId> Dispatcher::crashSuspectsOn(const FleetWorker& worker, const PollEnded& end)
+WorkerEnd Dispatcher::endOf(const FleetWorker& worker, const PollEnded& end, Instant now) const
 {
     if (worker.entry.isDraining)
-        return {}; // it has left as announced
-    std::vector<TaskRunId> runs = this->crashSuspects.suspectsOn(worker);
-    std::erase_if(runs, [&](const TaskRunId& run) {
+        return { .worker = worker.entry.id }; // it has left as announced
+    std::optional<Instant> successorBegan;
+    if (end.status == WorkerCallStatus::Ok) {
+        // The clock of an incarnation counts from its start. One that began before the last answer of its predecessor counts otherwise.
+        const Instant began = end.receivedAt - std::chrono::milliseconds(end.clock);
+        if (began + this->options.fleet.clockMargin >= worker.lastAnswer)
+            successorBegan = began;
+    }
+    WorkerEnd workerEnd = this->crashSuspects.endOf(worker, now, successorBegan);
+    std::erase_if(workerEnd.exposedRuns, [&](const TaskRunId& run) {
         return std::any_of(end.running.begin(), end.running.end(), [&](const RunningTask& running) { return running.id == run; })
             || std::any_of(end.ended.begin(), end.ended.end(), [&](const EndedRun& ended) { return ended.id == run; });
     });
-    return this->crashSuspectsAmong(std::move(runs));
+    return workerEnd;
+}
+
+void Dispatcher::recordContactLoss(const FleetWorker& worker, Instant now)
+{
+    if (worker.entry.isDraining)
+        return;
+    const WorkerEnd end = this->crashSuspects.endOf(worker, now, std::nullopt);
+    ContactLoss loss { .worker = worker.entry.id, .earliest = end.earliest, .latest = end.latest, .exposedJobs = {} };
+    for (const TaskRunId& run : end.exposedRuns)
+        loss.exposedJobs.insert(run.task.job);
+    this->crashVerdicts.contactLost(std::move(loss));
 }
 
 std::vector<TaskRunId> Dispatcher::crashSuspectsAmong(std::vector<TaskRunId> runs)
@@ -36,20 +54,22 @@
     return runs;
 }
 
-void Dispatcher::attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, CommandContext& context)
+void Dispatcher::attributeLapsedRuns(const FleetWorker& worker, bool isOtherIncarnation, WallTime startedAt, CommandContext& context)
 {
     for (const CrashSuspects::LapsedRuns& lapsed : this->crashSuspects.takeLapsed(worker)) {
-        if (isOtherIncarnation || lapsed.worker != worker.entry.id)
-            this->attributeCrash(worker, this->crashSuspectsAmong(lapsed.runs), context);
+        const bool isOtherStart = lapsed.startedAt != 0 && startedAt != 0 && startedAt != lapsed.startedAt;
+        if (isOtherIncarnation || isOtherStart || lapsed.end.worker != worker.entry.id)
+            this->attributeCrash(worker, lapsed.end, context);
     }
 }
 
-void Dispatcher::attributeCrash(const FleetWorker& worker, const std::vector<TaskRunId>& suspects, CommandContext& context)
+void Dispatcher::attributeCrash(const FleetWorker& worker, const WorkerEnd& end, CommandContext& context)
 {
+    const std::vector<TaskRunId> suspects = this->crashSuspectsAmong(end.exposedRuns);
     if (suspects.empty() && worker.entry.isDraining)
         return;
     LogDecision crashed { DecisionEvent::WorkerCrashed, worker.entry.id.value(), {}, "other-incarnation", this->addressOf(worker, context.now).token.epoch, toMilliseconds(context.now - worker.lastAnswer) };
-    crashed.inputs = { { DecisionInput::Suspects, static_cast<std::int64_t>(suspects.size()) } };
+    crashed.inputs = { { DecisionInput::Suspects, static_cast<std::int64_t>(suspects.size()) }, { DecisionInput::ExposedRuns, static_cast<std::int64_t>(end.exposedRuns.size()) } };
     context.add(std::move(crashed));
     for (const TaskRunId& run : suspects) {
         JobExecution* job = this->findJobExecution(run.task.job);
@@ -60,28 +80,84 @@
         suspected.inputs = { { DecisionInput::Crashes, job->suspectedCrashes(suspect) } };
         context.add(std::move(suspected));
         this->markDirty(*job);
-        if (job->suspectedCrashes(suspect) >= this->options.crashes.maxCrashes)
-            this->giveUp(*job, run, context);
+        this->crashVerdicts.charge({ .run = run, .suspect = suspect, .worker = end.worker, .earliest = end.earliest, .latest = end.latest, .isAlone = end.isAlone, .dueAt = end.noticedAt + this->options.crashVerdicts.noticeTimeout });
+    }
+    this->judgeCrashes(context);
+}
+
+void Dispatcher::judgeCrashes(CommandContext& context)
+{
+    for (const JudgedCrash& judged : this->crashVerdicts.takeDue(context.now, this->fleet.all().size())) {
+        const CrashCharge& charge = judged.charge;
+        JobExecution* job = this->findJobExecution(charge.suspect.job);
+        if (!job || isFinal(job->progress().phase))
+            continue;
+        if (judged.verdict == CrashVerdict::Coincident)
+            job->revokeCrash(charge.suspect, charge.run.run);
+        else if (judged.verdict == CrashVerdict::Proven)
+            job->proveCrash(charge.suspect, charge.run.run);
+        LogDecision line { DecisionEvent::CrashJudged, formatRun(charge.run), charge.worker.value(), std::string(crashVerdictNames.nameOf(judged.verdict)), job->version(), context.wallTime - job->definition().acceptedAt };
+        line.inputs = { { DecisionInput::Crashes, job->suspectedCrashes(charge.suspect) }, { DecisionInput::ProvenCrashes, job->provenCrashes(charge.suspect) }, { DecisionInput::CoincidentLosses, static_cast<std::int64_t>(judged.coincidentLosses) } };
+        context.add(std::move(line));
+        this->markDirty(*job);
+        this->needsPass = true;
+        if (this->isCrashLimitReached(*job, charge.suspect) && !job->definition().steps[charge.suspect.step].isLongRunning)
+            this->giveUp(*job, charge.run, context);
     }
 }
 
+bool Dispatcher::isCrashLimitReached(const JobExecution& job, const TaskId& suspect) const
+{
+    return job.provenCrashes(suspect) >= this->options.crashes.maxProvenCrashes || job.suspectedCrashes(suspect) >= this->options.crashes.maxCrashes;
+}
+
 void Dispatcher::giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context)
 {
+    const TaskId suspect = job.crashSuspectOf(run.task);
     LogDecision givenUp { DecisionEvent::TaskGivenUp, formatRun(run), {}, "workers-crashed", job.version(), context.wallTime - job.definition().acceptedAt };
-    givenUp.inputs = { { DecisionInput::Crashes, job.suspectedCrashes(job.crashSuspectOf(run.task)) } };
+    givenUp.inputs = { { DecisionInput::Crashes, job.suspectedCrashes(suspect) }, { DecisionInput::ProvenCrashes, job.provenCrashes(suspect) } };
     context.add(std::move(givenUp));
     this->finish(job, JobPhase::Failed, context);
 }
 
-void Dispatcher::settleRuns(FleetWorker& worker, const PollEnded& end)
+void Dispatcher::settleRuns(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
     for (const TaskRunId& run : this->crashSuspects.settle(worker, end.receivedAt)) {
         JobExecution* job = this->findJobExecution(run.task.job);
-        if (job && job->taskExecution(run.task))
-            job->acquit(run.task);
+        if (!job || !job->taskExecution(run.task) || !this->isWholeRunSettled(*job, run) || !job->acquit(job->crashSuspectOf(run.task), run.run))
+            continue;
+        context.add(LogDecision { DecisionEvent::TaskCleared, formatRun(run), worker.entry.id.value(), "settled", job->version(), context.wallTime - job->definition().acceptedAt });
+        this->markDirty(*job);
     }
 }
 
+bool Dispatcher::isWholeRunSettled(JobExecution& job, const TaskRunId& run)
+{
+    if (!job.definition().steps[run.task.step].isGang)
+        return true;
+    const std::vector<TaskExecution>& members = job.stepExecution(run.task.occurrence, run.task.step)->tasks;
+    TaskRunId member = run;
+    for (member.task.index = 0; member.task.index < members.size(); ++member.task.index) {
+        const FleetWorker* worker = this->fleet.find(members[member.task.index].worker);
+        if (!worker || !worker->runs.contains(member) || !worker->runs.at(member).isSettled)
+            return false;
+    }
+    return true;
+}
+
+std::optional<PlacementOutcome> Dispatcher::crashObstacleTo(JobExecution& job, const TaskId& task, Instant now) const
+{
+    const TaskId suspect = job.crashSuspectOf(task);
+    if (job.suspectedCrashes(suspect) == 0)
+        return std::nullopt;
+    if (!isCrashRecorded(job, task))
+        return PlacementOutcome::CrashNotRecorded;
+    if (this->crashVerdicts.isPending(suspect))
+        return PlacementOutcome::CrashNotJudged;
+    const bool isBackingOff = this->isCrashLimitReached(job, suspect) && now < job.taskExecution(task)->since + this->options.crashes.restartBackoff;
+    return isBackingOff ? std::optional(PlacementOutcome::CrashBackoff) : std::nullopt;
+}
+
 std::function<bool(const FleetWorker&)> Dispatcher::admissionOf(const JobExecution& job, const TaskId& task) const
 {
     const bool isSuspect = isCrashSuspect(job, task);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -111,9 +111,7 @@
         return PlacementOutcome::RunMayExist;
     if (!this->mayStartAgain(job, *job.taskExecution(task), now))
         return PlacementOutcome::LeaseNeeded;
-    if (isCrashSuspect(job, task) && !isCrashRecorded(job, task))
-        return PlacementOutcome::CrashNotRecorded;
-    return std::nullopt;
+    return this->crashObstacleTo(job, task, now);
 }
 
 PlacementOutcome Dispatcher::placeTask(JobExecution& job, const TaskId& task, PlacementPass& pass, CommandContext& context)
@@ -185,8 +183,8 @@
     const bool mayStart = std::all_of(stepExecution.tasks.begin(), stepExecution.tasks.end(), [&](const TaskExecution& member) { return this->mayStartAgain(job, member, context.now); });
     if (!mayStart)
         return PlacementOutcome::LeaseNeeded;
-    if (!isCrashRecorded(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }))
-        return PlacementOutcome::CrashNotRecorded;
+    if (const auto obstacle = this->crashObstacleTo(job, { job.definition().id, stepExecution.occurrence, stepExecution.step, 0 }, context.now))
+        return *obstacle;
     TaskExecution& first = stepExecution.tasks.front();
     if (context.now < first.nextSearchAt)
         return PlacementOutcome::NoRoom;
@@ -252,6 +250,7 @@
     job.setStage(task, TaskStage::Starting, context.now);
     const TaskRunId id { task, run };
     RunAllocation allocation = this->allocationFor(job, step);
+    allocation.sentAt = context.now;
     if (wasAbsent)
         allocation.returnedAt = context.now;
     if (step.isBestEffort)
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -31,7 +31,7 @@
             this->handleEnd(*worker, run, context);
     }
     this->reconcileRuns(*worker, end, context);
-    this->settleRuns(*worker, end);
+    this->settleRuns(*worker, end, context);
     this->throttleBestEffort(*worker, context);
     this->acknowledge(*worker, context);
     worker->nextPollAt = worker->unacknowledgedEnds.empty() ? context.now : context.now + this->options.unrecordedPollInterval;
@@ -45,10 +45,12 @@
     const bool isOtherStart = end.startedAt != 0 && worker.answeredStartedAt != 0 && end.startedAt != worker.answeredStartedAt;
     const bool isClockReset = end.startedAt == 0 && worker.isClockReset(end.clock, end.sentAt, this->options.fleet.clockMargin, this->options.fleet.maxClockDrift);
     if (isOtherStart || isClockReset) {
-        const std::vector<TaskRunId> suspects = this->crashSuspectsOn(worker, end);
+        const WorkerEnd workerEnd = this->endOf(worker, end, context.now);
+        if (!worker.isSuspect)
+            this->recordContactLoss(worker, context.now);
         this->markFormerRunsLost(worker, end, context);
         this->expectLateStarts(worker, context);
-        this->attributeCrash(worker, suspects, context);
+        this->attributeCrash(worker, workerEnd, context);
         worker.lastHandledEnd = 0;
         worker.acknowledged = 0;
         worker.forgottenEnd = 0;
@@ -57,7 +59,7 @@
     } else if (worker.hasCallsOfFormerIncarnation()) {
         this->fleet.incarnationFenced(worker, context.now);
     }
-    this->attributeLapsedRuns(worker, isOtherStart || isClockReset, context);
+    this->attributeLapsedRuns(worker, isOtherStart || isClockReset, end.startedAt, context);
     worker.forgottenEnd = std::max(worker.forgottenEnd, std::min(worker.polledAcknowledged, worker.acknowledged));
     if (end.startedAt != 0)
         worker.answeredStartedAt = end.startedAt;
@@ -85,10 +87,12 @@
     }
     if (end.status == WorkerCallStatus::OtherIncarnation) {
         // The incarnation that was polled no longer runs at this address, and no run outlives its incarnation.
-        const std::vector<TaskRunId> suspects = this->crashSuspectsOn(worker, end);
+        const WorkerEnd workerEnd = this->endOf(worker, end, context.now);
+        if (!worker.isSuspect)
+            this->recordContactLoss(worker, context.now);
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
-        this->attributeCrash(worker, suspects, context);
-        this->attributeLapsedRuns(worker, true, context);
+        this->attributeCrash(worker, workerEnd, context);
+        this->attributeLapsedRuns(worker, true, 0, context);
         worker.isListed = false;
         this->accountForWorker(worker);
         worker.leaseEnd = context.now;
@@ -99,11 +103,14 @@
         worker.leaseEnd = worker.leaseEndBeforePoll;
     if (!worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerSuspected, worker.entry.id.value(), {}, std::string(workerCallStatusNames.nameOf(end.status)), end.token.epoch, toMilliseconds(context.now - worker.lastAnswer) });
-    if (!worker.isSuspect) {
+    const bool isFirst = !worker.isSuspect;
+    worker.isSuspect = true;
+    if (isFirst) {
         const bool isConnectionBroken = context.now <= end.sentAt + std::max(worker.polledWait, this->options.crashes.crashWindow);
         worker.contactLostAt = isConnectionBroken ? context.now : Instant();
+        worker.silentSince = context.now;
+        this->recordContactLoss(worker, context.now);
     }
-    worker.isSuspect = true;
     worker.nextPollAt = context.now + this->options.pollRetryDelay;
 }
 
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -22,6 +22,7 @@
         worker.mayHaveUnknownRuns = !entry.possibleTasks && !silent.contains(id);
         const bool isFoundByRoster = worker.entry.endpoint == entry.endpoint;
         worker.enrolment = worker.mayHaveUnknownRuns && isFoundByRoster ? Enrolment::Stored : Enrolment::None;
+        this->crashSuspects.inherit(id, entry, cell.leadingSince);
         cell.formerRuns.inherit(id, entry.possibleTasks.value_or(std::set<TaskId>()), leaseEnd);
     }
 }
@@ -52,6 +53,7 @@
             namedInPart += tasks.size();
             entry.possibleTasks = std::move(tasks);
             entry.maxLease = worker.leaseReport == 0 ? worker.reportedLease : std::nullopt;
+            this->nameExposedRuns(worker, entry);
         } else if (worker.enrolment == Enrolment::None) {
             worker.enrolment = Enrolment::Requested;
             worker.enrolmentReport = report.number;
@@ -68,6 +70,19 @@
     return report;
 }
 
+void Dispatcher::nameExposedRuns(const FleetWorker& worker, RosterEntry& entry) const
+{
+    if (worker.entry.isDraining)
+        return; // it leaves as announced
+    if (const CrashSuspects::LapsedRuns* inherited = this->crashSuspects.inheritedFrom(worker.entry.id)) {
+        entry.startedAt = inherited->startedAt;
+        entry.exposedRuns = inherited->end.exposedRuns;
+        return;
+    }
+    entry.exposedRuns = this->crashSuspects.exposedRunsOn(worker);
+    entry.startedAt = entry.exposedRuns.empty() ? 0 : worker.answeredStartedAt;
+}
+
 void Dispatcher::boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const
 {
     const Instant lastContact = worker.isFenced ? worker.lastAnswer : cell.leadingSince;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -32,6 +32,7 @@
     bool isStopConfirmed { false }; // the worker has answered the stop and will not start the run any more
     Instant stopRequestedAt {};
     Instant returnedAt {}; // when a long-running run began after an absence; zero: it did not
+    Instant sentAt {}; // when its start was decided; zero: a former leader has started it
     Instant firstConfirmedAt {}; // when it was first known to run; zero: not yet
     Instant lastConfirmedAt {}; // when a start was last answered or a report last named it
     Duration latencyTarget { 0 };
@@ -115,6 +116,7 @@
     Instant lastAnswer;
     Instant answeredPollSentAt; // when the poll of the last answer was sent
     bool isSuspect { false }; // the last poll had no answer
+    Instant silentSince; // when the first poll without an answer ended
     Instant contactLostAt; // when the connection of the first poll without an answer broke; zero: it timed out
     Duration polledWait { 0 }; // for which the worker may delay its answer to the last poll
     Instant cooldownUntil; // no task is placed on the worker before
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -12,6 +12,9 @@
     // A job that misses its objective has reduced value up to this multiple of the objective, and none afterwards.
     constexpr int lateDeadlineFactor = 3;
 
+    // A long-running task is started again however often its workers crash, so that its row needs a bound.
+    constexpr std::size_t maxRecordedCrashes = 8; // of one task
+
 } // namespace
 
 Duration criticalPathOf(const JobDefinition& job)
@@ -112,8 +115,8 @@
                 taskExecution.checkpoint = saved->second;
             if (const auto failed = progress->failures.find(index); failed != progress->failures.end())
                 taskExecution.run = *failed->second.rbegin();
-            if (const auto crashed = progress->crashes.find(index); crashed != progress->crashes.end())
-                taskExecution.run = std::max(taskExecution.run, *crashed->second.rbegin());
+            if (const auto crashed = progress->crashes.find(index); crashed != progress->crashes.end() && !crashed->second.runs.empty())
+                taskExecution.run = std::max(taskExecution.run, *crashed->second.runs.rbegin());
         }
         stepExecution.done += taskExecution.stage == TaskStage::Done ? 1 : 0;
         stepExecution.waiting += taskExecution.stage == TaskStage::Waiting ? 1 : 0;
@@ -212,19 +215,45 @@
 
 bool JobExecution::countCrash(const TaskId& suspect, std::uint64_t run)
 {
-    if (!this->progressOf(suspect.occurrence, suspect.step).crashes[suspect.index].insert(run).second)
+    TaskCrashes& crashes = this->progressOf(suspect.occurrence, suspect.step).crashes[suspect.index];
+    if (run <= crashes.settledRun || !crashes.runs.insert(run).second)
         return false;
+    if (crashes.runs.size() > maxRecordedCrashes) {
+        crashes.provenRuns.erase(*crashes.runs.begin());
+        crashes.runs.erase(crashes.runs.begin());
+    }
     this->incrementGeneration();
     if (TaskExecution* taskExecution = this->taskExecution(suspect))
         taskExecution->crashGeneration = this->generation();
     return true;
 }
 
-void JobExecution::acquit(const TaskId& task)
+void JobExecution::proveCrash(const TaskId& suspect, std::uint64_t run)
+{
+    TaskCrashes& crashes = this->progressOf(suspect.occurrence, suspect.step).crashes[suspect.index];
+    if (crashes.runs.contains(run) && crashes.provenRuns.insert(run).second)
+        this->incrementGeneration();
+}
+
+void JobExecution::revokeCrash(const TaskId& suspect, std::uint64_t run)
 {
-    TaskExecution* taskExecution = this->definition().steps[task.step].isGang ? nullptr : this->taskExecution(task);
-    if (taskExecution)
-        taskExecution->acquittedCrashes += this->suspectedCrashes(task);
+    std::map<std::uint32_t, TaskCrashes>& crashes = this->progressOf(suspect.occurrence, suspect.step).crashes;
+    const auto found = crashes.find(suspect.index);
+    if (found == crashes.end() || found->second.runs.erase(run) == 0)
+        return;
+    found->second.provenRuns.erase(run);
+    if (found->second.empty())
+        crashes.erase(found);
+    this->incrementGeneration();
+}
+
+bool JobExecution::acquit(const TaskId& suspect, std::uint64_t run)
+{
+    if (this->suspectedCrashes(suspect) == 0)
+        return false;
+    this->progressOf(suspect.occurrence, suspect.step).crashes[suspect.index].settle(run);
+    this->incrementGeneration();
+    return true;
 }
 
 void JobExecution::updateCheckpoint(const TaskId& task, const std::string& checkpoint)
@@ -264,15 +293,24 @@
 }
 
 std::uint32_t JobExecution::suspectedCrashes(const TaskId& suspect) const
+{
+    const TaskCrashes* crashes = this->findCrashes(suspect);
+    return crashes ? static_cast<std::uint32_t>(crashes->runs.size()) : 0;
+}
+
+std::uint32_t JobExecution::provenCrashes(const TaskId& suspect) const
+{
+    const TaskCrashes* crashes = this->findCrashes(suspect);
+    return crashes ? static_cast<std::uint32_t>(crashes->provenRuns.size()) : 0;
+}
+
+const TaskCrashes* JobExecution::findCrashes(const TaskId& suspect) const
 {
     const StepProgress* progress = this->findProgress(suspect.occurrence, suspect.step);
     if (!progress || progress->crashes.empty())
-        return 0;
+        return nullptr;
     const auto found = progress->crashes.find(suspect.index);
-    if (found == progress->crashes.end())
-        return 0;
-    const TaskExecution* taskExecution = this->taskExecution(suspect);
-    return static_cast<std::uint32_t>(found->second.size()) - (taskExecution ? taskExecution->acquittedCrashes : 0);
+    return found == progress->crashes.end() ? nullptr : &found->second;
 }
 
 bool JobExecution::isDone(const TaskId& task) const
@@ -326,7 +364,7 @@
         for (const auto& [index, failures] : stepProgress.failures)
             this->progressOf(task.occurrence, task.step).failures[index].insert(failures.begin(), failures.end());
         for (const auto& [index, crashes] : stepProgress.crashes)
-            this->progressOf(task.occurrence, task.step).crashes[index].insert(crashes.begin(), crashes.end());
+            this->progressOf(task.occurrence, task.step).crashes[index].merge(crashes);
     }
     if (isFinal(other.phase)) {
         this->currentProgress.phase = other.phase;
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -53,6 +53,8 @@
     LeaseNeeded, // its last run was given up, and this leader may have a successor
     NoAdmittedWorker, // it avoids workers, after failed runs or as a suspect of crashes; this says nothing about other tasks
     CrashNotRecorded, // the store does not hold the crash that is attributed to it yet
+    CrashNotJudged, // whether that crash is its own is not decided yet
+    CrashBackoff, // its starts are delayed, since it crashes its workers
     GangIncomplete, // other tasks of its gang can't start
     StartsPaused, // what is known of the store is too old to start tasks
     WindowFull, // as many starts are under way as can be delivered
@@ -68,6 +70,8 @@
     { PlacementOutcome::LeaseNeeded, "lease-needed" },
     { PlacementOutcome::NoAdmittedWorker, "no-admitted-worker" },
     { PlacementOutcome::CrashNotRecorded, "crash-not-recorded" },
+    { PlacementOutcome::CrashNotJudged, "crash-not-judged" },
+    { PlacementOutcome::CrashBackoff, "crash-backoff" },
     { PlacementOutcome::GangIncomplete, "gang-incomplete" },
     { PlacementOutcome::StartsPaused, "starts-paused" },
     { PlacementOutcome::WindowFull, "window-full" },
@@ -87,7 +91,6 @@
     Instant nextSearchAt; // no search for a worker before this, after one whose failure says nothing about other tasks
     bool isRunGivenUp { false }; // the last run was given up without a report of its worker
     std::uint64_t crashGeneration { 0 }; // JobExecution::generation() that contains the last crash attributed to the task
-    std::uint32_t acquittedCrashes { 0 }; // crashes attributed to earlier runs than one that has settled
     WorkerId lastFailedWorker; // worker of the last failed run; empty: none
     int speedPercent { 0 }; // as last reported by the worker
 };
@@ -141,10 +144,16 @@
     // more than once.
     bool countFailure(const TaskId& task, std::uint64_t run);
 
-    // countCrash() records a crash of the worker of a run, of a suspect as crashSuspectOf() names it. It returns false if this run
-    // was counted already. acquit() records that a run of the task has settled; it has no effect on a gang.
+    // countCrash() records that the worker of a run has ended, of a suspect as crashSuspectOf() names it. It returns false if this run
+    // was counted already, or a later one has settled. Of many, the most recent are kept. proveCrash() records that the crash is the
+    // run's own, and revokeCrash() that it is not.
     bool countCrash(const TaskId& suspect, std::uint64_t run);
-    void acquit(const TaskId& task);
+    void proveCrash(const TaskId& suspect, std::uint64_t run);
+    void revokeCrash(const TaskId& suspect, std::uint64_t run);
+
+    // acquit() records that a run of a suspect, or the run of all members of its gang, has settled. It returns false if no crash was
+    // attributed to the suspect.
+    bool acquit(const TaskId& suspect, std::uint64_t run);
 
     // updateCheckpoint() stores the most recent checkpoint of a task for its next run. It has no effect if `checkpoint` is
     // empty, or if the task is done or its step is not open.
@@ -156,8 +165,10 @@
     // crashSuspectOf() returns the task that stands for `task` where crashes are counted: the first one of its gang, or itself.
     TaskId crashSuspectOf(const TaskId& task) const;
 
-    // suspectedCrashes() returns the number of crashes attributed to a suspect since a run of it has settled.
+    // suspectedCrashes() returns the number of crashes attributed to a suspect since a run of it has settled; provenCrashes() that
+    // of those which nothing else explains.
     std::uint32_t suspectedCrashes(const TaskId& suspect) const;
+    std::uint32_t provenCrashes(const TaskId& suspect) const;
 
     // isDone() returns true if the task is recorded as done.
     bool isDone(const TaskId& task) const;
@@ -224,6 +235,7 @@
     std::uint32_t stepExecutionNumber(std::uint32_t occurrence, std::uint32_t step) const;
     StepProgress& progressOf(std::uint32_t occurrence, std::uint32_t step);
     const StepProgress* findProgress(std::uint32_t occurrence, std::uint32_t step) const;
+    const TaskCrashes* findCrashes(const TaskId& suspect) const;
     bool isStepDone(std::uint32_t occurrence, std::uint32_t step) const;
     bool mayOpen(std::uint32_t occurrence, std::uint32_t step) const;
     void openStep(std::uint32_t occurrence, std::uint32_t step, Instant now);
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -179,6 +179,8 @@
     CancellationsChecked, // the change feed is late, and the cancellations of running jobs were read from the store
     WorkerCrashed, // another incarnation has answered where a worker was
     TaskSuspected, // the crash of a worker is attributed to a run
+    TaskCleared, // a run of a suspect has settled
+    CrashJudged, // whether the crash is the run's own
     TaskGivenUp,
     AgentLost, // a host that delivers orders for this leader has failed, and others take over its workers
     HostForgotten, // the row of a host that has not answered for long is removed
@@ -214,6 +216,8 @@
     { DecisionEvent::CancellationsChecked, "cancellations-checked" },
     { DecisionEvent::WorkerCrashed, "worker-crashed" },
     { DecisionEvent::TaskSuspected, "task-suspected" },
+    { DecisionEvent::TaskCleared, "task-cleared" },
+    { DecisionEvent::CrashJudged, "crash-judged" },
     { DecisionEvent::TaskGivenUp, "task-given-up" },
     { DecisionEvent::AgentLost, "agent-lost" },
     { DecisionEvent::HostForgotten, "host-forgotten" },
@@ -236,6 +240,9 @@
     CancelledJobs,
     Suspects, // runs to which the crash of a worker is attributed
     Crashes, // attributed to the task
+    ProvenCrashes, // those of them that nothing else explains
+    CoincidentLosses, // of other workers, about when the worker was lost
+    ExposedRuns, // that may have ended the worker, of jobs that are over too
     AbsentTasks, // of the step that do not run
     WaitingSteps, // with such tasks
     NeededMillicores, // by each task of the step
@@ -261,6 +268,9 @@
     { DecisionInput::CancelledJobs, "cancelled" },
     { DecisionInput::Suspects, "suspects" },
     { DecisionInput::Crashes, "crashes" },
+    { DecisionInput::ProvenCrashes, "provenCrashes" },
+    { DecisionInput::CoincidentLosses, "coincident" },
+    { DecisionInput::ExposedRuns, "exposed" },
     { DecisionInput::AbsentTasks, "absent" },
     { DecisionInput::WaitingSteps, "waitingSteps" },
     { DecisionInput::NeededMillicores, "needMillicores" },
--- a/packages/scheduling/stored_rows.cc
+++ b/packages/scheduling/stored_rows.cc
@@ -1,5 +1,6 @@
 #include "scheduling/stored_rows.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace dragonflytray {
@@ -22,6 +23,20 @@
 
 } // namespace
 
+void TaskCrashes::settle(std::uint64_t run)
+{
+    this->settledRun = std::max(this->settledRun, run);
+    this->runs.erase(this->runs.begin(), this->runs.upper_bound(this->settledRun));
+    this->provenRuns.erase(this->provenRuns.begin(), this->provenRuns.upper_bound(this->settledRun));
+}
+
+void TaskCrashes::merge(const TaskCrashes& other)
+{
+    this->runs.insert(other.runs.begin(), other.runs.end());
+    this->provenRuns.insert(other.provenRuns.begin(), other.provenRuns.end());
+    this->settle(other.settledRun);
+}
+
 std::uint32_t partitionOf(const StoredRowKey& key)
 {
     if (key.kind == StoredRowKind::CellLease || key.kind == StoredRowKind::WorkerRoster)
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -61,15 +61,28 @@
 // can be reported in any order and more than once.
 using TaskFailures = std::set<std::uint64_t>;
 
-// TaskCrashes contains the numbers of the runs of one task to which a crash of their worker was attributed.
-using TaskCrashes = std::set<std::uint64_t>;
+// TaskCrashes contains the runs of one task under which their worker ended, so that the task may have crashed it.
+struct TaskCrashes {
+    std::set<std::uint64_t> runs {}; // all of them
+    std::set<std::uint64_t> provenRuns {}; // those that CrashVerdict::Proven was passed on
+    std::uint64_t settledRun { 0 }; // this run has settled, so that crashes of it and of earlier ones are void; 0: none
+
+    // empty() returns true if nothing has to be stored.
+    bool empty() const { return this->runs.empty() && this->settledRun == 0; }
+
+    // settle() voids the crashes up to a run that has settled. merge() adds what another leader has stored.
+    void settle(std::uint64_t run);
+    void merge(const TaskCrashes& other);
+
+    bool operator==(const TaskCrashes&) const = default;
+};
 
 // StepProgress is the recorded progress of one step in one occurrence.
 struct StepProgress {
     std::vector<bool> done {}; // by index of the task
     std::map<std::uint32_t, TaskFailures> failures {}; // by index of the task; only tasks with failures
     std::map<std::uint32_t, std::string> checkpoints {}; // by index of the task; of runs that were lost or stopped
-    std::map<std::uint32_t, TaskCrashes> crashes {}; // by index of the task, of a gang by that of its first one; only tasks with crashes
+    std::map<std::uint32_t, TaskCrashes> crashes {}; // by index of the task, of a gang by that of its first one; only tasks under which a worker has ended
 
     bool operator==(const StepProgress&) const = default;
 };
@@ -100,6 +113,9 @@
 
     std::optional<Duration> maxLease {}; // for which leases there may last from now on, if the leader grants no more; nothing: it may grant more
 
+    WallTime startedAt { 0 }; // of the incarnation that last answered; 0: not known, or possibleTasks is not given
+    std::vector<TaskRunId> exposedRuns {}; // which may have crashed that incarnation, should another one answer next
+
     bool operator==(const RosterEntry&) const = default;
 };
 
