scheduling: losses that a run explains, or that are not confirmed, acquit nobody

Deadly tasks of several jobs acquitted each other (26 crashes each), a wide job or a gang alone on workers that all ended was given up, a verdict died with its leader, polls that were missed voided a crash, a second loss within two seconds hid the first, and in a cell of two or of 540 workers the share of losses was wrong.

Cause: any loss of contact counted as a cause outside, and fewer than a share of the workers as none.

Why this works: a loss voids a crash only if another incarnation has answered and no run had just begun there, and three such losses are needed. Any other loss at the same time only prevents a proof, so that the crash is possible, and four of these give a task up. The verdict waits for a second more, in which others that are back answer. The limit is looked at when a job is opened, so that the next leader draws the conclusion. A connection that breaks just after a start makes a report due, which names the exposed runs: a leader that is killed 100 ms after the crash has told its successor. A row of the roster names at most 500 of them.

--- a/packages/scheduling/crash_suspects.cc
+++ b/packages/scheduling/crash_suspects.cc
@@ -85,6 +85,12 @@
     return result;
 }
 
+void CrashSuspects::clear()
+{
+    this->isolations.clear();
+    this->lapsed.clear();
+}
+
 void CrashSuspects::releaseWorkers(Fleet& fleet, Instant now)
 {
     std::erase_if(this->lapsed, [&](const LapsedRuns& entry) { return now >= entry.since + this->options.lapsedRunsTimeout; });
@@ -146,14 +152,9 @@
     return runs;
 }
 
-bool CrashSuspects::isAlone(const FleetWorker& worker, const std::vector<TaskRunId>& runs) const
+bool CrashSuspects::isAtOnceAfterStart(const FleetWorker& worker, const RunAllocation& allocation) const
 {
-    if (runs.empty() || !isEndTimeKnown(worker))
-        return false;
-    return std::all_of(runs.begin(), runs.end(), [&](const TaskRunId& run) {
-        const RunAllocation& allocation = worker.runs.at(run);
-        return belongsTo(runs.front().task, run.task, allocation) && worker.contactLostAt < latestBeginOf(allocation) + this->options.proofWindow;
-    });
+    return isEndTimeKnown(worker) && worker.contactLostAt < latestBeginOf(allocation) + this->options.proofWindow;
 }
 
 WorkerEnd CrashSuspects::endOf(const FleetWorker& worker, Instant now, std::optional<Instant> successorBegan) const
@@ -166,7 +167,10 @@
     end.exposedRuns = this->exposedRunsOn(worker);
     if (successorBegan)
         std::erase_if(end.exposedRuns, [&](const TaskRunId& run) { return worker.runs.at(run).sentAt >= *successorBegan; });
-    end.isAlone = this->isAlone(worker, end.exposedRuns);
+    const auto isAtOnce = [&](const TaskRunId& run) { return this->isAtOnceAfterStart(worker, worker.runs.at(run)); };
+    const auto isOfFirst = [&](const TaskRunId& run) { return belongsTo(end.exposedRuns.front().task, run.task, worker.runs.at(run)); };
+    end.isAtOnceAfterStart = std::any_of(end.exposedRuns.begin(), end.exposedRuns.end(), isAtOnce);
+    end.isAlone = end.isAtOnceAfterStart && std::all_of(end.exposedRuns.begin(), end.exposedRuns.end(), isOfFirst);
     return end;
 }
 
--- a/packages/scheduling/crash_suspects.h
+++ b/packages/scheduling/crash_suspects.h
@@ -25,7 +25,8 @@
     Instant latest {};
     Instant noticedAt {}; // when it first did not answer
     std::vector<TaskRunId> exposedRuns {}; // that may have caused it
-    bool isAlone { false }; // these belong to one suspect, and the worker ended at once after it had begun
+    bool isAtOnceAfterStart { false }; // the connection broke at once after the start of one of them
+    bool isAlone { false }; // the same, and all of them belong to one suspect
 };
 
 // CrashSuspects keeps the isolated workers. A suspect is named by its task, a gang by its first task. Not thread-safe.
@@ -36,7 +37,7 @@
         Duration proofWindow { std::chrono::milliseconds(150) }; // the same, in which the end of a worker may prove that the run has crashed it
         std::uint32_t maxProvenCrashes { 2 }; // of a task, after which it is given up
         std::uint32_t maxCrashes { 4 }; // attributed to a task, proven or not, after which it is given up; users accept five starts
-        Duration restartBackoff { std::chrono::seconds(5) }; // of a long-running task that would be given up otherwise
+        Duration restartBackoff { std::chrono::milliseconds(2500) }; // of a long-running task that would be given up otherwise
         Duration reservationTimeout { std::chrono::seconds(3) }; // for which a worker is kept for a suspect until its other runs are settled
         Duration lapsedRunsTimeout { std::chrono::seconds(60) }; // for which the suspects on a silent worker are kept after its lease
         double maxReservedShare { 0.25 }; // of the workers; at least one may be reserved
@@ -80,6 +81,9 @@
     // lapsed runs after Options::lapsedRunsTimeout.
     void releaseWorkers(Fleet& fleet, Instant now);
 
+    // clear() drops all isolations and lapsed runs.
+    void clear();
+
     // Queries.
 
     // admits() says whether the candidate may be started on a worker.
@@ -111,7 +115,7 @@
     };
 
     bool isExposed(const FleetWorker& worker, const RunAllocation& allocation) const;
-    bool isAlone(const FleetWorker& worker, const std::vector<TaskRunId>& runs) const;
+    bool isAtOnceAfterStart(const FleetWorker& worker, const RunAllocation& allocation) const;
 
     Options options;
     std::map<WorkerId, Isolation> isolations;
--- a/packages/scheduling/deadly_task_fixture.h
+++ b/packages/scheduling/deadly_task_fixture.h
@@ -77,6 +77,32 @@
         }
     }
 
+    // loseLeaderAfterEachCrash() lets another host lead at `delay` after each crash, up to `count` times or until the job has failed. A
+    // leader that does not hand over is killed. It returns the last leader.
+    std::string loseLeaderAfterEachCrash(int count, Duration delay, bool isHandingOver)
+    {
+        std::string leader = "a";
+        for (int number = 0; number < count && this->phaseOf(deadlyJob) != JobPhase::Failed; ++number) {
+            const std::size_t crashes = this->crashingRuns.size();
+            const Instant limit = this->now + std::chrono::seconds(20);
+            while (this->crashingRuns.size() == crashes && this->now < limit && this->phaseOf(deadlyJob) != JobPhase::Failed)
+                this->runWatched({ leader }, tickInterval);
+            this->runWatched({ leader }, delay);
+            leader = this->changeLeader(leader, "h" + std::to_string(number), isHandingOver);
+        }
+        return leader;
+    }
+
+    // changeLeader() lets `next` lead after `leader`, which is killed unless it hands over. It returns `next`.
+    std::string changeLeader(const std::string& leader, const std::string& next, bool isHandingOver)
+    {
+        if (isHandingOver) {
+            this->send(leader, BeginHandover {});
+            this->runWatched({ leader, next }, std::chrono::milliseconds(800));
+        }
+        return next;
+    }
+
     std::size_t crashesBy(const std::string& job) const
     {
         return static_cast<std::size_t>(std::count_if(this->crashingRuns.begin(), this->crashingRuns.end(), [&](const TaskRunId& run) { return run.task.job.value() == job; }));
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -63,6 +63,7 @@
         this->startsUnderWay.clear();
         this->startWindow.reset();
         this->crashVerdicts.clear();
+        this->crashSuspects.clear();
     }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
@@ -135,6 +136,9 @@
 
 void Dispatcher::advance(JobExecution& job, CommandContext& context)
 {
+    if (isFinal(job.progress().phase))
+        return;
+    this->giveUpCrashedTasks(job, context);
     if (isFinal(job.progress().phase))
         return;
     if (job.isComplete())
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -67,6 +67,7 @@
         Duration renewalTimeout { std::chrono::milliseconds(1500) }; // for which leases of a worker that does not answer are still renewed
         Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which it gets no more tasks and a report names those that may run there
         std::size_t maxTasksPerRosterPart { 1500 }; // named in a row of the roster; further workers stay there as if any task may run on them. A row of the store holds about 2,800
+        std::size_t maxExposedRunsPerRosterPart { 500 }; // named there besides the tasks
         std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
         Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
@@ -212,7 +213,7 @@
     // isReportDue() says whether a report should be stored soon, since new workers wait to be enrolled or the cell to be
     // reconciled. Workers that answer again wait for the next renewal: a report is received by every host. Linear in all
     // workers.
-    bool isReportDue(const CellName& cell) const;
+    bool isReportDue(const CellName& cell, Instant now) const;
 
     // agentsFailedSince() returns the hosts that have failed to deliver at every attempt since `time` or before.
     std::vector<HostName> agentsFailedSince(Instant time) const { return this->agents.failedSince(time); }
@@ -311,8 +312,8 @@
 
     // Crashes of workers. endOf() returns the end of a worker with the runs that may have caused it, before these are given up;
     // attributeCrash() counts it against their tasks, and attributeLapsedRuns() does so for runs that were given up before the worker
-    // answered again. judgeCrashes() passes the verdicts that are due, and giveUp() fails the job of a task that has crashed too many
-    // workers. A long-running task is not given up, but starts with a delay. settleRuns() acquits suspects, a gang once
+    // answered again. judgeCrashes() passes the verdicts that are due, and giveUpCrashedTasks() fails the job of a task that has
+    // crashed too many workers, also under former leaders. A long-running task is not given up, but starts with a delay. settleRuns() acquits suspects, a gang once
     // isWholeRunSettled(). admissionOf() restricts the workers on which a task is placed; reserveWorker() returns true if one is kept
     // for a suspect. crashObstacleTo() is what forbids a start of a suspect.
     WorkerEnd endOf(const FleetWorker& worker, const PollEnded& end, Instant now) const;
@@ -322,7 +323,8 @@
     void attributeCrash(const FleetWorker& worker, const WorkerEnd& end, CommandContext& context);
     void judgeCrashes(CommandContext& context);
     bool isCrashLimitReached(const JobExecution& job, const TaskId& suspect) const;
-    void giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context);
+    void giveUpCrashedTasks(JobExecution& job, CommandContext& context);
+    void giveUp(JobExecution& job, const TaskId& suspect, CommandContext& context);
     void settleRuns(FleetWorker& worker, const PollEnded& end, CommandContext& context);
     bool isWholeRunSettled(JobExecution& job, const TaskRunId& run);
     std::optional<PlacementOutcome> crashObstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
@@ -394,8 +396,10 @@
     // boundLease() sets FleetWorker::reportedLease for a report that closes the worker, or takes it back. Leases are bounded on workers
     // that don't answer for a while or, when this leader hands over, that may be gone.
     void boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const;
-    // nameExposedRuns() names the runs that may crash the worker, or have, before a successor hears it.
-    void nameExposedRuns(const FleetWorker& worker, RosterEntry& entry) const;
+    // nameExposedRuns() names the runs that may crash the worker, or have, before a successor hears it, while the part has room for them.
+    // hasLostContactAtOnceAfterStart() says whether a run has probably just ended the worker. A successor has to know that at once.
+    bool hasLostContactAtOnceAfterStart(const FleetWorker& worker, Instant now) const;
+    void nameExposedRuns(const FleetWorker& worker, std::size_t& namedInPart, RosterEntry& entry) const;
     void reconcileCells(CommandContext& context);
     void reconcile(const CellName& name, Cell& cell, bool haveLeasesExpired, CommandContext& context);
     bool hasUnknownRuns(const CellName& name) const;
--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -35,10 +35,7 @@
     if (worker.entry.isDraining)
         return;
     const WorkerEnd end = this->crashSuspects.endOf(worker, now, std::nullopt);
-    ContactLoss loss { .worker = worker.entry.id, .earliest = end.earliest, .latest = end.latest, .exposedJobs = {} };
-    for (const TaskRunId& run : end.exposedRuns)
-        loss.exposedJobs.insert(run.task.job);
-    this->crashVerdicts.contactLost(std::move(loss));
+    this->crashVerdicts.contactLost({ .worker = worker.entry.id, .earliest = end.earliest, .latest = end.latest, .isExplained = end.isAtOnceAfterStart });
 }
 
 std::vector<TaskRunId> Dispatcher::crashSuspectsAmong(std::vector<TaskRunId> runs)
@@ -71,6 +68,7 @@
     LogDecision crashed { DecisionEvent::WorkerCrashed, worker.entry.id.value(), {}, "other-incarnation", this->addressOf(worker, context.now).token.epoch, toMilliseconds(context.now - worker.lastAnswer) };
     crashed.inputs = { { DecisionInput::Suspects, static_cast<std::int64_t>(suspects.size()) }, { DecisionInput::ExposedRuns, static_cast<std::int64_t>(end.exposedRuns.size()) } };
     context.add(std::move(crashed));
+    const Instant dueAt = std::max(end.noticedAt + this->options.crashVerdicts.noticeTimeout, context.now + this->options.crashVerdicts.confirmationTimeout);
     for (const TaskRunId& run : suspects) {
         JobExecution* job = this->findJobExecution(run.task.job);
         const TaskId suspect = job->crashSuspectOf(run.task);
@@ -80,14 +78,14 @@
         suspected.inputs = { { DecisionInput::Crashes, job->suspectedCrashes(suspect) } };
         context.add(std::move(suspected));
         this->markDirty(*job);
-        this->crashVerdicts.charge({ .run = run, .suspect = suspect, .worker = end.worker, .earliest = end.earliest, .latest = end.latest, .isAlone = end.isAlone, .dueAt = end.noticedAt + this->options.crashVerdicts.noticeTimeout });
+        this->crashVerdicts.charge({ .run = run, .suspect = suspect, .worker = end.worker, .earliest = end.earliest, .latest = end.latest, .isAlone = end.isAlone, .dueAt = dueAt });
     }
     this->judgeCrashes(context);
 }
 
 void Dispatcher::judgeCrashes(CommandContext& context)
 {
-    for (const JudgedCrash& judged : this->crashVerdicts.takeDue(context.now, this->fleet.all().size())) {
+    for (const JudgedCrash& judged : this->crashVerdicts.takeDue(context.now)) {
         const CrashCharge& charge = judged.charge;
         JobExecution* job = this->findJobExecution(charge.suspect.job);
         if (!job || isFinal(job->progress().phase))
@@ -101,8 +99,16 @@
         context.add(std::move(line));
         this->markDirty(*job);
         this->needsPass = true;
-        if (this->isCrashLimitReached(*job, charge.suspect) && !job->definition().steps[charge.suspect.step].isLongRunning)
-            this->giveUp(*job, charge.run, context);
+        this->giveUpCrashedTasks(*job, context);
+    }
+}
+
+void Dispatcher::giveUpCrashedTasks(JobExecution& job, CommandContext& context)
+{
+    for (const TaskId& suspect : job.crashSuspects()) {
+        const bool mayGiveUp = !job.definition().steps[suspect.step].isLongRunning && !this->crashVerdicts.isPending(suspect);
+        if (mayGiveUp && this->isCrashLimitReached(job, suspect) && !isFinal(job.progress().phase))
+            this->giveUp(job, suspect, context);
     }
 }
 
@@ -111,10 +117,9 @@
     return job.provenCrashes(suspect) >= this->options.crashes.maxProvenCrashes || job.suspectedCrashes(suspect) >= this->options.crashes.maxCrashes;
 }
 
-void Dispatcher::giveUp(JobExecution& job, const TaskRunId& run, CommandContext& context)
+void Dispatcher::giveUp(JobExecution& job, const TaskId& suspect, CommandContext& context)
 {
-    const TaskId suspect = job.crashSuspectOf(run.task);
-    LogDecision givenUp { DecisionEvent::TaskGivenUp, formatRun(run), {}, "workers-crashed", job.version(), context.wallTime - job.definition().acceptedAt };
+    LogDecision givenUp { DecisionEvent::TaskGivenUp, formatRun({ suspect, job.lastCrashedRun(suspect) }), {}, "workers-crashed", job.version(), context.wallTime - job.definition().acceptedAt };
     givenUp.inputs = { { DecisionInput::Crashes, job.suspectedCrashes(suspect) }, { DecisionInput::ProvenCrashes, job.provenCrashes(suspect) } };
     context.add(std::move(givenUp));
     this->finish(job, JobPhase::Failed, context);
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -63,6 +63,10 @@
     worker.forgottenEnd = std::max(worker.forgottenEnd, std::min(worker.polledAcknowledged, worker.acknowledged));
     if (end.startedAt != 0)
         worker.answeredStartedAt = end.startedAt;
+    if (isOtherStart || isClockReset)
+        this->crashVerdicts.confirmLoss(worker.entry.id);
+    else if (worker.isSuspect)
+        this->crashVerdicts.contactRegained(worker.entry.id);
     if (worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.token.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     worker.isSuspect = false;
@@ -90,6 +94,7 @@
         const WorkerEnd workerEnd = this->endOf(worker, end, context.now);
         if (!worker.isSuspect)
             this->recordContactLoss(worker, context.now);
+        this->crashVerdicts.confirmLoss(worker.entry.id);
         this->markRunsLost(worker, RunLossCause::WorkerReplaced, context);
         this->attributeCrash(worker, workerEnd, context);
         this->attributeLapsedRuns(worker, true, 0, context);
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -36,11 +36,12 @@
     CellReport report { .number = ++this->lastReport, .capacityMillicores = this->capacityOf(name), .labels = this->labelsOf(name), .unconfirmed = {}, .isRosterComplete = cell.isRosterComplete || cell.isReconciled, .rosterPuts = {} };
     std::map<WorkerId, RosterEntry> enrolled;
     std::array<std::size_t, rosterParts> namedTasks {};
+    std::array<std::size_t, rosterParts> exposedRuns {};
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.cell != name || (!worker.isFenced && !worker.isInherited))
             continue;
         RosterEntry entry { .endpoint = worker.entry.endpoint, .capacity = worker.entry.capacity };
-        const bool isClosing = !worker.mayGetTasks(now, this->options.silenceReportTimeout) || (this->isHandingOver && !worker.mayHaveUnknownRuns);
+        const bool isClosing = !worker.mayGetTasks(now, this->options.silenceReportTimeout) || this->hasLostContactAtOnceAfterStart(worker, now) || (this->isHandingOver && !worker.mayHaveUnknownRuns);
         std::set<TaskId> tasks = isClosing ? this->possibleTasksOn(cell, worker) : std::set<TaskId>();
         std::size_t& namedInPart = namedTasks[rosterPartOf(id)];
         const bool isClosed = isClosing && namedInPart + tasks.size() <= this->options.maxTasksPerRosterPart;
@@ -53,7 +54,7 @@
             namedInPart += tasks.size();
             entry.possibleTasks = std::move(tasks);
             entry.maxLease = worker.leaseReport == 0 ? worker.reportedLease : std::nullopt;
-            this->nameExposedRuns(worker, entry);
+            this->nameExposedRuns(worker, exposedRuns[rosterPartOf(id)], entry);
         } else if (worker.enrolment == Enrolment::None) {
             worker.enrolment = Enrolment::Requested;
             worker.enrolmentReport = report.number;
@@ -70,17 +71,17 @@
     return report;
 }
 
-void Dispatcher::nameExposedRuns(const FleetWorker& worker, RosterEntry& entry) const
+void Dispatcher::nameExposedRuns(const FleetWorker& worker, std::size_t& namedInPart, RosterEntry& entry) const
 {
     if (worker.entry.isDraining)
         return; // it leaves as announced
-    if (const CrashSuspects::LapsedRuns* inherited = this->crashSuspects.inheritedFrom(worker.entry.id)) {
-        entry.startedAt = inherited->startedAt;
-        entry.exposedRuns = inherited->end.exposedRuns;
+    const CrashSuspects::LapsedRuns* inherited = this->crashSuspects.inheritedFrom(worker.entry.id);
+    std::vector<TaskRunId> runs = inherited ? inherited->end.exposedRuns : this->crashSuspects.exposedRunsOn(worker);
+    if (runs.empty() || namedInPart + runs.size() > this->options.maxExposedRunsPerRosterPart)
         return;
-    }
-    entry.exposedRuns = this->crashSuspects.exposedRunsOn(worker);
-    entry.startedAt = entry.exposedRuns.empty() ? 0 : worker.answeredStartedAt;
+    namedInPart += runs.size();
+    entry.startedAt = inherited ? inherited->startedAt : worker.answeredStartedAt;
+    entry.exposedRuns = std::move(runs);
 }
 
 void Dispatcher::boundLease(const Cell& cell, FleetWorker& worker, bool isClosed, std::uint64_t report, Instant now) const
@@ -127,7 +128,12 @@
     this->rosters.try_emplace(part->cell, part->cell).first->second.apply(part->number, row ? *row : WorkerRoster {}, change.version);
 }
 
-bool Dispatcher::isReportDue(const CellName& name) const
+bool Dispatcher::hasLostContactAtOnceAfterStart(const FleetWorker& worker, Instant now) const
+{
+    return worker.isSuspect && !worker.entry.isDraining && this->crashSuspects.endOf(worker, now, std::nullopt).isAtOnceAfterStart;
+}
+
+bool Dispatcher::isReportDue(const CellName& name, Instant now) const
 {
     const auto cell = this->cells.find(name);
     if (cell == this->cells.end())
@@ -136,7 +142,9 @@
         return true;
     return std::any_of(this->fleet.all().begin(), this->fleet.all().end(), [&](const auto& entry) {
         const FleetWorker& worker = entry.second;
-        return worker.cell == name && worker.isFenced && worker.enrolment == Enrolment::None && !worker.wasClosed && worker.isListed;
+        const bool isNew = worker.enrolment == Enrolment::None && !worker.wasClosed && worker.isListed;
+        const bool isExposed = worker.enrolment != Enrolment::None && this->hasLostContactAtOnceAfterStart(worker, now);
+        return worker.cell == name && worker.isFenced && (isNew || isExposed);
     });
 }
 
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -304,6 +304,25 @@
     return crashes ? static_cast<std::uint32_t>(crashes->provenRuns.size()) : 0;
 }
 
+std::vector<TaskId> JobExecution::crashSuspects() const
+{
+    std::vector<TaskId> suspects;
+    const auto steps = static_cast<std::uint32_t>(this->definition().steps.size());
+    for (const auto& [number, progress] : this->currentProgress.stepProgress) {
+        for (const auto& [index, crashes] : progress.crashes) {
+            if (!crashes.runs.empty())
+                suspects.push_back({ this->definition().id, number / steps, number % steps, index });
+        }
+    }
+    return suspects;
+}
+
+std::uint64_t JobExecution::lastCrashedRun(const TaskId& suspect) const
+{
+    const TaskCrashes* crashes = this->findCrashes(suspect);
+    return crashes && !crashes->runs.empty() ? *crashes->runs.rbegin() : 0;
+}
+
 const TaskCrashes* JobExecution::findCrashes(const TaskId& suspect) const
 {
     const StepProgress* progress = this->findProgress(suspect.occurrence, suspect.step);
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -170,6 +170,10 @@
     std::uint32_t suspectedCrashes(const TaskId& suspect) const;
     std::uint32_t provenCrashes(const TaskId& suspect) const;
 
+    // crashSuspects() returns the suspects with such crashes, and lastCrashedRun() the last run of one of them. Linear in the steps.
+    std::vector<TaskId> crashSuspects() const;
+    std::uint64_t lastCrashedRun(const TaskId& suspect) const;
+
     // isDone() returns true if the task is recorded as done.
     bool isDone(const TaskId& task) const;
 
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -141,7 +141,7 @@
         if (!mayWrite)
             continue;
         leadership.beginObserving(context.now);
-        if (this->dispatcher.isReportDue(cell))
+        if (this->dispatcher.isReportDue(cell, context.now))
             leadership.renewSoon();
         if (!leadership.isWriteDue(context.now))
             continue;
