scheduling: a new leader counts leases by clocks of former incarnations

Callers would see a long-running task run twice: a worker restarts under its id, a poll of the former leader reaches it just before the first poll of the new leader, tasks are started there, and the worker is cut off within about 1 s.

The deadline of that poll lies on the clock of the former incarnation, far ahead of the new clock, so the worker grants its own maximum of 6 s. The new leader took its first answer for that of the first incarnation, and assumed that leases granted before it were as long as its own (4.5 s), so that it gave the runs up about 1 s before the worker did.

The first answer of a worker now counts as the end of a time in which any lease up to the maximum may have been granted; its epoch fences everything later. This adds up to 1.6 s to the lease of a worker that falls silent less than that after its first answer, and nothing afterwards. Placement does not wait for it.

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -70,8 +70,8 @@
     if (worker.isSuspect)
         context.add(LogDecision { DecisionEvent::WorkerTrusted, worker.entry.id.value(), {}, "answered", end.token.epoch, toMilliseconds(context.now - worker.lastAnswer) });
     worker.isSuspect = false;
-    if (!worker.isFenced) // a former leader may have granted leases until now
-        this->fleet.recordLease(worker, context.now);
+    if (!worker.isFenced)
+        this->fleet.firstAnswered(worker, context.now);
     worker.isFenced = true;
     if (!end.hasMoreEnds) // a whole report names all runs
         this->accountForWorker(worker);
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -197,6 +197,13 @@
     worker.leaseEnd = std::max(worker.leaseEnd, worker.otherClockLeaseEnd);
 }
 
+void Fleet::firstAnswered(FleetWorker& worker, Instant now)
+{
+    const Instant end = this->latestLeaseEnd(now, this->options.maxLease);
+    worker.leaseEndBeforePoll = std::max(worker.leaseEndBeforePoll, end);
+    worker.leaseEnd = std::max(worker.leaseEnd, end);
+}
+
 Duration Fleet::timeUntilStarts(const FleetWorker& worker, Instant now, Duration granted) const
 {
     if (worker.hasCallsOfFormerIncarnation())
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -211,6 +211,10 @@
     // incarnationFenced() records that the incarnation has answered a poll with that token.
     void incarnationFenced(FleetWorker& worker, Instant now);
 
+    // firstAnswered() records that the worker has answered this leader for the first time. Until now a former leader may have granted
+    // leases, also by deadlines on the clock of a former incarnation, which make them as long as the worker allows.
+    void firstAnswered(FleetWorker& worker, Instant now);
+
     // timeUntilStarts() is the time until a poll that grants a lease of length `granted` lets the worker accept tasks; zero: at once.
     Duration timeUntilStarts(const FleetWorker& worker, Instant now, Duration granted) const;
 
--- a/packages/scheduling/incarnation_lease_test.cc
+++ b/packages/scheduling/incarnation_lease_test.cc
@@ -31,14 +31,14 @@
             this->restoreWorker(this->first);
         }
 
-        // startTasks() submits a job of four long-running tasks, and runs until they have started.
-        void startTasks()
+        // startTasks() submits a job of four long-running tasks to the first of the hosts, and runs them until the tasks have started.
+        void startTasks(const std::vector<std::string>& names = { "a", "b" })
         {
             StepDefinition step = stepOfTasks(4, 4);
             step.isLongRunning = true;
-            REQUIRE(this->submit("a", job, { step }) == ReplyStatus::Accepted);
+            REQUIRE(this->submit(names.front(), job, { step }) == ReplyStatus::Accepted);
             for (const Instant end = this->now + std::chrono::seconds(5); this->runningOf(job).size() < 4 && this->now < end;)
-                this->run({ "a", "b" }, tick);
+                this->run(names, tick);
             REQUIRE(this->runningOf(job).size() == 4);
         }
 
@@ -56,11 +56,13 @@
             CHECK(this->workers.at(this->second).running().size() == 4);
         }
 
+        Epoch leaderEpoch() const { return std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch; }
+
         // pollLate() carries out a poll that the leader sent to the first incarnation of w1, before it knew of another one.
-        void pollLate(std::uint64_t acknowledged)
+        void pollLate(std::uint64_t acknowledged) { (void)this->pollLate(acknowledged, this->leaderEpoch()); }
+        WorkerCallStatus pollLate(std::uint64_t acknowledged, Epoch epoch)
         {
-            const Epoch epoch = std::get<CellLease>(*this->store.find({ StoredRowKind::CellLease, "whole" })->value).epoch;
-            (void)this->workers.at(this->first).poll({ .to = { this->first, {}, { epoch } }, .deadline = 1000000, .acknowledged = acknowledged }, this->now);
+            return this->workers.at(this->first).poll({ .to = { this->first, {}, { epoch } }, .deadline = 1000000, .acknowledged = acknowledged }, this->now).status;
         }
 
         const WorkerId first { "w1" };
@@ -148,4 +150,20 @@
     this->checkTasksMoveWithoutOverlap({ "a", "b" });
 }
 
+// A poll of the former leader reaches the next incarnation just before the first poll of its successor.
+TEST_CASE_METHOD(IncarnationLeaseFixture, "Takeover_pollOfFormerLeaderReachesNextIncarnation_longRunningTasksDoNotRunTwice")
+{
+    const Epoch formerEpoch = this->leaderEpoch();
+    this->crashWorker(this->first);
+    this->restartHost("a");
+    this->run({ "b" }, std::chrono::milliseconds(300));
+    this->restoreWorker(this->first);
+    for (const Instant end = this->now + std::chrono::seconds(20); this->leader() != "b" && this->now < end;)
+        this->run({ "b" }, tick);
+    REQUIRE(this->pollLate(0, formerEpoch) == WorkerCallStatus::Ok);
+    this->startTasks({ "b" });
+    this->isolateWorker();
+    this->checkTasksMoveWithoutOverlap({ "b" });
+}
+
 } // namespace dragonflytray
