scheduling: a worker that is listed again is fenced from earlier calls

Callers would see a task run twice: the start of a run gets no answer, its worker ends and leaves the list, its lease lapses, the leader forgets the worker and starts the task elsewhere. The worker is back under its id, and carries out the late start.

A forgotten worker that is listed again was taken for a new one, and its calls had the token of the former ones. Since no answer of the former incarnation was known, no restart was seen, so the token did not rise, and the late start was accepted even after polls of the next incarnation.

The token of workers that are added after a removal is higher than that of any call to the removed one. The first answered poll fences the former calls.

Worker_startArrivesAfterWorkerWasForgottenAndListedAgain_taskRunsOnce failed before.

--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -240,6 +240,7 @@
 void Fleet::remove(const WorkerId& worker)
 {
     this->workers.erase(worker);
+    ++this->restarts;
     this->isRegroupDue = true;
 }
 
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -229,7 +229,8 @@
     // recordPollLease() records a lease of length `granted` from `now` that takes effect unless the poll that carries it is never sent.
     void recordPollLease(FleetWorker& worker, Instant now, Duration granted);
 
-    // remove() deletes a worker. It must have no runs.
+    // remove() deletes a worker. It must have no runs. Calls to a worker that is added later get a higher token, since it may be the
+    // next incarnation of this one.
     void remove(const WorkerId& worker);
 
     // workersOf() is the workers of a cell for a service, in a stable order. Logarithmic in the cells and services, and
--- a/packages/scheduling/incarnation_lease_test.cc
+++ b/packages/scheduling/incarnation_lease_test.cc
@@ -166,4 +166,24 @@
     this->checkTasksMoveWithoutOverlap({ "b" });
 }
 
+// The leader has forgotten the worker meanwhile, and takes it for a new one.
+TEST_CASE_METHOD(IncarnationLeaseFixture, "Worker_startArrivesAfterWorkerWasForgottenAndListedAgain_taskRunsOnce")
+{
+    this->taskDuration = std::chrono::seconds(30);
+    this->startsToDelay = 1;
+    this->startDelay = std::chrono::seconds(15);
+    REQUIRE(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, settlingTime);
+    REQUIRE(this->delayedStarts.size() == 1);
+    this->crashWorker(this->first);
+    this->workers.at(this->first).unlist(this->now);
+    this->addWorker(this->second.value(), 16).list(this->now);
+    this->run({ "a", "b" }, std::chrono::seconds(13));
+    REQUIRE(this->workers.at(this->second).running().size() == 1);
+    this->restoreWorker(this->first);
+    this->run({ "a", "b" }, std::chrono::seconds(4));
+    CHECK(this->delayedStarts.empty());
+    CHECK(this->maxConcurrentRuns == 1);
+}
+
 } // namespace dragonflytray
