scheduling: runs that the next incarnation reports are not former ones

A worker restarts under its id, is given tasks, and then answers its first poll. Callers would see a gang that had just begun stopped and started again; the log shows task-lost with cause worker-restarted for runs that go on.

A start that was answered before that poll was sent was taken for one of the former incarnation. The answer to a start does not say which incarnation gave it; the report does, since it names the run. The run was marked as lost, which stops a gang, and adopted again from the same report as a run of a former leader: settled, so that it was no suspect if it crashed its worker.

Runs that the report names, as running or ended, were begun by the incarnation that has answered, and keep what is known of them.

Worker_restartIsReportedAfterGangStartedOnNextIncarnation_gangIsNotStopped failed before: 8 runs begun instead of 4.

--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -3,6 +3,8 @@
 #include "scheduling/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace dragonflytray {
 
@@ -416,9 +418,13 @@
 
 void Dispatcher::markFormerRunsLost(FleetWorker& worker, const PollEnded& end, CommandContext& context)
 {
+    std::set<TaskRunId> reported; // begun by the incarnation that has answered
+    std::transform(end.running.begin(), end.running.end(), std::inserter(reported, reported.end()), [](const RunningTask& running) { return running.id; });
+    std::transform(end.ended.begin(), end.ended.end(), std::inserter(reported, reported.end()), [](const EndedRun& ended) { return ended.id; });
     std::vector<TaskRunId> runs;
     for (const auto& [run, allocation] : worker.runs) {
-        if (allocation.lastConfirmedAt != Instant() && allocation.lastConfirmedAt <= end.sentAt)
+        const bool wasConfirmedBefore = allocation.lastConfirmedAt != Instant() && allocation.lastConfirmedAt <= end.sentAt;
+        if (wasConfirmedBefore && !reported.contains(run))
             runs.push_back(run);
     }
     for (const TaskRunId& run : runs)
--- a/packages/scheduling/worker_restart_test.cc
+++ b/packages/scheduling/worker_restart_test.cc
@@ -68,4 +68,27 @@
     CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
 }
 
+// The gang was started on the next incarnation before a report told of the restart.
+TEST_CASE_METHOD(WorkerRestartFixture, "Worker_restartIsReportedAfterGangStartedOnNextIncarnation_gangIsNotStopped")
+{
+    this->runFirstJob();
+    this->listLag["a"] = std::chrono::milliseconds(500);
+    this->pollTimeout = std::chrono::milliseconds(1200);
+    this->taskDuration = std::chrono::seconds(4);
+    const std::size_t begunBefore = this->begunRuns.size();
+    this->unresponsive.insert(WorkerId("w1"));
+    this->run({ "a" }, std::chrono::milliseconds(100));
+    this->crashWorker(WorkerId("w1"));
+    this->restoreWorker(WorkerId("w1"));
+    StepDefinition gang = stepOfTasks(4, 4);
+    gang.isGang = true;
+    REQUIRE(this->submit("a", otherJob, { gang }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(500));
+    REQUIRE(this->begunRuns.size() == begunBefore + 4);
+    this->unresponsive.clear();
+    this->run({ "a" }, std::chrono::seconds(10));
+    CHECK(this->begunRuns.size() == begunBefore + 4);
+    CHECK(this->phaseOf(otherJob) == JobPhase::Completed);
+}
+
 } // namespace dragonflytray
