telemetry: a log line with bytes that are not UTF-8 doesn't end the process

The path of a refused request is the id of its job-refused line, which logFields() composed with nlohmann::json::dump(). That throws type_error 316 at a string that is not UTF-8, and an exception in a duty ends the process. Lines of sentences were composed in the same way.

serializeJson() replaces such bytes by U+FFFD and does not throw; log lines are written with it. The decisions are as before, so that the caller gets the status of any other request of that kind.

--- a/packages/json/json.cc
+++ b/packages/json/json.cc
@@ -134,4 +134,9 @@
     return isPlainCbor(bytes) ? json::from_cbor(bytes, true, false) : json(json::value_t::discarded);
 }
 
+std::string serializeJson(const json& json, int indent)
+{
+    return json.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace dragonflytray
--- a/packages/json/json.h
+++ b/packages/json/json.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Reading JSON and CBOR that other writers may have damaged. No function throws, and neither parser accepts a value
-// that is nested so deeply that its traversal could exhaust the stack of a thread. All functions are pure.
+// Reading JSON and CBOR that other writers may have damaged, and writing JSON that holds text of theirs. No function throws,
+// and neither parser accepts a value that is nested so deeply that its traversal could exhaust the stack of a thread. All
+// functions are pure.
 //
 // Example:
 //
@@ -12,6 +13,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <type_traits>
 #include <utility>
@@ -27,6 +29,10 @@
 // tags or items of indefinite length, which to_cbor() does not write.
 nlohmann::json parseCbor(std::string_view bytes);
 
+// serializeJson() returns the JSON text of a value, on one line or, if `indent` is not negative, on indented lines. Bytes that
+// are not UTF-8 are replaced by U+FFFD; nlohmann::json::dump() throws at them.
+std::string serializeJson(const nlohmann::json& json, int indent = -1);
+
 // numberAs() returns the value of a JSON number, or nothing if `json` is not a number or `Number` cannot represent it. A
 // fraction is truncated if `Number` is an integer type.
 template <typename Number>
--- a/packages/json/json_test.cc
+++ b/packages/json/json_test.cc
@@ -98,4 +98,10 @@
     CHECK(numberAs<double>(3) == 3.0);
 }
 
+TEST_CASE_METHOD(DamagedMessageFixture, "SerializeJson_textIsNotUtf8_isReplaced")
+{
+    CHECK(serializeJson({ { "a\xe7", "\xff" } }) == "{\"a\xef\xbf\xbd\":\"\xef\xbf\xbd\"}");
+    CHECK(serializeJson({ 1, "\xc3\xa7" }, 1) == "[\n 1,\n \"\xc3\xa7\"\n]");
+}
+
 } // namespace dragonflytray
--- a/packages/telemetry/log.cc
+++ b/packages/telemetry/log.cc
@@ -1,8 +1,8 @@
 #include "telemetry/log.h"
 
+#include "json/json.h"
 #include <atomic>
 #include <easylogging++.h>
-#include <nlohmann/json.hpp>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -26,7 +26,7 @@
             { "message", sentence },
         };
         // The logger's own format opens the object with the time.
-        return line.dump().substr(1);
+        return serializeJson(line).substr(1);
     }
 
     void write(LogLevel level, LogPart part, const std::string& sentence)
@@ -74,7 +74,7 @@
             line[std::string(field.name)] = field.value;
     }
     // The logger's own format opens the object with the time.
-    LOG(INFO) << line.dump().substr(1);
+    LOG(INFO) << serializeJson(line).substr(1);
 }
 
 void setLogLevel(LogLevel level)
