json: bodies are written by serializeJson()

The adapter and the gateway had their own calls of dump() with the same error handler. The transaction of the platform's table was written without one; no text that is not UTF-8 was shown to reach it, as its texts come from JSON or from names that are checked. No change of behaviour otherwise: the tests of platform_adapter, platform, gateway and entry pass.

--- a/packages/gateway/reply_encoding.cc
+++ b/packages/gateway/reply_encoding.cc
@@ -1,7 +1,7 @@
 #include "gateway/reply_encoding.h"
 
+#include "json/json.h"
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 namespace dragonflytray {
 
@@ -40,7 +40,7 @@
 
     HttpResponse respond(unsigned status, const json& body)
     {
-        return { .status = status, .headers = {}, .body = body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n" };
+        return { .status = status, .headers = {}, .body = serializeJson(body) + "\n" };
     }
 
     json encodeJob(const Job& job)
--- a/packages/gateway/worker_encoding.cc
+++ b/packages/gateway/worker_encoding.cc
@@ -60,7 +60,7 @@
         { "stops", encodeStops(contact.stops) },
         { "renewals", encodeStops(contact.renewals) },
     };
-    return { .method = HttpMethod::Post, .target = "/v1/contact", .headers = {}, .body = body.dump(-1, ' ', false, json::error_handler_t::replace) };
+    return { .method = HttpMethod::Post, .target = "/v1/contact", .headers = {}, .body = serializeJson(body) };
 }
 
 BatchCommand decodeContact(const HostName& worker, Epoch epoch, const tl::expected<HttpResponse, SendFailure>& answer)
--- a/packages/platform/platform_client.cc
+++ b/packages/platform/platform_client.cc
@@ -84,7 +84,7 @@
 void PlatformClient::writeTransaction(const PlatformWork& work, Completion completion)
 {
     const Transaction& transaction = std::get<WriteTransaction>(work).transaction;
-    HttpRequest request { .method = HttpMethod::Post, .target = "/table/transactions", .headers = {}, .body = internal::encodeTransaction(transaction).dump() };
+    HttpRequest request { .method = HttpMethod::Post, .target = "/table/transactions", .headers = {}, .body = serializeJson(internal::encodeTransaction(transaction)) };
     this->client.send(this->options.endpoint, std::move(request), this->options.timeout, [id = transaction.id, completion = std::move(completion)](Answer answer) {
         const json body = parseAnswer(answer);
         TransactionResult result { id, statusOf(answer), 0, decodeRows(body, "conflicts") };
