cli: arguments and responses of other kinds don't end the command

Operators saw `dragonflytray` end by an uncaught exception or SIGSEGV where an argument of submit is not UTF-8, a response has a member of another type (apply, diff, show, bench), or a response or a line of `explain log` is nested deeply.

An argument that is not UTF-8 is named, with the exit code of faulty input, and nothing is submitted.

--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -12,6 +12,7 @@
 #include "cli/connection.h"
 #include "cli/context.h"
 #include "cli/render.h"
+#include "json/json.h"
 #include <CLI/CLI.hpp>
 
 namespace dragonflytray {
--- a/packages/cli/commands/apply.cc
+++ b/packages/cli/commands/apply.cc
@@ -17,15 +17,15 @@
         auto response = exchange(context, { .target = "/v1/status", .headers = {}, .body = {} });
         if (!response)
             return std::nullopt;
-        const auto body = nlohmann::json::parse(response->body, nullptr, false);
-        return body.is_object() ? body.value("version", std::uint64_t(0)) : 0;
+        const auto body = parseJson(response->body);
+        return fieldOr<std::uint64_t>(body, "version", 0);
     }
 
     void printFindings(const nlohmann::json& findings)
     {
         for (const auto& finding : findings) {
-            const std::string hint = finding.value("hint", "");
-            std::cerr << formatPlace({ finding.value("file", ""), finding.value("line", 0), finding.value("column", 0) }) << ": " << finding.value("message", "") << (hint.empty() ? "" : " (" + hint + ")") << '\n';
+            const std::string hint = fieldOr<std::string>(finding, "hint", "");
+            std::cerr << formatPlace({ fieldOr<std::string>(finding, "file", ""), fieldOr(finding, "line", 0), fieldOr(finding, "column", 0) }) << ": " << fieldOr<std::string>(finding, "message", "") << (hint.empty() ? "" : " (" + hint + ")") << '\n';
         }
     }
 
@@ -41,14 +41,14 @@
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
-        auto body = nlohmann::json::parse(response->body, nullptr, false);
+        auto body = parseJson(response->body);
         if (body.is_object() && body.contains("findings")) {
             printFindings(body["findings"]);
             body.erase("findings");
         }
         if (body.is_object() && body.contains("changes") && context.output == OutputForm::Table) {
             for (const auto& change : body["changes"])
-                std::cerr << "your file over the version in force: " << change.value("kind", "") << " " << change.value("path", "") << ": " << change.value("before", "") << " -> " << change.value("after", "") << '\n';
+                std::cerr << "your file over the version in force: " << fieldOr<std::string>(change, "kind", "") << " " << fieldOr<std::string>(change, "path", "") << ": " << fieldOr<std::string>(change, "before", "") << " -> " << fieldOr<std::string>(change, "after", "") << '\n';
             body.erase("changes");
         }
         render(std::cout, body, context.output);
--- a/packages/cli/commands/cancel.cc
+++ b/packages/cli/commands/cancel.cc
@@ -14,7 +14,7 @@
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
-        render(std::cout, nlohmann::json::parse(response->body, nullptr, false), context.output);
+        render(std::cout, parseJson(response->body), context.output);
     });
 }
 
--- a/packages/cli/commands/submit.cc
+++ b/packages/cli/commands/submit.cc
@@ -18,8 +18,20 @@
         double runSeconds { 0 };
     };
 
+    bool isUtf8(const std::string& text)
+    {
+        return parseJson(serializeJson(text)) == text;
+    }
+
     void run(Context& context, const SubmitOptions& options)
     {
+        for (const std::string& text : { options.id, options.team, options.batchClass, options.priority, options.payload }) {
+            if (!isUtf8(text)) {
+                std::cerr << "the argument " << serializeJson(text) << " is not UTF-8\n";
+                context.exitCode = ExitCode::Faulty;
+                return;
+            }
+        }
         const nlohmann::json body {
             { "id", options.id },
             { "team", options.team },
@@ -31,11 +43,11 @@
             { "accelerators", options.accelerators },
             { "runSeconds", options.runSeconds },
         };
-        auto response = exchange(context, { .method = HttpMethod::Post, .target = "/v1/jobs", .headers = {}, .body = body.dump() });
+        auto response = exchange(context, { .method = HttpMethod::Post, .target = "/v1/jobs", .headers = {}, .body = serializeJson(body) });
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
-        render(std::cout, nlohmann::json::parse(response->body, nullptr, false), context.output);
+        render(std::cout, parseJson(response->body), context.output);
     }
 
 } // namespace
--- a/packages/cli/queries/diff.cc
+++ b/packages/cli/queries/diff.cc
@@ -26,8 +26,8 @@
         auto response = exchange(context, { .target = "/v1/configuration", .headers = {}, .body = {} });
         if (!response)
             return;
-        const auto body = nlohmann::json::parse(response->body, nullptr, false);
-        const std::string inForce = body.is_object() ? body.value("text", "") : "";
+        const auto body = parseJson(response->body);
+        const std::string inForce = fieldOr<std::string>(body, "text", "");
         const auto after = parseOrExplain(context, *text, file);
         const auto before = inForce.empty() ? std::optional(Declaration {}) : parseOrExplain(context, inForce, "in force");
         if (!before || !after)
--- a/packages/cli/queries/explain.cc
+++ b/packages/cli/queries/explain.cc
@@ -20,7 +20,7 @@
             if (!response)
                 return;
             context.exitCode = exitCodeOf(response->status);
-            render(std::cout, nlohmann::json::parse(response->body, nullptr, false), context.output);
+            render(std::cout, parseJson(response->body), context.output);
         });
     }
 
--- a/packages/cli/queries/show.cc
+++ b/packages/cli/queries/show.cc
@@ -13,7 +13,7 @@
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
-        const auto body = nlohmann::json::parse(response->body, nullptr, false);
+        const auto body = parseJson(response->body);
         render(std::cout, body.is_object() && body.contains("jobs") ? body["jobs"] : body, context.output);
     }
 
@@ -23,11 +23,11 @@
         if (!response)
             return;
         context.exitCode = exitCodeOf(response->status);
-        const auto body = nlohmann::json::parse(response->body, nullptr, false);
+        const auto body = parseJson(response->body);
         if (context.output != OutputForm::Table || !body.is_object() || context.exitCode != ExitCode::Done)
             return render(std::cout, body, context.output);
-        std::cout << "# version " << body.value("version", 0) << "\n"
-                  << body.value("text", "");
+        std::cout << "# version " << fieldOr<std::uint64_t>(body, "version", 0) << "\n"
+                  << fieldOr<std::string>(body, "text", "");
     }
 
 } // namespace
--- a/packages/cli/queries/status.cc
+++ b/packages/cli/queries/status.cc
@@ -19,7 +19,7 @@
             auto response = exchange(context, { .target = std::string(path), .headers = {}, .body = {} });
             if (!response)
                 return;
-            const auto body = nlohmann::json::parse(response->body, nullptr, false);
+            const auto body = parseJson(response->body);
             if (body.is_object())
                 whole[std::string(path.substr(path.rfind('/') + 1))] = body;
         }
--- a/packages/cli/render.cc
+++ b/packages/cli/render.cc
@@ -1,5 +1,6 @@
 #include "cli/render.h"
 
+#include "json/json.h"
 #include <algorithm>
 #include <iomanip>
 #include <vector>
@@ -13,7 +14,7 @@
 
     std::string cellOf(const json& value)
     {
-        return value.is_string() ? value.get<std::string>() : value.dump();
+        return value.is_string() ? value.get<std::string>() : serializeJson(value);
     }
 
     void renderRows(std::ostream& stream, const json& rows)
@@ -92,7 +93,7 @@
     case OutputForm::Table:
         return renderTable(stream, value);
     case OutputForm::Json:
-        stream << value.dump(2) << '\n';
+        stream << serializeJson(value, 2) << '\n';
         return;
     case OutputForm::Yaml: {
         YAML::Emitter emitter;
--- a/packages/json/json.h
+++ b/packages/json/json.h
@@ -60,4 +60,20 @@
     }
 }
 
+// fieldOr() returns the field `name`, or `fallback` if it is absent, of another JSON type, or outside the range of
+// `Value`.
+template <typename Value>
+Value fieldOr(const nlohmann::json& json, const char* name, Value fallback)
+{
+    const auto found = json.find(name);
+    if (found == json.end())
+        return fallback;
+    if constexpr (std::is_same_v<Value, std::string>)
+        return found->is_string() ? found->get<std::string>() : fallback;
+    else if constexpr (std::is_same_v<Value, bool>)
+        return found->is_boolean() ? found->get<bool>() : fallback;
+    else
+        return numberAs<Value>(*found).value_or(fallback);
+}
+
 } // namespace dragonflytray
--- a/packages/load/load_run.cc
+++ b/packages/load/load_run.cc
@@ -1,6 +1,7 @@
 #include "load/load_run.h"
 
 #include "transport/transport.h"
+#include "json/json.h"
 #include <algorithm>
 #include <random>
 
@@ -45,8 +46,8 @@
 
     std::string reasonOf(const HttpResponse& response)
     {
-        const auto body = nlohmann::json::parse(response.body, nullptr, false);
-        return body.is_object() ? body.value("reason", "no reason") : "status " + std::to_string(response.status);
+        const auto body = parseJson(response.body);
+        return body.is_object() ? fieldOr<std::string>(body, "reason", "no reason") : "status " + std::to_string(response.status);
     }
 
     // LoadRun owns the loop and the state of one run.
--- a/packages/story/job_story_test.cc
+++ b/packages/story/job_story_test.cc
@@ -100,4 +100,12 @@
     CHECK(line->host == "frontend-2");
 }
 
+TEST_CASE_METHOD(JobStoryFixture, "JobStory_lineIsNestedDeeply_countsAsCut")
+{
+    const std::string text = R"({"time":"2026-05-17T20:53:39.088","id":)" + std::string(200'000, '[') + std::string(200'000, ']') + "}";
+    const auto line = parseLogLine("entry-1", text);
+    REQUIRE_FALSE(line);
+    CHECK(line.error() == LineFault::Cut);
+}
+
 } // namespace dragonflytray
--- a/packages/story/log_line.cc
+++ b/packages/story/log_line.cc
@@ -1,6 +1,6 @@
 #include "story/log_line.h"
 
-#include <nlohmann/json.hpp>
+#include "json/json.h"
 
 namespace dragonflytray {
 
@@ -11,7 +11,7 @@
         const auto found = object.find(name);
         if (found == object.end())
             return {};
-        return found->is_string() ? found->get<std::string>() : found->dump();
+        return found->is_string() ? found->get<std::string>() : serializeJson(*found);
     }
 
     long numberOf(const nlohmann::json& object, const char* name)
@@ -37,7 +37,7 @@
     const auto begin = text.find('{');
     if (begin == std::string_view::npos)
         return tl::make_unexpected(LineFault::NoObject);
-    const nlohmann::json object = nlohmann::json::parse(text.substr(begin), nullptr, false);
+    const nlohmann::json object = parseJson(text.substr(begin));
     if (!object.is_object())
         return tl::make_unexpected(LineFault::Cut);
     const std::string named = lastWordOf(text.substr(0, begin));
