scheduling: no best-effort task starts where a target is missed beside others

A task whose predicted effect was below harmfulEffect was admitted whatever the headroom, so that tasks went on starting at full speed on workers that missed a target. Several of them add up, and a prediction that is still wrong is acted on again and again.

admits() now refuses every best-effort task while a target is reported to be missed beside best-effort tasks; the mark ends when the last of them has left, so that a serving task that is over its target by itself does not keep the worker closed.

BestEffortControl_targetMissed_admitsNoTaskUntilItIsKept fails before.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -228,8 +228,10 @@
 std::vector<SpeedChange> BestEffortControl::speedChangesFor(FleetWorker& worker, Instant now)
 {
     std::vector<SpeedChange> changes;
-    if (worker.bestEffortMillicores == 0)
+    if (worker.bestEffortMillicores == 0) {
+        worker.targetMissedSince = {};
         return changes;
+    }
     double least = std::numeric_limits<double>::infinity();
     std::size_t serving = unknownImage;
     for (const ServingHeadroom& entry : worker.servingHeadrooms) {
@@ -347,6 +349,8 @@
 
 bool BestEffortControl::admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const
 {
+    if (worker.targetMissedSince != Instant())
+        return false;
     const double idle = minPercent < 100 ? this->idleMillicoresAtSpeeds(worker) : this->idleMillicores(worker);
     if (idle < static_cast<double>(millicores) * minPercent / 100)
         return false;
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -45,6 +45,14 @@
             this->control.observe(this->worker, this->now);
         }
 
+        // reportTail() advances by half a second and reports a tail of the serving task.
+        void reportTail(std::int64_t milliseconds)
+        {
+            this->runOf("serving").load = milliseconds;
+            this->now += std::chrono::milliseconds(500);
+            this->control.observe(this->worker, this->now);
+        }
+
         // learn() runs both images in turn until the model knows their effects.
         void learn()
         {
@@ -175,6 +183,32 @@
     CHECK(admitted * 0.05 * this->control.risk(this->worker, heavy, 8000) < BestEffortControl::Options {}.admissionHeadroom - 1);
 }
 
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_targetMissed_admitsNoTaskUntilItIsKept")
+{
+    this->learn();
+    const std::size_t light = this->control.imageNumber(ImageName("light"));
+    this->add(this->worker, "fill", bestEffort("light"));
+    this->reportTail(20);
+    (void)this->control.speedChangesFor(this->worker, this->now);
+    CHECK_FALSE(this->control.admits(this->worker, light, 8000, fullSpeed));
+    CHECK_FALSE(this->control.admits(this->worker, light, 8000, 5));
+    this->reportTail(10);
+    (void)this->control.speedChangesFor(this->worker, this->now);
+    CHECK(this->control.admits(this->worker, light, 8000, fullSpeed));
+}
+
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_lastBestEffortTaskLeavesDuringMiss_admitsTaskAgain")
+{
+    this->learn();
+    this->add(this->worker, "fill", bestEffort("light"));
+    this->reportTail(20);
+    (void)this->control.speedChangesFor(this->worker, this->now);
+    this->fleet.release(this->worker, { { JobId("fill"), 0, 0, 0 }, 1 });
+    this->reportTail(20);
+    (void)this->control.speedChangesFor(this->worker, this->now);
+    CHECK(this->control.admits(this->worker, this->control.imageNumber(ImageName("light")), 8000, 5));
+}
+
 TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_servingTaskLeaves_throttledTaskIsSpedUp")
 {
     this->add(this->worker, "bad", bestEffort("heavy"));
