scheduling: a dip of the tail to the target does not end a miss

Tails are whole milliseconds, and a tail has to stay below its target: one that is reported at the target may be over it. A dip just below the target was taken for an end of the miss, too.

A tail at the target now counts as a miss. The time of the miss goes on until every target is kept by throttleHeadroom, the margin at which throttling ends; the rule that throttles all tasks still acts only on a report of a miss. Admission stays closed for as long.

BestEffortControl_tailIsNearTargetBetweenMisses_everyTaskIsThrottled fails before.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -18,7 +18,7 @@
         return allocation.isServing && allocation.load > 0 && !allocation.isStopping;
     }
 
-    // headroomOf() is latency target / tail latency. From 1 on the target holds.
+    // headroomOf() is latency target / tail latency. Above 1 the target holds.
     double headroomOf(const RunAllocation& allocation)
     {
         return static_cast<double>(toMilliseconds(allocation.latencyTarget)) / static_cast<double>(allocation.load);
@@ -240,11 +240,12 @@
         least = entry.headroom;
         serving = entry.image;
     }
-    if (least >= 1)
+    const bool isMissed = least <= 1; // a tail that is reported at the target may be over it by less than a millisecond
+    if (least >= this->options.throttleHeadroom)
         worker.targetMissedSince = {};
-    else if (worker.targetMissedSince == Instant())
+    else if (isMissed && worker.targetMissedSince == Instant())
         worker.targetMissedSince = now;
-    const bool isMissedTooLong = least < 1 && now >= worker.targetMissedSince + this->options.missedTargetTimeout;
+    const bool isMissedTooLong = isMissed && now >= worker.targetMissedSince + this->options.missedTargetTimeout;
     if (isMissedTooLong) // throttle all of them, whatever the model predicts
         this->slowDown(worker, std::numeric_limits<double>::infinity(), 0, serving, changes);
     else if (least < this->options.throttleHeadroom)
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -83,7 +83,8 @@
     // admits() says whether one more best-effort task of that image may run at `minPercent` of its full speed or more: so many of its
     // cores are idle, and as far as is known every target holds at that speed. One task at Options::minSpeedPercent is admitted whatever
     // is predicted of the targets, and further ones as long as all throttled tasks on the worker together take less than the headroom
-    // above 1 that admission keeps. None is admitted while a target is reported to be missed beside best-effort tasks.
+    // above 1 that admission keeps. None is admitted from the report of a missed target beside best-effort tasks on, until every target
+    // is kept by the margin of Options::throttleHeadroom.
     bool admits(const FleetWorker& worker, std::size_t image, std::int64_t millicores, int minPercent) const;
 
     // harmlessPercent() is the highest speed at which, as far as is known, every target holds with one more best-effort task of that
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -1,5 +1,6 @@
 #include "scheduling/best_effort_control.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace dragonflytray {
@@ -183,6 +184,20 @@
     CHECK(admitted * 0.05 * this->control.risk(this->worker, heavy, 8000) < BestEffortControl::Options {}.admissionHeadroom - 1);
 }
 
+// A tail that is reported at the target may be over it, and one that falls just below it for one report is soon over it again.
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_tailIsNearTargetBetweenMisses_everyTaskIsThrottled")
+{
+    constexpr Duration impactBound = std::chrono::seconds(4);
+    this->add(this->worker, "fill", bestEffort("light"));
+    this->runOf("fill").bestEffortMillicores = 500; // too small to count as harmful
+    const Instant missedAt = this->now;
+    for (int i = 0; this->now + std::chrono::milliseconds(500) < missedAt + impactBound; ++i) {
+        this->reportTail(std::array<std::int64_t, 3> { 20, 18, 17 }[static_cast<std::size_t>(i) % 3]);
+        (void)this->control.speedChangesFor(this->worker, this->now);
+    }
+    CHECK(this->runOf("fill").speedPercent == BestEffortControl::Options {}.minSpeedPercent);
+}
+
 TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_targetMissed_admitsNoTaskUntilItIsKept")
 {
     this->learn();
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -135,7 +135,7 @@
     std::int64_t servingMillicores { 0 }; // reserved by serving runs
     Instant observedAt; // when the last report was handled
     BestEffortSample bestEffortSample;
-    Instant targetMissedSince; // since when some serving run has missed its target beside best-effort runs; zero: none does
+    Instant targetMissedSince; // since when some serving run has missed its target beside best-effort runs; zero: all have kept theirs by the margin at which throttling ends
     std::vector<ServingHeadroom> servingHeadrooms; // as of the last report
     std::map<TaskRunId, RunAllocation> runs;
 
