--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -252,6 +252,8 @@
         this->slowDown(worker, this->options.admissionHeadroom - least, this->options.harmfulEffect / 2, serving, changes);
     else
         this->speedUp(worker, changes);
+    for (SpeedChange& change : changes)
+        change.headroom = least;
     return changes;
 }
 
@@ -272,7 +274,7 @@
         const double remainingShare = std::isinf(missingHeadroom) ? 0 : 1 - missingHeadroom / effect;
         entry->second.speedPercent = std::max(this->options.minSpeedPercent, static_cast<int>(before * remainingShare));
         missingHeadroom -= effect * (before - entry->second.speedPercent) / before;
-        changes.push_back({ entry->first, entry->second.speedPercent });
+        changes.push_back({ .run = entry->first, .percent = entry->second.speedPercent });
     }
 }
 
@@ -287,7 +289,7 @@
         if (!this->maySpeedUp(worker, image, addedMillicores))
             continue;
         allocation.speedPercent = newPercent;
-        changes.push_back({ run, allocation.speedPercent });
+        changes.push_back({ .run = run, .percent = allocation.speedPercent });
         for (ServingHeadroom& entry : worker.servingHeadrooms)
             entry.headroom -= this->effectOf(entry.image, image) * this->exposureOf(worker, addedMillicores);
     }
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -26,6 +26,7 @@
 struct SpeedChange {
     TaskRunId run;
     int percent { 100 }; // of its full speed
+    double headroom { std::numeric_limits<double>::infinity() }; // the least reported one that it rests on; infinite: none
 };
 
 // BestEffortControl learns how images affect each other, and decides on admission and speed. The state of a worker is
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -3,6 +3,7 @@
 #include "scheduling/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <set>
 
@@ -389,13 +390,17 @@
 {
     // A worker begins every run at full speed.
     if (const int percent = worker.runs.at(run).speedPercent; percent < 100)
-        this->setSpeed(worker, { run, percent }, context);
+        this->setSpeed(worker, { .run = run, .percent = percent }, context);
 }
 
 void Dispatcher::setSpeed(const FleetWorker& worker, const SpeedChange& change, CommandContext& context)
 {
     context.add(SetTaskSpeed { this->addressOf(worker, context.now), change.run, change.percent });
-    context.add(LogDecision { DecisionEvent::TaskSpeedChanged, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 });
+    LogDecision line { DecisionEvent::TaskSpeedChanged, formatRun(change.run), worker.entry.id.value(), std::to_string(change.percent), 0, 0 };
+    if (std::isfinite(change.headroom))
+        line.inputs.push_back({ DecisionInput::HeadroomPercent, std::llround(100 * change.headroom) });
+    line.inputs.push_back({ DecisionInput::MissedMilliseconds, worker.targetMissedSince == Instant() ? 0 : toMilliseconds(context.now - worker.targetMissedSince) });
+    context.add(std::move(line));
 }
 
 void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context)
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -252,6 +252,8 @@
     WorkersWithReportedHeadroom, // the same by the last reports alone, without the least headroom seen before
     ServingWorkers, // those of WorkersWithMemory on which serving tasks run
     MinSpeedPercent, // of its full speed, below which a best-effort task is not started
+    HeadroomPercent, // latency target / reported tail latency, the least of the serving runs on the worker
+    MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -280,8 +282,10 @@
     { DecisionInput::WorkersWithReportedHeadroom, "withReportedHeadroom" },
     { DecisionInput::ServingWorkers, "serving" },
     { DecisionInput::MinSpeedPercent, "minSpeedPercent" },
+    { DecisionInput::HeadroomPercent, "headroomPercent" },
+    { DecisionInput::MissedMilliseconds, "missedMs" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::MinSpeedPercent));
+static_assert(decisionInputNames.isWhole(DecisionInput::MissedMilliseconds));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
