--- a/packages/scheduling/crash_verdicts.h
+++ b/packages/scheduling/crash_verdicts.h
@@ -10,7 +10,7 @@
 //     a start was answered                    the run had begun
 //     a report names a run long after that    the run has settled: its task does not crash workers
 //     the only run that had just begun        the run or a cause outside has ended the worker
-//     other workers are lost about then       a cause outside
+//     other workers are lost about then       a cause outside, unless runs that had just begun explain those losses as well
 //
 // A crash of which nothing but its run is known to be a cause proves that the task is to blame, if it happens twice. Beside other
 // losses it proves nothing, and it does not count beside several that no run explains. Any other crash makes the task a suspect.
