scheduling: no task is started in an evacuated data centre

Cause: no host read the operator's requests to evacuate a data centre. Each host follows them with the feed of the operator's table, and the leader restricts placement; it starts tasks only while it knows them as of less than the limit ago, less the validity of a start. Workers of a data centre fill up gradually after the request is withdrawn, and cold workers come last.

--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -95,6 +95,10 @@
     gauge("dragonflytray_delegating", summary.isDelegating ? 1 : 0);
     gauge("dragonflytray_start_window_bytes", static_cast<double>(summary.startWindowBytes));
     gauge("dragonflytray_start_bytes_under_way", static_cast<double>(summary.startBytesUnderWay));
+    if (summary.followsEvacuations) {
+        gauge("dragonflytray_evacuated_data_centres", static_cast<double>(summary.evacuatedDataCentres));
+        gauge("dragonflytray_evacuated_runs", static_cast<double>(summary.evacuatedRuns));
+    }
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -32,9 +32,11 @@
         { workersPace, workersPace }, // only a leader reads it
     } };
 
-    const FeedPace& paceOf(FeedKind feed, bool isLeading)
+    constexpr FeedPaces evacuationsPaces { { std::chrono::milliseconds(500), std::chrono::milliseconds(0) }, { feedWait, std::chrono::milliseconds(0) } }; // of the operator's table; each answer makes the evacuations of a leader recent
+
+    const FeedPace& paceOf(FeedKind feed, bool isLeading, bool followsEvacuations)
     {
-        const FeedPaces& ofKind = paces[indexOf(feed)];
+        const FeedPaces& ofKind = feed == FeedKind::Configuration && followsEvacuations ? evacuationsPaces : paces[indexOf(feed)];
         return isLeading ? ofKind.leading : ofKind.following;
     }
 
@@ -54,6 +56,7 @@
 StoreDuty::StoreDuty(const EntrySettings& settings, EntryRings& rings, const StoreProtocol& protocol)
     : protocol(protocol)
     , endpoint(settings.store)
+    , followsEvacuations(settings.evacuationLimit > Duration(0))
     , outbox(this->loop, rings.scheduling)
     , client(this->loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit, .progressTimeout = readTimeout })
 {
@@ -96,6 +99,9 @@
     feed.scan.reset();
     if (feed.isWanted && !feed.isBusy)
         this->follow(feed);
+    // A new leader starts nothing before it knows the evacuations, and the poll in flight may wait for a second yet.
+    if (feed.isWanted && this->followsEvacuations)
+        this->pollOnce(this->feeds[indexOf(FeedKind::Configuration)]);
 }
 
 void StoreDuty::follow(Feed& feed)
@@ -160,6 +166,7 @@
     }
     append(scan.read.jobs, page.jobs);
     append(scan.read.workers, page.workers);
+    append(scan.read.evacuations, page.evacuations);
     if (page.configuration)
         scan.read.configuration = std::move(page.configuration);
     scan.startKey = std::move(page.nextKey);
@@ -209,7 +216,7 @@
 
 void StoreDuty::poll(Feed& feed)
 {
-    const Duration wait = paceOf(feed.kind, this->isLeading).wait;
+    const Duration wait = paceOf(feed.kind, this->isLeading, this->followsEvacuations).wait;
     this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, wait), wait + pageTimeoutOf(feed), [this, &feed](HttpOutcome outcome) {
         adaptPageTimeout(feed, outcome);
         this->pagePolled(feed, this->protocol.decodePage(feed.kind, outcome));
@@ -227,7 +234,16 @@
         return this->follow(feed);
     feed.revision = std::max(feed.revision, page.revision);
     this->deliver(feed, std::move(page), false);
-    this->again(feed, paceOf(feed.kind, this->isLeading).pause);
+    this->again(feed, paceOf(feed.kind, this->isLeading, this->followsEvacuations).pause);
+}
+
+void StoreDuty::pollOnce(Feed& feed)
+{
+    this->client.send(this->endpoint, this->protocol.encodeFeed(feed.kind, feed.revision, Duration(0)), pageTimeoutOf(feed), [this, &feed](HttpOutcome outcome) {
+        FeedPage page = this->protocol.decodePage(feed.kind, outcome);
+        if (page.status == FeedStatus::Read && feed.isScanned)
+            this->deliver(feed, std::move(page), false); // the poll in flight reads the same changes again
+    });
 }
 
 void StoreDuty::again(Feed& feed, Duration delay)
@@ -245,8 +261,15 @@
         return this->outbox.send(StoredRowsRead { std::move(page.jobs), page.revision, isWhole });
     if (feed.kind == FeedKind::Workers)
         return this->outbox.send(WorkersListed { std::move(page.workers), std::move(page.removedWorkers), isWhole, page.revision });
+    this->deliverOperatorRows(std::move(page), isWhole);
+}
+
+void StoreDuty::deliverOperatorRows(FeedPage page, bool isWhole)
+{
     if (page.configuration)
         this->outbox.send(ConfigurationFollowed { std::move(*page.configuration) });
+    if (this->followsEvacuations)
+        this->outbox.send(EvacuationsFollowed { { std::move(page.evacuations), isWhole, page.revision } });
 }
 
 void StoreDuty::noteContact(const Feed& feed, bool isAnswering)
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -48,14 +48,17 @@
     void polledDuringScan(Feed& feed, FeedPage page);
     void finishScan(Feed& feed);
     void poll(Feed& feed);
+    void pollOnce(Feed& feed);
     void pagePolled(Feed& feed, FeedPage page);
     void deliver(const Feed& feed, FeedPage page, bool isWhole);
+    void deliverOperatorRows(FeedPage page, bool isWhole);
     void again(Feed& feed, Duration delay);
     void startOver(Feed& feed);
     void noteContact(const Feed& feed, bool isAnswering);
 
     const StoreProtocol& protocol;
     Endpoint endpoint;
+    bool followsEvacuations { false };
     IoLoop loop;
     Outbox outbox;
     HttpClient client;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -40,6 +40,8 @@
         settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", millisecondBounds, settings.stopTimeout);
         settings.cancellationLimit = readMilliseconds(map, "cancellationLimitMilliseconds", changeLimitBounds, settings.cancellationLimit);
         settings.drainingLimit = readMilliseconds(map, "drainingLimitMilliseconds", changeLimitBounds, settings.drainingLimit);
+        if (map.has("evacuationLimitMilliseconds"))
+            settings.evacuationLimit = readMilliseconds(map, "evacuationLimitMilliseconds", changeLimitBounds, settings.evacuationLimit);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -87,6 +89,8 @@
     options.dispatcher.stopTimeout = settings.stopTimeout;
     options.dispatcher.maxJobsViewAge = settings.cancellationLimit - options.dispatcher.startValidity;
     options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
+    if (settings.evacuationLimit > Duration(0))
+        options.dispatcher.maxEvacuationsViewAge = settings.evacuationLimit - options.dispatcher.startValidity;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/protocols.h
+++ b/packages/entry/protocols.h
@@ -65,6 +65,7 @@
     std::vector<ListedWorker> workers;
     std::vector<WorkerId> removedWorkers;
     std::optional<SchedulingConfiguration> configuration;
+    std::vector<EvacuationChange> evacuations; // of data centres
     std::string nextKey; // of a scan; empty: this was the last page
     std::size_t unreadable { 0 }; // entries that could not be understood
 };
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -1,4 +1,4 @@
-// Handlers of configuration changes, of the handover, and of the periodic tick.
+// Handlers of configuration changes, of evacuations, of the handover, and of the periodic tick.
 
 #include "scheduling/scheduler.h"
 
@@ -22,6 +22,11 @@
     this->dispatcher.configurationChanged(configuration);
 }
 
+void Scheduler::evacuationsFollowed(const SchedulerCommand& command, CommandContext& context)
+{
+    this->dispatcher.evacuationsFollowed(std::get<EvacuationsFollowed>(command).delivered, context);
+}
+
 void Scheduler::beginHandover(const SchedulerCommand&, CommandContext& context)
 {
     this->dispatcher.beginHandover();
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -19,6 +19,7 @@
     , bestEffortControl(options.bestEffort)
     , crashSuspects(options.crashes)
     , crashVerdicts(options.crashVerdicts)
+    , dataCentreEvacuations(options.evacuations)
 {
 }
 
@@ -72,6 +73,8 @@
 {
     this->jobsView.writeCommitted(version, sentAt);
     this->workersView.writeCommitted(version, sentAt);
+    if (this->followsEvacuations())
+        this->evacuationsView.writeCommitted(version, sentAt);
 }
 
 void Dispatcher::storeFollowed(RowVersion version, const JobCache& jobCache, CommandContext& context)
@@ -214,6 +217,12 @@
     this->needsPass = true;
 }
 
+Instant Dispatcher::viewedAt() const
+{
+    const Instant viewedAt = std::min(this->jobsView.asOf(), this->workersView.asOf());
+    return this->followsEvacuations() ? std::min(viewedAt, this->evacuationsView.asOf()) : viewedAt;
+}
+
 std::optional<std::int64_t> Dispatcher::viewAge(Instant now) const
 {
     return this->viewedAt() == Instant() ? std::nullopt : std::optional(toMilliseconds(now - this->viewedAt()));
@@ -223,7 +232,8 @@
 {
     const bool isStoreSilent = this->isStoreLost && now >= this->lastStoreAnswer + this->options.storeSilenceTimeout;
     const Instant comparedAt = isStoreSilent ? this->lastStoreAnswer : now;
-    return comparedAt < this->jobsView.asOf() + this->options.maxJobsViewAge && comparedAt < this->workersView.asOf() + this->options.maxWorkersViewAge;
+    const bool areEvacuationsRecent = !this->followsEvacuations() || comparedAt < this->evacuationsView.asOf() + this->options.maxEvacuationsViewAge;
+    return areEvacuationsRecent && comparedAt < this->jobsView.asOf() + this->options.maxJobsViewAge && comparedAt < this->workersView.asOf() + this->options.maxWorkersViewAge;
 }
 
 void Dispatcher::configurationChanged(const SchedulingConfiguration& configuration)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -17,6 +17,7 @@
 //     dispatcher.tick(context);
 
 #include "dispatch/dispatch.h"
+#include "evacuation/evacuation.h"
 #include "scheduling/best_effort_control.h"
 #include "scheduling/cell_leadership.h"
 #include "scheduling/cell_roster.h"
@@ -59,6 +60,8 @@
         Duration maxLeaseAfterTerm { std::chrono::seconds(2) }; // for which a lease of a worker may outlast the time in which its grantor may act
         Duration maxJobsViewAge { std::chrono::seconds(2) }; // of what is known of jobs when a task is started; older views miss cancellations
         Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
+        Duration maxEvacuationsViewAge { 0 }; // the same of the operator's evacuations of data centres; 0: there are none
+        DataCentreEvacuations::Options evacuations {};
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -167,6 +170,9 @@
     // workersListed() applies changes of the list of workers, received at `now`.
     void workersListed(const WorkersListed& change, Instant now);
 
+    // evacuationsFollowed() applies a read of the evacuations of data centres.
+    void evacuationsFollowed(const EvacuationsDelivered& delivered, CommandContext& context);
+
     // storeAnswered() reports an answer of the store to any call.
     void storeAnswered(Instant now) { this->lastStoreAnswer = now; }
 
@@ -228,9 +234,9 @@
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
     std::size_t unrecordedJobs() const { return this->recorder.unrecordedJobs(); }
 
-    // viewedAt() is a time such that every change of jobs and workers that the store acknowledged before it is known here;
+    // viewedAt() is a time such that every change of jobs, workers and, where they are followed, evacuations that the store acknowledged before it is known here;
     // the default value if there is none yet.
-    Instant viewedAt() const { return std::min(this->jobsView.asOf(), this->workersView.asOf()); }
+    Instant viewedAt() const;
 
     // jobsViewedAt() is the same of jobs alone.
     Instant jobsViewedAt() const { return this->jobsView.asOf(); }
@@ -238,10 +244,18 @@
     // viewAge() is the time since viewedAt() in ms; nothing if there is none yet.
     std::optional<std::int64_t> viewAge(Instant now) const;
 
-    // mayStartTasks() says whether tasks may be started: what is known of jobs and workers is recent, or was when the store
+    // followsEvacuations() says whether data centres of this deployment may be evacuated.
+    bool followsEvacuations() const { return this->options.maxEvacuationsViewAge > Duration(0); }
+
+    // mayStartTasks() says whether tasks may be started: what is known of jobs, workers and evacuations is recent, or was when the store
     // last answered. While it does not, hosts without it can't accept changes, and one that reaches it soon fences this host.
     bool mayStartTasks(Instant now) const;
 
+    // evacuations() are the evacuations of data centres that are known here. evacuatedRuns() is the number of runs on workers there.
+    // Linear in all workers.
+    const DataCentreEvacuations& evacuations() const { return this->dataCentreEvacuations; }
+    std::size_t evacuatedRuns() const;
+
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
 
@@ -413,6 +427,9 @@
     struct PlacementPass;
     Duration passInterval() const;
     void updatePause(CommandContext& context);
+    // applyEvacuations() restricts the workers of data centres that are evacuated or fill up again. Linear in all workers while there
+    // are any.
+    void applyEvacuations(Instant now);
     void placeTasks(CommandContext& context);
     void placeClaimants(PlacementPass& pass, CommandContext& context);
     void holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass);
@@ -484,6 +501,9 @@
     RowVersion followedVersion { 0 };
     StoreView jobsView;
     StoreView workersView;
+    StoreView evacuationsView;
+    DataCentreEvacuations dataCentreEvacuations;
+    bool areWorkersRestricted { false }; // by the last applyEvacuations()
     std::optional<WallTime> nextOccurrenceDue; // when the next occurrence of any job is due
     std::optional<Epoch> lastFencedEpoch; // own epoch that a worker rejected
     std::set<WorkerId> workersWithUnacknowledgedEnds; // ends handled but not yet recorded
--- a/packages/scheduling/dispatcher_claims.cc
+++ b/packages/scheduling/dispatcher_claims.cc
@@ -13,7 +13,7 @@
         JobExecution* job = this->findJobExecution(claim.task.job);
         const TaskExecution* taskExecution = job && !isFinal(job->progress().phase) ? job->taskExecution(claim.task) : nullptr;
         FleetWorker* worker = this->fleet.find(claim.worker);
-        const bool mayGetTasks = worker && worker->isListed && !worker->entry.isDraining && !worker->isSuspect;
+        const bool mayGetTasks = worker && worker->isListed && !worker->entry.isDraining && !worker->isEvacuated && !worker->isSuspect;
         const bool isAwaited = mayGetTasks && taskExecution && (taskExecution->stage == TaskStage::Waiting || taskExecution->stage == TaskStage::Stopping);
         const bool isComplete = isAwaited && taskExecution->stage == TaskStage::Waiting && !this->obstacleTo(*job, claim.task, context.now) && fitsOn(*worker, this->requestFor(*job, claim.task, context.now));
         if (isComplete && this->startWindow.hasRoom())
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -116,6 +116,7 @@
     this->updatePause(context);
     if (this->areStartsPaused)
         return;
+    this->applyEvacuations(context.now);
     this->needsPass = false;
     this->lastPass = context.now;
     this->crashSuspects.releaseWorkers(this->fleet, context.now);
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -39,7 +39,13 @@
 
 bool FleetWorker::acceptsTasks(Instant now) const
 {
-    return this->isListed && this->isFenced && this->enrolment == Enrolment::Stored && !this->isSuspect && !this->entry.isDraining && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
+    return this->isListed && this->isFenced && this->enrolment == Enrolment::Stored && !this->isSuspect && !this->entry.isDraining && !this->isEvacuated && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
+}
+
+bool FleetWorker::hasFillRoom() const
+{
+    const auto inUse = static_cast<double>(this->used.millicores + this->bestEffortMillicores);
+    return this->fillShare >= 1 || inUse < this->fillShare * static_cast<double>(this->entry.capacity.millicores);
 }
 
 std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
@@ -81,6 +87,7 @@
         worker.entry = entry;
         worker.isListed = true;
         worker.listedAt = now;
+        worker.coldUntil = entry.coldTime > Duration(0) ? now + entry.coldTime : Instant();
         worker.cell = cell->second;
         listed.insert(entry.id);
     }
@@ -137,6 +144,7 @@
         reset.listedAt = worker.listedAt;
         reset.unlistedSince = worker.unlistedSince;
         reset.drainingSince = worker.drainingSince;
+        reset.coldUntil = worker.coldUntil;
         reset.isPollInFlight = worker.isPollInFlight;
         reset.polledEndpoint = worker.polledEndpoint;
         reset.nextPollAt = now;
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -90,6 +90,9 @@
     bool isListed { false };
     Instant listedAt; // when its entry was last read
     Instant unlistedSince; // when it was last seen to be missing from the list; zero: never
+    Instant coldUntil; // while it is slow after its start
+    bool isEvacuated { false }; // its data centre is evacuated, as of the current placement pass
+    double fillShare { 1 }; // of its capacity, up to which tasks are started on it, as of the current placement pass
     Instant drainingSince; // when it began to drain, at the latest; the least value: before it was first seen here; zero: it does not drain
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
@@ -166,6 +169,9 @@
     // acceptsTasks() says whether new tasks may be placed on the worker. Their lease is that of the worker, which polls extend.
     bool acceptsTasks(Instant now) const;
 
+    // hasFillRoom() says whether it uses less of its capacity than its data centre may while that fills up after an evacuation.
+    bool hasFillRoom() const;
+
     // deadlineAt() is the end of a lease granted at `now`, in ms on the worker's clock; nothing while the clock is unknown.
     std::optional<std::int64_t> deadlineAt(Instant now, Duration lease) const;
 };
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -24,6 +24,9 @@
     // A task that has failed goes to a worker whose last run failed only if no other one has room.
     constexpr double failingWorkerWeight = 4 * dataLocalityWeight;
 
+    // A worker that is slow after its start gets tasks only when no other one has room near their data.
+    constexpr double coldWeight = dataLocalityWeight;
+
     bool hasLabel(const FleetWorker& worker, const std::string& label)
     {
         const std::vector<std::string>& labels = worker.entry.labels;
@@ -42,7 +45,7 @@
     // isEligible() says whether the task may run on the worker, apart from room.
     bool isEligible(const FleetWorker& worker, const PlacementRequest& request)
     {
-        if (!worker.acceptsTasks(request.now))
+        if (!worker.acceptsTasks(request.now) || !worker.hasFillRoom())
             return false;
         const StepDefinition& step = request.step;
         if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel))
@@ -90,6 +93,8 @@
             score = bestEffortScore(worker, request);
         else if (step.latencyTarget > Duration(0))
             score += servingScore(worker, request.image);
+        if (request.now < worker.coldUntil)
+            score += coldWeight;
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
             score += 2 * dataLocalityWeight;
         if (request.avoidsFailingWorkers && worker.consecutiveFailures > 0)
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -37,6 +37,9 @@
         .isDelegating = this->dispatcher.isDelegating(),
         .startWindowBytes = this->dispatcher.startWindowBytes(),
         .startBytesUnderWay = this->dispatcher.startBytesUnderWay(),
+        .followsEvacuations = this->dispatcher.followsEvacuations(),
+        .evacuatedDataCentres = this->dispatcher.evacuations().count(),
+        .evacuatedRuns = this->dispatcher.evacuatedRuns(),
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -31,6 +31,7 @@
     &Scheduler::taskCallEnded,
     &Scheduler::agentContact,
     &Scheduler::configurationFollowed,
+    &Scheduler::evacuationsFollowed,
     &Scheduler::storeContact,
     &Scheduler::beginHandover,
     &Scheduler::tick,
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -103,6 +103,7 @@
     void taskCallEnded(const SchedulerCommand& command, CommandContext& context);
     void agentContact(const SchedulerCommand& command, CommandContext& context);
     void configurationFollowed(const SchedulerCommand& command, CommandContext& context);
+    void evacuationsFollowed(const SchedulerCommand& command, CommandContext& context);
     void storeContact(const SchedulerCommand& command, CommandContext& context);
     void beginHandover(const SchedulerCommand& command, CommandContext& context);
     void tick(const SchedulerCommand& command, CommandContext& context);
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -12,7 +12,7 @@
     constexpr const char* prefix = "/q/";
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
     constexpr Duration callTimeout = std::chrono::milliseconds(900); // of calls to workers
-    const DataCentreName dataCentre("rs-poa");
+    const DataCentreName dataCentre(SchedulerFixture::homeDataCentre);
 
     WallTime wallTimeAt(Instant now)
     {
@@ -37,7 +37,7 @@
     std::unique_ptr<Scheduler>& scheduler = this->hosts[name];
     if (scheduler)
         return *scheduler;
-    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions });
+    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") }, { DataCentreName(otherDataCentre), RegionName("sul-sc") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions });
     this->send(name, SchedulerTick { wallTimeAt(this->now) });
     this->send(name, ConfigurationFollowed { this->configuration });
     return *scheduler;
@@ -136,6 +136,8 @@
         this->deliverChanges(name);
     if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
         this->deliverList(name);
+    if (this->dispatcherOptions.maxEvacuationsViewAge > Duration(0) && !this->isDisconnectedFromStore[name])
+        this->deliverEvacuations(name);
     this->send(name, SchedulerTick { wallTimeAt(this->now) });
 }
 
@@ -195,6 +197,25 @@
     this->send(name, list);
 }
 
+void SchedulerFixture::storeEvacuation(const std::string& dataCentreName, bool isEvacuated)
+{
+    // A row of another table; the store's versions count all transactions.
+    const RowsWriteEnded end = this->store.apply(WriteStoredRows {});
+    this->storeVersions.emplace_back(this->now, end.revision);
+    this->evacuations.push_back({ this->now, { DataCentreName(dataCentreName), isEvacuated, end.revision } });
+}
+
+void SchedulerFixture::deliverEvacuations(const std::string& name)
+{
+    EvacuationsDelivered delivered { {}, false, this->storeVersionAt(this->now - this->evacuationLag[name]) };
+    for (const auto& [storedAt, change] : this->evacuations) {
+        if (change.version > this->evacuationsFollowed[name] && change.version <= delivered.revision)
+            delivered.changes.push_back(change);
+    }
+    this->evacuationsFollowed[name] = std::max(this->evacuationsFollowed[name], delivered.revision);
+    this->send(name, EvacuationsFollowed { std::move(delivered) });
+}
+
 ReplyStatus SchedulerFixture::submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
 {
     SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = prefix + id, .job = {} };
@@ -205,9 +226,9 @@
     return this->replies.empty() ? ReplyStatus::Unclear : this->replies.back().status;
 }
 
-SimulatedWorker& SchedulerFixture::addWorker(const std::string& id, std::int64_t cores)
+SimulatedWorker& SchedulerFixture::addWorker(const std::string& id, std::int64_t cores, const std::string& dataCentreName)
 {
-    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", static_cast<std::uint16_t>(this->workers.size() + 1) }, .dataCentre = dataCentre, .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = this->workerStartTime };
+    ListedWorker entry { .id = WorkerId(id), .service = ServiceName("desk"), .endpoint = { "127.0.0.1", static_cast<std::uint16_t>(this->workers.size() + 1) }, .dataCentre = DataCentreName(dataCentreName), .labels = { "a", "r1" }, .rack = "r1", .capacity = { cores * 1000, 256000, 0 }, .isDraining = false, .startedAt = this->workerStartTime };
     return this->workers.try_emplace(entry.id, entry, this->now).first->second;
 }
 
@@ -216,6 +237,7 @@
     this->hosts.erase(name);
     this->followed.erase(name);
     this->listedUntil.erase(name);
+    this->evacuationsFollowed.erase(name);
     std::erase_if(this->delayedReports, [&](const DelayedReport& report) { return report.host == name; });
     std::erase_if(this->delayedCommands, [&](const DelayedCommand& command) { return command.host == name; });
     this->heldCommands.erase(name);
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -19,6 +19,9 @@
 // lose other answers, freeze and restart hosts, and crash workers or remove them from the list.
 class SchedulerFixture {
 public:
+    static constexpr const char* homeDataCentre = "rs-poa"; // of the hosts
+    static constexpr const char* otherDataCentre = "sc-fln";
+
     SchedulerFixture();
 
     // host() returns the scheduler of that name, which is created on first use.
@@ -33,8 +36,14 @@
     // submit() submits a job with these steps and returns the reply.
     ReplyStatus submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
 
-    // addWorker() adds a worker with that many cores. Leaders that read the list earlier don't know it.
-    SimulatedWorker& addWorker(const std::string& id, std::int64_t cores);
+    // addWorker() adds a worker with that many cores, in the data centre of the hosts unless another one is named. Leaders that read
+    // the list earlier don't know it.
+    SimulatedWorker& addWorker(const std::string& id, std::int64_t cores, const std::string& dataCentre = homeDataCentre);
+
+    // evacuate() stores a request of the operator to evacuate a data centre, and withdraw() removes it. Hosts follow them where
+    // `dispatcherOptions` asks for it.
+    void evacuate(const std::string& dataCentre) { this->storeEvacuation(dataCentre, true); }
+    void withdraw(const std::string& dataCentre) { this->storeEvacuation(dataCentre, false); }
 
     // restartHost() replaces the process of a host. What was in flight to the former one is lost.
     void restartHost(const std::string& name);
@@ -112,6 +121,8 @@
     bool canReach(const std::string& name, const WorkerId& worker) const { return !this->crashed.contains(worker) && !this->cutLinks.contains({ name, worker }); }
     void deliverChanges(const std::string& name);
     void deliverList(const std::string& name);
+    void storeEvacuation(const std::string& dataCentre, bool isEvacuated);
+    void deliverEvacuations(const std::string& name);
     RowVersion storeVersionAt(Instant time) const;
     WorkerCallStatus startOn(const SentStart& start);
     void deliverAfter(Duration delay, const std::string& name, SchedulerCommand command);
@@ -137,6 +148,9 @@
     std::map<std::string, Duration> feedLag; // by which a host receives changes of the store late; reads and writes are answered at once
     std::map<std::string, Duration> listLag; // by which a host receives changes of the list of workers late
     std::vector<std::pair<Instant, RowVersion>> storeVersions; // after each transaction
+    std::map<std::string, Duration> evacuationLag; // by which a host receives requests to evacuate data centres late
+    std::vector<std::pair<Instant, EvacuationChange>> evacuations; // as stored, in the order of versions
+    std::map<std::string, RowVersion> evacuationsFollowed; // by host
     std::map<std::string, Instant> listedUntil; // time up to which a host has received changes of the list
     std::map<WorkerId, SimulatedWorker> workers;
     std::set<WorkerId> unresponsive; // workers that do not answer polls
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -7,6 +7,7 @@
 //     const SchedulerCommand command = StoreContact { .isAnswering = false };
 //     const SchedulerEffects effects = scheduler.handle(command, now);
 
+#include "evacuation/evacuation.h"
 #include "scheduling/scheduling_effects.h"
 #include "scheduling/stored_rows.h"
 #include "scheduling/worker_types.h"
@@ -123,6 +124,11 @@
     SchedulingConfiguration configuration;
 };
 
+// EvacuationsFollowed delivers a read of the operator's evacuations of data centres. A read without changes shows how recent they are.
+struct EvacuationsFollowed {
+    EvacuationsDelivered delivered;
+};
+
 // StoreContact reports whether the store answered the last read of its change feed.
 struct StoreContact {
     bool isAnswering { false };
@@ -137,7 +143,7 @@
     WallTime wallTime { 0 };
 };
 
-using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, AgentContact, ConfigurationFollowed, StoreContact, BeginHandover, SchedulerTick>;
+using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, AgentContact, ConfigurationFollowed, EvacuationsFollowed, StoreContact, BeginHandover, SchedulerTick>;
 
 // SchedulerCommandKind enumerates the alternatives of SchedulerCommand in the same order.
 enum class SchedulerCommandKind {
@@ -153,6 +159,7 @@
     TaskCallEnded,
     AgentContact,
     ConfigurationFollowed,
+    EvacuationsFollowed,
     StoreContact,
     BeginHandover,
     Tick,
@@ -171,6 +178,7 @@
     { SchedulerCommandKind::TaskCallEnded, "task-call-ended" },
     { SchedulerCommandKind::AgentContact, "agent-contact" },
     { SchedulerCommandKind::ConfigurationFollowed, "configuration-followed" },
+    { SchedulerCommandKind::EvacuationsFollowed, "evacuations-followed" },
     { SchedulerCommandKind::StoreContact, "store-contact" },
     { SchedulerCommandKind::BeginHandover, "begin-handover" },
     { SchedulerCommandKind::Tick, "tick" },
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -184,6 +184,9 @@
     TaskGivenUp,
     AgentLost, // a host that delivers orders for this leader has failed, and others take over its workers
     HostForgotten, // the row of a host that has not answered for long is removed
+    EvacuationLearned, // of a data centre, by this host
+    EvacuationInForce, // the leader starts nothing there any more
+    EvacuationWithdrawn,
     TaskWaiting, // a task has not run for long; the outcome says why
 };
 
@@ -221,6 +224,9 @@
     { DecisionEvent::TaskGivenUp, "task-given-up" },
     { DecisionEvent::AgentLost, "agent-lost" },
     { DecisionEvent::HostForgotten, "host-forgotten" },
+    { DecisionEvent::EvacuationLearned, "evacuation-learned" },
+    { DecisionEvent::EvacuationInForce, "evacuation-in-force" },
+    { DecisionEvent::EvacuationWithdrawn, "evacuation-withdrawn" },
     { DecisionEvent::TaskWaiting, "task-waiting" },
 }) };
 static_assert(decisionEventNames.isWhole(DecisionEvent::TaskWaiting));
@@ -253,6 +259,8 @@
     ServingWorkers, // those of WorkersWithMemory on which serving tasks run
     MinSpeedPercent, // of its full speed, below which a best-effort task is not started
     HeadroomPercent, // latency target / reported tail latency, the least of the serving runs on the worker
+    EvacuatedDataCentres,
+    EvacuatedRuns, // on workers of evacuated data centres
     MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
 };
 
@@ -283,6 +291,8 @@
     { DecisionInput::ServingWorkers, "serving" },
     { DecisionInput::MinSpeedPercent, "minSpeedPercent" },
     { DecisionInput::HeadroomPercent, "headroomPercent" },
+    { DecisionInput::EvacuatedDataCentres, "evacuatedDataCentres" },
+    { DecisionInput::EvacuatedRuns, "evacuatedRuns" },
     { DecisionInput::MissedMilliseconds, "missedMs" },
 }) };
 static_assert(decisionInputNames.isWhole(DecisionInput::MissedMilliseconds));
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -52,6 +52,9 @@
     bool isDelegating { false }; // other hosts deliver the orders of this leader
     std::size_t startWindowBytes { 0 }; // of starts that may be under way
     std::size_t startBytesUnderWay { 0 };
+    bool followsEvacuations { false }; // of data centres
+    std::size_t evacuatedDataCentres { 0 };
+    std::size_t evacuatedRuns { 0 }; // on workers there, of the cells that this host leads
     ReplyCounts replies;
     StageTimes stageTimes;
 };
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -43,6 +43,7 @@
     std::string rack;
     TaskResources capacity;
     bool isDraining { false };
+    Duration coldTime { 0 }; // for which it remains slow after its start, as of when the entry was written
     WallTime startedAt { 0 }; // start of this incarnation; 0: not given
 
     bool operator==(const ListedWorker&) const = default;
