entry: a new leader reads the evacuations at once; decoding and settings tests

The poll of the operator's table that a follower has sent may be answered a second later, and a new leader starts nothing before it knows the evacuations.

--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -63,6 +63,21 @@
     CHECK_FALSE(parseEntrySettings(text, "entry.yaml"));
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_evacuationLimit_isOptional")
+{
+    const std::string entry = "entry:\n";
+    std::string text = this->text;
+    REQUIRE(parseEntrySettings(text, "entry.yaml"));
+    CHECK(schedulerOptions(*parseEntrySettings(text, "entry.yaml")).dispatcher.maxEvacuationsViewAge == Duration(0));
+    text.insert(text.find(entry) + entry.size(), "  evacuationLimitMilliseconds: 5000\n");
+    const auto settings = parseEntrySettings(text, "entry.yaml");
+    REQUIRE(settings);
+    const Dispatcher::Options options = schedulerOptions(*settings).dispatcher;
+    CHECK(options.maxEvacuationsViewAge + options.startValidity == std::chrono::milliseconds(5000));
+    text.replace(text.find("5000"), 4, "2999");
+    CHECK_FALSE(parseEntrySettings(text, "entry.yaml"));
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_cancellationLimit_leavesTimeToReadCancellationsTwice")
 {
     constexpr Duration writeTimeout = std::chrono::seconds(1); // of the store duty
--- a/packages/entry/store_duty_test.cc
+++ b/packages/entry/store_duty_test.cc
@@ -55,6 +55,7 @@
         static constexpr const char* firstPoll = "/feed/jobs?after=7&wait=1000";
 
         std::function<std::optional<StandinAnswer>(const std::string& target)> replace; // set before run(); on the server's thread
+        Duration evacuationLimit { 0 }; // set before run()
         std::function<RowVersion()> revision { [] { return RowVersion(7); } };
         StandinPeer store { [this](const std::string& target) { return this->answer(target); } };
         EntryRings rings;
@@ -71,6 +72,7 @@
         {
             EntrySettings settings;
             settings.store = this->store.endpoint();
+            settings.evacuationLimit = this->evacuationLimit;
             this->duty = std::make_unique<StoreDuty>(settings, this->rings, protocol);
             this->thread = std::make_unique<DutyThread>(DutyThread::Options { "store" }, [this] { this->duty->run(); });
         }
@@ -270,6 +272,17 @@
     CHECK(toMilliseconds(shortest) < toMilliseconds(maxListAge - renewInterval));
 }
 
+// A new leader waits for the evacuations, while the poll that a follower has sent may be answered a second later.
+TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_beginsToLeadWhereDataCentresAreEvacuated_readsEvacuationsAtOnce")
+{
+    this->evacuationLimit = std::chrono::seconds(5);
+    this->run();
+    REQUIRE(takeCommand<EvacuationsFollowed>(this->rings, [](const EvacuationsFollowed& read) { return read.delivered.isWhole && read.delivered.revision == 7; }));
+    this->follow(true);
+    REQUIRE(this->store.waitFor([](const auto& calls) { return std::count(calls.begin(), calls.end(), "/feed/configuration?after=7&wait=0") == 1; }));
+    CHECK(takeCommand<EvacuationsFollowed>(this->rings, [](const EvacuationsFollowed& read) { return !read.delivered.isWhole; }));
+}
+
 TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_leadershipLost_stopsReadingListOfWorkers")
 {
     const auto countOf = [](const StandinPeer::Calls& calls, const std::string& start) { return std::count_if(calls.begin(), calls.end(), [&start](const std::string& target) { return target.starts_with(start); }); };
