declarations: a list of evacuated data centres

An operator could not take a data centre out of use through the declaration file. The file now has the optional list evacuatedDataCentres, with findings for bad, empty and repeated names; names that no region lists are allowed. diff names each data centre that joins or leaves the list.

--- a/packages/declarations/declaration.cc
+++ b/packages/declarations/declaration.cc
@@ -39,4 +39,9 @@
     return nullptr;
 }
 
+bool Declaration::isEvacuated(const DataCentreName& name) const
+{
+    return std::find(this->evacuatedDataCentres.begin(), this->evacuatedDataCentres.end(), name) != this->evacuatedDataCentres.end();
+}
+
 } // namespace dragonflytray
--- a/packages/declarations/declaration.h
+++ b/packages/declarations/declaration.h
@@ -69,6 +69,7 @@
     std::vector<ServiceDeclaration> services;
     std::vector<BatchClassDeclaration> batchClasses;
     std::vector<WorkersDeclaration> workers;
+    std::vector<DataCentreName> evacuatedDataCentres; // also names that no region lists
 
     // The find functions return nullptr for an unknown name; findRegionOf() looks up the region of a data
     // centre. They take linear time, and the pointer is valid as long as the declaration.
@@ -76,6 +77,10 @@
     const ServiceDeclaration* findService(const ServiceName& name) const;
     const BatchClassDeclaration* findBatchClass(const BatchClassName& name) const;
     const RegionDeclaration* findRegionOf(const DataCentreName& name) const;
+
+    // isEvacuated() returns true if `name` is on the list of evacuated data centres, where no job is started and to
+    // whose runners no request is sent. Linear in the list.
+    bool isEvacuated(const DataCentreName& name) const;
 };
 
 // DeclarationInForce is the active declaration with the version under which it was committed.
--- a/packages/declarations/diff_declarations.cc
+++ b/packages/declarations/diff_declarations.cc
@@ -73,6 +73,8 @@
             addBatchClass(values, batchClass);
         for (const WorkersDeclaration& workers : declaration.workers)
             values["workers/" + workers.dataCentre.value() + "/guards"] = workers.hasGuards ? "on" : "off";
+        for (const DataCentreName& name : declaration.evacuatedDataCentres)
+            values["evacuatedDataCentres/" + name.value()] = "evacuated";
         return values;
     }
 
--- a/packages/declarations/diff_declarations_test.cc
+++ b/packages/declarations/diff_declarations_test.cc
@@ -6,9 +6,9 @@
 namespace {
 
     struct DiffDeclarationsFixture {
-        Declaration parse(const std::string& teams) const
+        Declaration parse(const std::string& teams, const std::string& evacuated = "") const
         {
-            auto declaration = parseDeclaration("customer: a\nregions: []\nteams: [" + teams + "]\n", "a.yaml");
+            auto declaration = parseDeclaration("customer: a\nregions: []\nteams: [" + teams + "]\nevacuatedDataCentres: [" + evacuated + "]\n", "a.yaml");
             REQUIRE(declaration);
             return *declaration;
         }
@@ -33,5 +33,16 @@
         CHECK(changes[6] == DeclarationChange { DeclarationChangeKind::Added, "teams/c/weight", "", "1" });
     }
 
+    // Guards against an operator being shown a whole list instead of the data centre that joins or leaves it.
+    TEST_CASE_METHOD(DiffDeclarationsFixture, "DiffDeclarations_evacuatedDataCentreReplaced_namesBoth")
+    {
+        const auto changes = diffDeclarations(this->parse("", "dc1, dc2"), this->parse("", "dc3, dc2"));
+
+        REQUIRE(changes.size() == 2);
+        CHECK(describeChange(changes[0]) == "removed evacuatedDataCentres/dc1: evacuated");
+        CHECK(describeChange(changes[1]) == "added evacuatedDataCentres/dc3: evacuated");
+        CHECK(diffDeclarations(this->parse("", "dc1, dc2"), this->parse("", "dc2, dc1")).empty());
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/declarations/parse_declaration.cc
+++ b/packages/declarations/parse_declaration.cc
@@ -145,6 +145,23 @@
         return workers;
     }
 
+    // A name that no region lists is no finding: an evacuated data centre may leave the regions before this list.
+    std::vector<DataCentreName> readEvacuatedDataCentres(YamlMap& root)
+    {
+        static const std::string key = "evacuatedDataCentres";
+        std::vector<DataCentreName> dataCentres;
+        std::set<std::string> seenNames;
+        for (std::string& name : root.texts(key)) {
+            checkName(root, key, name);
+            if (name.empty())
+                root.addFinding(key, "a name in `" + key + "` is empty");
+            else if (!seenNames.insert(name).second)
+                root.addFinding(key, "the data centre `" + name + "` appears twice in `" + key + "`");
+            dataCentres.emplace_back(std::move(name));
+        }
+        return dataCentres;
+    }
+
 } // namespace
 
 tl::expected<Declaration, Findings> parseDeclaration(const std::string& text, const std::string& file)
@@ -164,6 +181,7 @@
     declaration.services = readServices(root);
     declaration.batchClasses = readBatchClasses(root);
     declaration.workers = readWorkers(root, declaration);
+    declaration.evacuatedDataCentres = readEvacuatedDataCentres(root);
     root.finish();
     if (!findings.isEmpty())
         return tl::unexpected(std::move(findings));
--- a/packages/declarations/parse_declaration_test.cc
+++ b/packages/declarations/parse_declaration_test.cc
@@ -73,6 +73,30 @@
                                             "a.yaml:8:1: the key `customer` stands twice\n");
     }
 
+    // Guards against a file that keeps a data centre evacuated being refused once its region no longer lists it.
+    TEST_CASE_METHOD(ParseDeclarationFixture, "ParseDeclaration_evacuatedDataCentres_mayBeInNoRegion")
+    {
+        auto declaration = parseDeclaration(this->text + "evacuatedDataCentres: [rs-cxs, elsewhere]\n", "a.yaml");
+
+        REQUIRE(declaration);
+        CHECK(declaration->isEvacuated(DataCentreName("rs-cxs")));
+        CHECK(declaration->isEvacuated(DataCentreName("elsewhere")));
+        CHECK_FALSE(declaration->isEvacuated(DataCentreName("rs-poa")));
+        CHECK(parseDeclaration(this->text, "a.yaml")->evacuatedDataCentres.empty());
+    }
+
+    // Guards against a mistyped list being applied in part, which would leave a data centre in use.
+    TEST_CASE_METHOD(ParseDeclarationFixture, "ParseDeclaration_evacuatedDataCentresFaulty_reportsEachFinding")
+    {
+        auto declaration = parseDeclaration(this->text + "evacuatedDataCentres: [rs-poa, a/b, rs-poa, '', {}]\n", "a.yaml");
+
+        REQUIRE_FALSE(declaration);
+        CHECK(declaration.error().text() == "a.yaml:10:23: the name `a/b` is not allowed (up to 64 letters, digits, `.`, `_` and `-`)\n"
+                                            "a.yaml:10:23: the data centre `rs-poa` appears twice in `evacuatedDataCentres`\n"
+                                            "a.yaml:10:23: a name in `evacuatedDataCentres` is empty\n"
+                                            "a.yaml:10:49: each item of `evacuatedDataCentres` must be text\n");
+    }
+
     TEST_CASE_METHOD(ParseDeclarationFixture, "ParseDeclaration_aliasBombDeepNestingOrLargeFile_isRejectedWithItsPlace")
     {
         const auto firstFinding = [](const std::string& faulty) { return parseDeclaration(faulty, "a.yaml").error().text(); };
