routing: no request is sent to an evacuated data centre

Runners of an evacuated data centre are not chosen, not counted as reachable and serve no new watch; attempts there end as before. Waiting requests that no other data centre can serve are refused with no-runner instead of waiting until their deadline. Assigned shares stay held, so that their report to the leader is unchanged.

--- a/packages/routing/commands/change_shares.cc
+++ b/packages/routing/commands/change_shares.cc
@@ -37,15 +37,19 @@
         service.liveRunners = 0;
         service.ejectedRunners = 0;
         service.liveDataCentres.clear();
+        service.hasEvacuatedRunners = false;
     }
     for (auto& [name, runner] : this->runners) {
         runner.share = this->shareOf(runner);
-        const bool isLive = runner.isListed && runner.host.state == HostState::Live;
-        runner.isEjected = runner.isEjected && isLive && runner.share > 0;
+        const bool isUsable = this->isUsable(runner);
+        runner.isEjected = runner.isEjected && isUsable && runner.share > 0;
         this->updatePool(runner);
-        if (!isLive)
+        if (!this->isLive(runner))
             continue;
         ServiceState& service = this->serviceOf(runner.host.service);
+        service.hasEvacuatedRunners = service.hasEvacuatedRunners || !isUsable;
+        if (!isUsable)
+            continue;
         service.usableSlots += runner.share;
         service.liveRunners += runner.share > 0 ? 1 : 0;
         service.ejectedRunners += runner.isEjected ? 1 : 0;
@@ -64,9 +68,26 @@
     return assigned == this->assignedShares.end() ? 0 : assigned->second;
 }
 
+bool Routing::isLive(const RunnerState& runner) const
+{
+    return runner.isListed && runner.host.state == HostState::Live;
+}
+
+bool Routing::isEvacuated(const DataCentreName& dataCentre) const
+{
+    return this->inForce.declaration && this->inForce.declaration->isEvacuated(dataCentre);
+}
+
+// The share of a runner in an evacuated data centre stays as assigned: this entry host still holds it, and the runner
+// is only not chosen.
+bool Routing::isUsable(const RunnerState& runner) const
+{
+    return this->isLive(runner) && !this->isEvacuated(runner.host.dataCentre);
+}
+
 void Routing::updatePool(RunnerState& runner)
 {
-    const bool isEligible = runner.isListed && runner.host.state == HostState::Live && !runner.isEjected && runner.inFlight < runner.share;
+    const bool isEligible = this->isUsable(runner) && !runner.isEjected && runner.inFlight < runner.share;
     this->serviceOf(runner.host.service).pool.update(runner, isEligible);
 }
 
--- a/packages/routing/commands/open_watch.cc
+++ b/packages/routing/commands/open_watch.cc
@@ -6,10 +6,10 @@
 {
     const auto& watch = std::get<OpenWatch>(command);
     auto reason = this->checkServiceAndTeam(watch.service, watch.team);
-    // A watch occupies a connection, not a slot: any live runner of the service can serve it.
+    // A watch occupies a connection, not a slot: any usable runner of the service can serve it.
     const RunnerState* nearest = nullptr;
     for (const auto& [name, runner] : this->runners) {
-        const bool isEligible = runner.isListed && runner.host.service == watch.service && runner.host.state == HostState::Live;
+        const bool isEligible = runner.host.service == watch.service && this->isUsable(runner);
         if (isEligible && (!nearest || runner.distance < nearest->distance))
             nearest = &runner;
     }
--- a/packages/routing/routing.cc
+++ b/packages/routing/routing.cc
@@ -57,7 +57,7 @@
     auto found = this->services.find(name);
     if (found != this->services.end())
         return found->second;
-    ServiceState state { makeRequestQueue(this->options.queueOrder, this->options.floors), {}, TokenBucket(retryBudgetOptions), 0, 0, 0, 0, 0, {} };
+    ServiceState state { makeRequestQueue(this->options.queueOrder, this->options.floors), {}, TokenBucket(retryBudgetOptions), 0, 0, 0, 0, 0, {}, false };
     return this->services.emplace(name, std::move(state)).first->second;
 }
 
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -93,7 +93,8 @@
         int liveRunners { 0 }; // live runners with a share above 0
         int ejectedRunners { 0 }; // ejected ones among `liveRunners`
         std::size_t claimsInProgress { 0 };
-        std::set<DataCentreName> liveDataCentres; // data centres with a live runner
+        std::set<DataCentreName> liveDataCentres; // data centres with a live runner, without evacuated ones
+        bool hasEvacuatedRunners { false }; // live runners in evacuated data centres
     };
 
     void submitRequest(const RoutingCommand& command, Instant now, RoutingEffects& effects);
@@ -153,6 +154,8 @@
     void retry(PendingRequest pending, RetryReason reason, Instant now, RoutingEffects& effects);
     // processQueues() enqueues due retries, refuses requests whose deadline has passed, and dispatches all services.
     void processQueues(Instant now, RoutingEffects& effects);
+    // refuseUnreachable() refuses waiting requests which no runner can serve because data centres are evacuated.
+    void refuseUnreachable(ServiceState& service, Instant now, RoutingEffects& effects);
     // ejectIfFailing() counts a failure, and ejects the runner for a cooldown after several consecutive ones.
     void ejectIfFailing(RunnerState& runner, Instant now);
     void readmitIfCooledDown(RunnerState& runner, Instant now);
@@ -180,6 +183,10 @@
     // applyShares() recomputes the share of each runner and the sums per service.
     void applyShares();
     int shareOf(const RunnerState& runner) const;
+    bool isLive(const RunnerState& runner) const;
+    bool isEvacuated(const DataCentreName& dataCentre) const;
+    // isUsable() says whether the runner is live and its data centre is not evacuated.
+    bool isUsable(const RunnerState& runner) const;
     // updatePool() adds the runner to the pool of its service, refreshes it there, or removes it.
     void updatePool(RunnerState& runner);
     void reportShares(Instant now, RoutingEffects& effects);
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -187,7 +187,7 @@
     ++runner.consecutiveFailures;
     ServiceState& service = this->serviceOf(runner.host.service);
     // At least half of a service's runners stay in use: if most of them fail, the cause is unlikely to be the runners.
-    const bool canEject = runner.isListed && runner.host.state == HostState::Live && runner.share > 0 && 2 * (service.ejectedRunners + 1) <= service.liveRunners;
+    const bool canEject = this->isUsable(runner) && runner.share > 0 && 2 * (service.ejectedRunners + 1) <= service.liveRunners;
     if (runner.isEjected || runner.consecutiveFailures < failuresBeforeEjection || !canEject)
         return;
     runner.isEjected = true;
@@ -232,8 +232,20 @@
         const auto expired = service.queue->removeIf([&](const PendingRequest& pending) { return pending.request.deadline <= now; });
         for (const PendingRequest& pending : expired)
             this->refuse(pending, RefusalReason::DeadlinePassed, now, effects);
+        this->refuseUnreachable(service, now, effects);
         this->dispatch(name, now, effects);
     }
 }
 
+// Without this refusal, a request that another entry host forwarded before the evacuation would wait until its deadline
+// instead of being sent elsewhere by that host. Requests of a service whose runners are only down keep waiting.
+void Routing::refuseUnreachable(ServiceState& service, Instant now, RoutingEffects& effects)
+{
+    if (!service.hasEvacuatedRunners)
+        return;
+    const auto unreachable = service.queue->removeIf([&](const PendingRequest& pending) { return this->checkReachability(pending.request, now) == RefusalReason::NoRunner; });
+    for (const PendingRequest& pending : unreachable)
+        this->refuse(pending, RefusalReason::NoRunner, now, effects);
+}
+
 } // namespace dragonflytray
