batch: an evacuated data centre starts no job and its queue moves

A data centre schedules only its own jobs, so a job queued in an evacuated one would have waited until the evacuation is withdrawn. The leader there now places nothing and moves queued jobs to the least loaded data centre that has a live entry host and a worker large enough. Running tasks continue; a job whose attempt ends there moves then. A placement whose start was not sent yet is withdrawn; one whose start may have arrived is kept, since a delayed start could otherwise run the job twice.

--- a/packages/batch/batch_long_run_test.cc
+++ b/packages/batch/batch_long_run_test.cc
@@ -8,11 +8,35 @@
 
     constexpr int longRunSteps = 120000; // 6,000 simulated seconds
     constexpr int faultFreeSteps = 12000; // 600 simulated seconds
+    constexpr int evacuationSteps = 60000; // 3,000 simulated seconds
+    constexpr int backlogSteps = 2 * faultFreeSteps; // one data centre has to work off what evacuations of both left
     constexpr int burstSize = 60; // jobs submitted at once, few enough that a run stays short
 
     // Drives a simulated fleet with random faults, submissions and cancellations.
     struct LongRunFixture {
         std::size_t submitted { 0 };
+        bool shouldEvacuate { false }; // evacuates data centres at random times
+
+        // evacuate() applies the list. A host that does not get it now goes on with its version.
+        void evacuate(SimulatedFleet& fleet, const std::vector<DataCentreName>& dataCentres, double reachedShare)
+        {
+            Declaration next = *fleet.inForce.declaration;
+            next.evacuatedDataCentres = dataCentres;
+            fleet.inForce = { fleet.inForce.version + 1, std::make_shared<Declaration>(next) };
+            for (SimulatedEntryHost& host : fleet.hosts) {
+                if (fleet.shouldHappen(reachedShare))
+                    host.inbox.push_back(ChangeConfiguration { fleet.inForce });
+            }
+        }
+
+        void evacuateRandomly(SimulatedFleet& fleet)
+        {
+            static const DataCentreName first("dc0-0");
+            static const DataCentreName second("dc1-0");
+            static const std::array<std::vector<DataCentreName>, 4> lists { { {}, { first }, { second }, { first, second } } };
+            if (this->shouldEvacuate && fleet.shouldHappen(0.001))
+                this->evacuate(fleet, lists[fleet.randomIndex(lists.size())], 0.8);
+        }
 
         void submitRandomJobs(SimulatedFleet& fleet, std::size_t count)
         {
@@ -49,6 +73,7 @@
                     this->submitRandomJobs(fleet, burstSize);
                 if (fleet.shouldHappen(0.001))
                     this->cancelRecentJobs(fleet, 20);
+                this->evacuateRandomly(fleet);
                 fleet.advance();
             }
         }
@@ -87,5 +112,34 @@
         std::cout << "seed " << seed << ": " << this->submitted << " submitted, " << fleet.accepted.size() << " accepted, " << fleet.workers.starts << " starts, " << fleet.workers.finishes << " finished\n";
     }
 
+    // Guards against jobs that a move between data centres loses, runs twice or leaves in an evacuated data centre.
+    TEST_CASE_METHOD(LongRunFixture, "LongRun_randomFaultsAndEvacuations_losesNoJobAndRunsNoneTwice")
+    {
+        const auto seed = GENERATE(std::uint64_t(4), std::uint64_t(5));
+        CAPTURE(seed);
+        SimulatedFleet fleet({ .seed = seed });
+        for (const SimulatedEntryHost& host : fleet.hosts) {
+            Host listed;
+            listed.name = host.options.self;
+            listed.kind = HostKind::EntryHost;
+            listed.dataCentre = host.options.dataCentre;
+            fleet.hostList.push_back(listed);
+        }
+        this->shouldEvacuate = true;
+
+        this->run(fleet, evacuationSteps);
+        fleet.clearFaults();
+        this->evacuate(fleet, { DataCentreName("dc0-0") }, 1);
+        for (int i = 0; i < backlogSteps; ++i)
+            fleet.advance();
+
+        this->checkEnd(fleet);
+        std::uint64_t movedJobs = 0;
+        for (const SimulatedEntryHost& host : fleet.hosts)
+            movedJobs += std::get<BatchSummary>(host.batch->ask(BatchSummaryQuery {}, fleet.now + host.clockOffset)).movedJobs;
+        CHECK(movedJobs > 0);
+        std::cout << "seed " << seed << ": " << fleet.accepted.size() << " accepted, " << fleet.workers.starts << " starts, " << movedJobs << " moved by the last processes\n";
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/batch/batch_queries.h
+++ b/packages/batch/batch_queries.h
@@ -46,6 +46,8 @@
     Epoch epoch { 0 };
     EnumArray<JobState, std::size_t, jobStateNames.size()> jobs;
     std::size_t workers { 0 };
+    bool isEvacuated { false }; // the data centre of this entry host
+    std::uint64_t movedJobs { 0 }; // moved by this entry host out of the evacuated data centre
     RefusalCounts refusals;
     RetryCounts retries;
 };
--- a/packages/batch/batch_state.h
+++ b/packages/batch/batch_state.h
@@ -6,6 +6,7 @@
 #include "batch/batch_commands.h"
 #include "batch/batch_effects.h"
 #include "batch/batch_queries.h"
+#include "batch/data_centre_choice.h"
 #include "batch/placement_strategy.h"
 #include "capacity/capacity.h"
 #include <array>
@@ -29,6 +30,9 @@
 //   after it sent its last committed renewal. The next leader sends a higher epoch; once a worker has answered it, the
 //   worker rejects the previous leader. Until then the next leader assumes that attempts on that worker may be alive
 //   until the previous leader's `maxOutageDuration` has passed.
+//
+// While the data centre is evacuated, the leader places nothing and moves queued jobs to other data centres by writing
+// their rows. The leader there reads the row and places the job.
 class Batch {
 public:
     struct Options {
@@ -209,6 +213,12 @@
     void applyReport(const TaskReport& report, JobEntry& entry, Worker& worker, Instant now);
     void queueAttemptEnd(JobEntry& entry, Job job);
 
+    // Evacuation.
+    bool isEvacuated() const;
+    void withdrawUnsentStarts();
+    void moveQueuedJobs(Instant now, BatchEffects& effects);
+    DataCentreLoads dataCentreLoads() const;
+
     // Transactions.
     void writeJobs(std::vector<Job> jobs, Instant now, BatchEffects& effects);
     void writeUnrecordedEnds(Instant now, BatchEffects& effects);
@@ -232,6 +242,7 @@
     Options options;
     DeclarationInForce inForce;
     std::map<HostName, Worker> workers; // of this data centre: listed, or with an attempt that has not ended
+    DataCentreChoice dataCentreChoice;
     CapacityReservations capacityReservations;
     std::map<JobId, JobEntry> jobs;
     std::map<WaitingKey, JobEntry*> waitingJobs; // queued jobs of this data centre
@@ -265,6 +276,7 @@
     std::size_t submissionsInFlight { 0 };
     RefusalCounts refusals;
     RetryCounts retries;
+    std::uint64_t movedJobs { 0 }; // to other data centres
 };
 
 } // namespace dragonflytray
--- a/packages/batch/commands/change_environment.cc
+++ b/packages/batch/commands/change_environment.cc
@@ -4,6 +4,7 @@
 
 void Batch::changeHosts(const BatchCommand& command, Instant, BatchEffects&)
 {
+    this->dataCentreChoice.changeHosts(std::get<ChangeHosts>(command).hosts);
     for (auto& [name, worker] : this->workers)
         worker.isListed = false;
     for (const Host& host : std::get<ChangeHosts>(command).hosts) {
--- a/packages/batch/commands/end_transaction.cc
+++ b/packages/batch/commands/end_transaction.cc
@@ -74,6 +74,7 @@
         JobEntry& entry = this->jobs.at(job.id);
         entry.isWriteInFlight = false;
         if (result.status == TransactionStatus::Committed) {
+            this->movedJobs += job.dataCentre == this->options.dataCentre ? 0 : 1;
             this->applyJobRow(job, result.revision, now);
             if (auto worker = this->workers.find(job.worker); isHeld(job.state) && worker != this->workers.end())
                 worker->second.nextContact = now;
--- a/packages/batch/commands/tick.cc
+++ b/packages/batch/commands/tick.cc
@@ -14,6 +14,7 @@
     this->writeCancellations(now, effects);
     if (this->mayDecide(now)) {
         this->expireLeases(now);
+        this->withdrawUnsentStarts();
         this->writeUnrecordedEnds(now, effects);
         this->placeQueuedJobs(now, effects);
     }
--- a/packages/batch/placement.cc
+++ b/packages/batch/placement.cc
@@ -35,6 +35,8 @@
 {
     if (now < this->nextPlacement)
         return;
+    if (this->isEvacuated())
+        return this->moveQueuedJobs(now, effects);
     PlacementPass pass;
     this->placeWithinQuota(pass, now);
     for (JobEntry* entry : pass.overQuota) {
--- a/packages/batch/queries/explain_job.cc
+++ b/packages/batch/queries/explain_job.cc
@@ -28,6 +28,8 @@
         return "It waits in data centre " + job.dataCentre.value() + "; query an entry host there.";
     if (!this->isLeader(now))
         return this->leaderRow ? "It waits for leader " + this->leaderRow->holder.value() + "; query that host for details." : "It waits until its data centre has a leader.";
+    if (this->isEvacuated())
+        return "Its data centre is evacuated. It moves as soon as another data centre has a live entry host and a worker that can hold it.";
     if (now < entry.retryNotBefore)
         return "It waits to be retried after " + std::to_string(job.failures) + " failures: " + job.reason + ".";
     if (!this->fitsAnyWorker(job.need))
--- a/packages/batch/queries/summary.cc
+++ b/packages/batch/queries/summary.cc
@@ -13,6 +13,8 @@
     for (const auto& [id, entry] : this->jobs)
         ++summary.jobs[entry.job.state];
     summary.workers = this->workers.size();
+    summary.isEvacuated = this->isEvacuated();
+    summary.movedJobs = this->movedJobs;
     summary.refusals = this->refusals;
     summary.retries = this->retries;
     return summary;
