daemon: status, log and metrics of evacuated data centres

The evacuated data centres were not visible to an operator. The status shows the list in force and whether jobs are scheduled under it; a log line tells each change; gauges and counters follow.

The daemon fails every ForwardToPeer. It now refuses them with no-runner at once; services without evacuated runners are treated as before.

--- a/packages/daemon/duties/batch_duty.cc
+++ b/packages/daemon/duties/batch_duty.cc
@@ -79,12 +79,16 @@
     if (summary.isLeader != this->wasLeader)
         logInfo(LogPart::Batch, summary.isLeader ? "This host leads its data centre at epoch " + std::to_string(summary.epoch) + "." : "This host no longer leads its data centre.");
     this->wasLeader = summary.isLeader;
+    if (summary.isEvacuated != this->wasEvacuated)
+        logInfo(LogPart::Batch, summary.isEvacuated ? "This data centre is evacuated: no job is started, and its leader moves queued jobs." : "This data centre is no longer evacuated.");
+    this->wasEvacuated = summary.isEvacuated;
     // Told again and again: a duty that was paused does not lead until it hears so anew.
     (void)this->rings.shares.tryPush(LeaderChanged { summary.leader, summary.epoch, summary.isLeader, now }, RingRoom::Reserved);
     MetricsSnapshot snapshot { "batch", {} };
     snapshot.metrics.push_back({ "dragonflytray_is_leader", MetricKind::Gauge, {}, summary.isLeader ? 1.0 : 0.0 });
     for (const auto& entry : jobStateNames)
         snapshot.metrics.push_back({ "dragonflytray_jobs", MetricKind::Gauge, { { "state", std::string(entry.name) } }, static_cast<double>(summary.jobs[entry.value]) });
+    snapshot.metrics.push_back({ "dragonflytray_jobs_moved_total", MetricKind::Counter, {}, static_cast<double>(summary.movedJobs) });
     appendRefusals(snapshot.metrics, "job", summary.refusals);
     appendRetries(snapshot.metrics, "job", summary.retries);
     appendRingMetrics(snapshot.metrics, "batch", this->rings.batch);
--- a/packages/daemon/duties/batch_duty.h
+++ b/packages/daemon/duties/batch_duty.h
@@ -29,6 +29,7 @@
     Batch batch;
     Instant nextReport;
     bool wasLeader { false };
+    bool wasEvacuated { false };
 };
 
 } // namespace dragonflytray
--- a/packages/daemon/duties/membership_duty.cc
+++ b/packages/daemon/duties/membership_duty.cc
@@ -106,6 +106,18 @@
     (void)this->rings.batch.tryPush(BatchCommand(ChangeConfiguration { effect.inForce }), RingRoom::Reserved);
     (void)this->rings.shares.tryPush(ChangeConfiguration { effect.inForce }, RingRoom::Reserved);
     logInfo(LogPart::Membership, "Configuration version " + std::to_string(effect.inForce.version) + " is in force.");
+    this->logEvacuations(effect.inForce.declaration->evacuatedDataCentres);
+}
+
+void MembershipDuty::logEvacuations(const std::vector<DataCentreName>& evacuated)
+{
+    if (evacuated == this->loggedEvacuations)
+        return;
+    this->loggedEvacuations = evacuated;
+    std::string names;
+    for (const DataCentreName& name : evacuated)
+        names += (names.empty() ? "" : ", ") + name.value();
+    logInfo(LogPart::Membership, evacuated.empty() ? "No data centre is evacuated any more." : "Evacuated data centres: " + names + ".");
 }
 
 void MembershipDuty::carryOut(ReplyToOperator effect)
@@ -122,6 +134,7 @@
     const auto status = std::get<MembershipStatus>(this->membership.ask(StatusQuery {}, now));
     MetricsSnapshot snapshot { "membership", {} };
     snapshot.metrics.push_back({ "dragonflytray_configuration_version", MetricKind::Gauge, {}, static_cast<double>(status.version) });
+    snapshot.metrics.push_back({ "dragonflytray_evacuated_data_centres", MetricKind::Gauge, {}, static_cast<double>(status.evacuatedDataCentres.size()) });
     snapshot.metrics.push_back({ "dragonflytray_host_list_age_seconds", MetricKind::Gauge, {}, toSeconds(status.listAge) });
     snapshot.metrics.push_back({ "dragonflytray_host_list_read_failures_total", MetricKind::Counter, {}, static_cast<double>(status.counts.failedListReads) });
     snapshot.metrics.push_back({ "dragonflytray_heartbeats_heard_total", MetricKind::Counter, {}, static_cast<double>(status.counts.heartbeatsReceived) });
--- a/packages/daemon/duties/membership_duty.h
+++ b/packages/daemon/duties/membership_duty.h
@@ -29,12 +29,14 @@
     void carryOut(const PublishConfiguration& effect);
     void carryOut(ReplyToOperator effect);
     void confirmList(bool isRead);
+    void logEvacuations(const std::vector<DataCentreName>& evacuated);
     void ask(PlatformWork work);
     void tick(Instant now);
 
     Rings& rings;
     Membership membership;
     std::deque<Instant> listAskedAt; // reads of the host list under way
+    std::vector<DataCentreName> loggedEvacuations;
     bool wasReady { false };
     Instant nextReport;
 };
--- a/packages/daemon/duties/request_duty.cc
+++ b/packages/daemon/duties/request_duty.cc
@@ -25,7 +25,7 @@
 
 RequestDuty::RequestDuty(const Settings& settings, Rings& rings)
     : rings(rings)
-    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed, .shareSource = settings.shareSource })
+    , routing({ .self = settings.host, .dataCentre = settings.dataCentre, .seed = settings.seed, .shareSource = settings.shareSource, .hasForwarding = false })
 {
 }
 
--- a/packages/gateway/reply_encoding.cc
+++ b/packages/gateway/reply_encoding.cc
@@ -112,7 +112,7 @@
 
     HttpResponse encode(const BatchSummary& summary)
     {
-        return respond(200, { { "isLeader", summary.isLeader }, { "leader", summary.leader.value() }, { "epoch", summary.epoch }, { "workers", summary.workers }, { "jobs", encodeCounts(summary.jobs, jobStateNames) }, { "refusals", encodeCounts(summary.refusals, refusalReasonNames) }, { "retries", encodeCounts(summary.retries, retryReasonNames) } });
+        return respond(200, { { "isLeader", summary.isLeader }, { "leader", summary.leader.value() }, { "epoch", summary.epoch }, { "workers", summary.workers }, { "isEvacuated", summary.isEvacuated }, { "movedJobs", summary.movedJobs }, { "jobs", encodeCounts(summary.jobs, jobStateNames) }, { "refusals", encodeCounts(summary.refusals, refusalReasonNames) }, { "retries", encodeCounts(summary.retries, retryReasonNames) } });
     }
 
     HttpResponse encode(const MembershipStatus& status)
@@ -123,10 +123,13 @@
         json peers = json::array();
         for (const PeerStatus& peer : status.peers)
             peers.push_back({ { "host", peer.host.value() }, { "dataCentre", peer.dataCentre.value() }, { "version", peer.version }, { "isHeard", peer.hasHeartbeat }, { "ageSeconds", toSeconds(peer.age) } });
+        json evacuated = json::array();
+        for (const DataCentreName& name : status.evacuatedDataCentres)
+            evacuated.push_back(name.value());
         json states = json::array();
         for (const HostStatus& state : status.hostStatuses)
             states.push_back({ { "host", state.host.value() }, { "kind", hostKindNames.nameOf(state.kind) }, { "liveness", hostLivenessNames.nameOf(state.liveness) }, { "ageSeconds", toSeconds(state.age) } });
-        return respond(200, { { "host", status.self.value() }, { "dataCentre", status.dataCentre.value() }, { "version", status.version }, { "isReady", status.isReady }, { "listAgeSeconds", toSeconds(status.listAge) }, { "hosts", hosts }, { "peers", peers }, { "states", states }, { "applies", encodeCounts(status.counts.applies, applyStatusNames) } });
+        return respond(200, { { "host", status.self.value() }, { "dataCentre", status.dataCentre.value() }, { "version", status.version }, { "evacuatedDataCentres", evacuated }, { "isReady", status.isReady }, { "listAgeSeconds", toSeconds(status.listAge) }, { "hosts", hosts }, { "peers", peers }, { "states", states }, { "applies", encodeCounts(status.counts.applies, applyStatusNames) } });
     }
 
     HttpResponse encode(const ConfigurationText& text)
--- a/packages/membership/membership_queries.h
+++ b/packages/membership/membership_queries.h
@@ -60,6 +60,7 @@
     HostName self;
     DataCentreName dataCentre;
     ConfigurationVersion version { 0 };
+    std::vector<DataCentreName> evacuatedDataCentres; // in the declaration in force
     bool isReady { false }; // see Membership::isReady()
     bool isListRead { false }; // the host list has been read at least once
     Duration listAge { 0 }; // since the last successful read of the host list
--- a/packages/membership/queries/status.cc
+++ b/packages/membership/queries/status.cc
@@ -8,6 +8,8 @@
     status.self = this->options.self;
     status.dataCentre = this->options.dataCentre;
     status.version = this->version;
+    if (this->declaration)
+        status.evacuatedDataCentres = this->declaration->evacuatedDataCentres;
     status.isReady = this->isReady();
     status.isListRead = this->isListRead;
     status.listAge = this->isListRead ? now - this->lastListReadAt : Duration(0);
--- a/packages/routing/admission.cc
+++ b/packages/routing/admission.cc
@@ -50,7 +50,7 @@
     const double size = request.body ? static_cast<double>(request.body->size()) : 0;
     RefusalReason reason = RefusalReason::NoRunner;
     for (const auto& [name, peer] : this->peers) {
-        if (request.source == RequestSource::Peer || !peer.isListed || !liveDataCentres.contains(peer.host.dataCentre))
+        if (!this->mayForward(request) || !peer.isListed || !liveDataCentres.contains(peer.host.dataCentre))
             continue;
         if (peer.distance < crossRegionDistance || this->linkBudget.hasTokens(now, size))
             return std::nullopt;
--- a/packages/routing/evacuation_test.cc
+++ b/packages/routing/evacuation_test.cc
@@ -11,13 +11,18 @@
         ConfigurationVersion version { 1 };
 
         RoutingEvacuationFixture()
+        {
+            this->evacuate({});
+            this->listHosts();
+        }
+
+        void listHosts()
         {
             Host remoteRunner = this->makeRunner("r3");
             Host peer = remoteRunner;
             remoteRunner.dataCentre = peer.dataCentre = DataCentreName("dc2");
             peer.name = HostName("e2");
             peer.kind = HostKind::EntryHost;
-            this->evacuate({});
             this->routing.handle(ChangeHosts { { this->makeRunner("r1"), this->makeRunner("r2"), remoteRunner, peer } }, this->now);
         }
 
@@ -100,5 +105,16 @@
         CHECK(std::holds_alternative<SendToRunner>(this->submit("a").at(0)));
     }
 
+    // Guards against requests that wait until their deadline for a forward that the daemon does not carry out.
+    TEST_CASE_METHOD(RoutingEvacuationFixture, "SubmitRequest_evacuatedAndNoForwarding_isRefusedWithNoRunner")
+    {
+        this->options.hasForwarding = false;
+        this->restart();
+        this->listHosts();
+        this->evacuate({ "dc1" });
+
+        CHECK(this->outcomeOf(this->submit("a")) == notRun(RefusalReason::NoRunner));
+    }
+
 } // namespace
 } // namespace dragonflytray
--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -42,6 +42,9 @@
         QueueOrderKind queueOrder { QueueOrderKind::WeightedFair };
         ClassFloors floors { 0.5, 0.3, 0.2 };
         bool shouldClaim { true }; // false: non-idempotent requests are not deduplicated by a row in the table
+        // False: the owner fails every ForwardToPeer. Then requests of a service with evacuated runners are not forwarded,
+        // so that they are refused at once instead of waiting for a forward that never succeeds.
+        bool hasForwarding { true };
         std::size_t maxExplainedRequests { 1000 }; // latest requests whose steps are kept
     };
 
@@ -141,6 +144,8 @@
     void dispatch(const ServiceName& service, Instant now, RoutingEffects& effects);
     RunnerState* chooseRunner(const PendingRequest& pending, Instant now);
     Peer* choosePeer(const PendingRequest& pending, Instant now);
+    // mayForward() says whether this entry host may send the request to a peer at all.
+    bool mayForward(const Request& request);
     bool canForward(const Peer& peer, const PendingRequest& pending, Duration localQueueDelay, Instant now);
     void sendToRunner(RunnerState& runner, PendingRequest pending, Instant now, RoutingEffects& effects);
     void forwardToPeer(Peer& peer, PendingRequest pending, Instant now, RoutingEffects& effects);
--- a/packages/routing/sending.cc
+++ b/packages/routing/sending.cc
@@ -57,7 +57,7 @@
 
 Routing::Peer* Routing::choosePeer(const PendingRequest& pending, Instant now)
 {
-    if (pending.request.source == RequestSource::Peer)
+    if (!this->mayForward(pending.request))
         return nullptr;
     const ServiceState& service = this->serviceOf(pending.request.service);
     const bool isServedHere = service.usableSlots > 0;
@@ -72,6 +72,11 @@
     return best;
 }
 
+bool Routing::mayForward(const Request& request)
+{
+    return request.source != RequestSource::Peer && (this->options.hasForwarding || !this->serviceOf(request.service).hasEvacuatedRunners);
+}
+
 bool Routing::canForward(const Peer& peer, const PendingRequest& pending, Duration localQueueDelay, Instant now)
 {
     const bool isAvailable = peer.isListed && peer.host.state == HostState::Live && now >= peer.ejectedUntil && peer.inFlight < maxForwardsPerPeer;
