declarations: wording of the finding on a repeated evacuated data centre

The finding was built with two temporary strings, which the lint refuses, and named the key unlike the findings of the other lists.

--- a/packages/declarations/parse_declaration.cc
+++ b/packages/declarations/parse_declaration.cc
@@ -156,7 +156,7 @@
             if (name.empty())
                 root.addFinding(key, "a name in `" + key + "` is empty");
             else if (!seenNames.insert(name).second)
-                root.addFinding(key, "the data centre `" + name + "` appears twice in `" + key + "`");
+                root.addFinding(key, "the data centre `" + name + "` appears twice in this list");
             dataCentres.emplace_back(std::move(name));
         }
         return dataCentres;
