--- a/packages/routing/routing_state.h
+++ b/packages/routing/routing_state.h
@@ -42,6 +42,9 @@
         QueueOrderKind queueOrder { QueueOrderKind::WeightedFair };
         ClassFloors floors { 0.5, 0.3, 0.2 };
         bool shouldClaim { true }; // false: non-idempotent requests are not deduplicated by a row in the table
+        // False: the owner fails every ForwardToPeer. Then requests of a service with evacuated runners are not forwarded,
+        // so that they are refused at once instead of waiting for a forward that never succeeds.
+        bool hasForwarding { true };
         std::size_t maxExplainedRequests { 1000 }; // latest requests whose steps are kept
     };
 
@@ -93,7 +96,8 @@
         int liveRunners { 0 }; // live runners with a share above 0
         int ejectedRunners { 0 }; // ejected ones among `liveRunners`
         std::size_t claimsInProgress { 0 };
-        std::set<DataCentreName> liveDataCentres; // data centres with a live runner
+        std::set<DataCentreName> liveDataCentres; // data centres with a live runner, without evacuated ones
+        bool hasEvacuatedRunners { false }; // live runners in evacuated data centres
     };
 
     void submitRequest(const RoutingCommand& command, Instant now, RoutingEffects& effects);
@@ -140,6 +144,8 @@
     void dispatch(const ServiceName& service, Instant now, RoutingEffects& effects);
     RunnerState* chooseRunner(const PendingRequest& pending, Instant now);
     Peer* choosePeer(const PendingRequest& pending, Instant now);
+    // mayForward() says whether this entry host may send the request to a peer at all.
+    bool mayForward(const Request& request);
     bool canForward(const Peer& peer, const PendingRequest& pending, Duration localQueueDelay, Instant now);
     void sendToRunner(RunnerState& runner, PendingRequest pending, Instant now, RoutingEffects& effects);
     void forwardToPeer(Peer& peer, PendingRequest pending, Instant now, RoutingEffects& effects);
@@ -153,6 +159,8 @@
     void retry(PendingRequest pending, RetryReason reason, Instant now, RoutingEffects& effects);
     // processQueues() enqueues due retries, refuses requests whose deadline has passed, and dispatches all services.
     void processQueues(Instant now, RoutingEffects& effects);
+    // refuseUnreachable() refuses waiting requests which no runner can serve because data centres are evacuated.
+    void refuseUnreachable(ServiceState& service, Instant now, RoutingEffects& effects);
     // ejectIfFailing() counts a failure, and ejects the runner for a cooldown after several consecutive ones.
     void ejectIfFailing(RunnerState& runner, Instant now);
     void readmitIfCooledDown(RunnerState& runner, Instant now);
@@ -180,6 +188,10 @@
     // applyShares() recomputes the share of each runner and the sums per service.
     void applyShares();
     int shareOf(const RunnerState& runner) const;
+    bool isLive(const RunnerState& runner) const;
+    bool isEvacuated(const DataCentreName& dataCentre) const;
+    // isUsable() says whether the runner is live and its data centre is not evacuated.
+    bool isUsable(const RunnerState& runner) const;
     // updatePool() adds the runner to the pool of its service, refreshes it there, or removes it.
     void updatePool(RunnerState& runner);
     void reportShares(Instant now, RoutingEffects& effects);
