scheduling: best-effort tasks at the least speed are stopped where a target stays missed

Change: 1.6 s after the miss was reported, with all best-effort tasks on the worker at the least speed, the half of them with the largest effect is stopped with each report, unless the target is missed by so much that the load of the serving task itself is the cause.

--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -232,24 +232,18 @@
         worker.targetMissedSince = {};
         return changes;
     }
-    double least = std::numeric_limits<double>::infinity();
-    std::size_t serving = unknownImage;
-    for (const ServingHeadroom& entry : worker.servingHeadrooms) {
-        if (entry.headroom == 0 || entry.headroom >= least)
-            continue;
-        least = entry.headroom;
-        serving = entry.image;
-    }
-    const bool isMissed = least <= 1; // a tail that is reported at the target may be over it by less than a millisecond
+    const ScarcestHeadroom scarcest = scarcestHeadroom(worker);
+    const double least = scarcest.headroom;
+    const bool isMissed = scarcest.isMissed();
     if (least >= this->options.throttleHeadroom)
         worker.targetMissedSince = {};
     else if (isMissed && worker.targetMissedSince == Instant())
         worker.targetMissedSince = now;
     const bool isMissedTooLong = isMissed && now >= worker.targetMissedSince + this->options.missedTargetTimeout;
     if (isMissedTooLong) // throttle all of them, whatever the model predicts
-        this->slowDown(worker, std::numeric_limits<double>::infinity(), 0, serving, changes);
+        this->slowDown(worker, std::numeric_limits<double>::infinity(), 0, scarcest.serving, changes);
     else if (least < this->options.throttleHeadroom)
-        this->slowDown(worker, this->options.admissionHeadroom - least, this->options.harmfulEffect / 2, serving, changes);
+        this->slowDown(worker, this->options.admissionHeadroom - least, this->options.harmfulEffect / 2, scarcest.serving, changes);
     else
         this->speedUp(worker, changes);
     for (SpeedChange& change : changes)
@@ -257,6 +251,40 @@
     return changes;
 }
 
+BestEffortControl::ScarcestHeadroom BestEffortControl::scarcestHeadroom(const FleetWorker& worker)
+{
+    ScarcestHeadroom scarcest;
+    for (const ServingHeadroom& entry : worker.servingHeadrooms) {
+        if (entry.headroom > 0 && entry.headroom < scarcest.headroom)
+            scarcest = { .headroom = entry.headroom, .serving = entry.image };
+    }
+    return scarcest;
+}
+
+std::vector<TaskRunId> BestEffortControl::runsToStop(const FleetWorker& worker, Instant now) const
+{
+    const ScarcestHeadroom scarcest = scarcestHeadroom(worker);
+    const bool isUnrelieved = worker.targetMissedSince != Instant() && now >= worker.targetMissedSince + this->options.unrelievedMissTimeout;
+    if (!isUnrelieved || !scarcest.isMissed() || scarcest.headroom < this->options.unrelievedMissHeadroom)
+        return {};
+    std::vector<std::pair<double, TaskRunId>> candidates;
+    for (const auto& [run, allocation] : worker.runs) {
+        if (!allocation.isBestEffort || allocation.isStopping)
+            continue;
+        if (allocation.speedPercent > this->options.minSpeedPercent)
+            return {};
+        const auto number = this->imageNumbers.find(allocation.image);
+        const std::size_t image = number == this->imageNumbers.end() ? unknownImage : number->second;
+        candidates.emplace_back(this->effectOf(scarcest.serving, image) * this->exposureOf(worker, allocation), run);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    candidates.resize((candidates.size() + 1) / 2);
+    std::vector<TaskRunId> runs;
+    for (const auto& [effect, run] : candidates)
+        runs.push_back(run);
+    return runs;
+}
+
 void BestEffortControl::slowDown(FleetWorker& worker, double missingHeadroom, double minEffect, std::size_t serving, std::vector<SpeedChange>& changes)
 {
     // The tasks with the largest effect are throttled first, until the predicted headroom suffices.
--- a/packages/scheduling/best_effort_control.h
+++ b/packages/scheduling/best_effort_control.h
@@ -41,6 +41,8 @@
         double fullExposureShare { 0.125 }; // of a worker's cores in use by best-effort tasks that the model counts as one full task
         double lowHeadroom { 1.5 }; // below which reports are requested more often; at least twice the margin of throttleHeadroom above 1
         Duration missedTargetTimeout { std::chrono::milliseconds(1200) }; // after which a missed target throttles every best-effort task on the worker
+        Duration unrelievedMissTimeout { std::chrono::milliseconds(1600) }; // after which tasks at the least speed are stopped; with the reports before it and two stops after it less than the miss that users accept
+        double unrelievedMissHeadroom { 0.5 }; // below which a task that misses its target beside tasks at the least speed does so by its own load
         int minSpeedPercent { 5 };
         int speedStepPercent { 35 }; // by which a best-effort task is sped up after a report
         double assumedServingUsage { 0.5 }; // share of its reserved cores that a serving task uses while best-effort tasks get theirs
@@ -62,6 +64,10 @@
     // Quadratic in the runs of the worker.
     std::vector<SpeedChange> speedChangesFor(FleetWorker& worker, Instant now);
 
+    // runsToStop() returns best-effort runs that keep a target missed although all of them are at the least speed: the half with the
+    // largest effect. Call it after speedChangesFor(). Linearithmic in the runs of the worker.
+    std::vector<TaskRunId> runsToStop(const FleetWorker& worker, Instant now) const;
+
     // sampleCount() is the number of samples from which effects have been learned. A sample costs as much as the square of the number of
     // best-effort images.
     std::uint64_t sampleCount() const { return this->samples; }
@@ -110,6 +116,15 @@
     static constexpr std::size_t unknownImage = std::numeric_limits<std::size_t>::max();
 
 private:
+    // ScarcestHeadroom is the least reported headroom on a worker, and the image of its task.
+    struct ScarcestHeadroom {
+        double headroom { std::numeric_limits<double>::infinity() }; // infinite: none was reported
+        std::size_t serving { unknownImage };
+
+        bool isMissed() const { return this->headroom <= 1; } // a tail that is reported at the target may be over it by less than a millisecond
+    };
+    static ScarcestHeadroom scarcestHeadroom(const FleetWorker& worker);
+
     // harmlessShare() is the share of its full speed that harmlessPercent() rounds; 0: a target may be missed at any speed.
     double harmlessShare(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const;
     bool areThrottledRunsBearable(const FleetWorker& worker, std::size_t image, std::int64_t millicores) const; // with one more at the least speed
--- a/packages/scheduling/best_effort_control_test.cc
+++ b/packages/scheduling/best_effort_control_test.cc
@@ -224,6 +224,26 @@
     CHECK(this->control.admits(this->worker, this->control.imageNumber(ImageName("light")), 8000, 5));
 }
 
+// Many tasks at the least speed kept a target missed by a few per cent, and nothing ended that.
+TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_targetStaysMissedAtLeastSpeed_tasksAreStoppedByHalves")
+{
+    this->learn();
+    for (const char* job : { "1", "2", "3" }) {
+        this->add(this->worker, job, bestEffort("heavy"));
+        this->runOf(job).speedPercent = 5;
+    }
+    const auto report = [this](std::int64_t tail) {
+        this->reportTail(tail);
+        (void)this->control.speedChangesFor(this->worker, this->now);
+        return this->control.runsToStop(this->worker, this->now).size();
+    };
+    for (int i = 0; i < 4; ++i)
+        CHECK(report(19) == 0);
+    CHECK(report(19) == 2);
+    CHECK(report(40) == 0); // by the load of the serving task itself
+    CHECK(report(17) == 0);
+}
+
 TEST_CASE_METHOD(BestEffortControlFixture, "BestEffortControl_servingTaskLeaves_throttledTaskIsSpedUp")
 {
     this->add(this->worker, "bad", bestEffort("heavy"));
--- a/packages/scheduling/best_effort_harm_test.cc
+++ b/packages/scheduling/best_effort_harm_test.cc
@@ -40,6 +40,7 @@
         int percent { 100 };
         int orderedPercent { 100 };
         Instant orderArrivesAt {};
+        Instant stopsAt { Instant::max() };
         double inUse { 0 }; // millicores
     };
 
@@ -103,6 +104,8 @@
             for (SimulatedBestEffort& task : this->bestEffort) {
                 if (this->now >= task.orderArrivesAt)
                     task.percent = task.orderedPercent;
+                if (this->now >= task.stopsAt)
+                    task.remainingWork = 0;
             }
         }
 
@@ -148,16 +151,30 @@
             this->control.observe(this->worker, this->now);
             for (const SpeedChange& change : this->control.speedChangesFor(this->worker, this->now))
                 this->order(change.run, change.percent);
+            for (const TaskRunId& run : this->control.runsToStop(this->worker, this->now))
+                this->stop(run);
             this->nextReport = this->now + (this->control.isHeadroomLow(this->worker) ? std::chrono::milliseconds(350) : std::chrono::milliseconds(1000));
         }
 
+        std::vector<SimulatedBestEffort>::iterator findTask(const TaskRunId& run)
+        {
+            return std::find_if(this->bestEffort.begin(), this->bestEffort.end(), [&](const auto& other) { return other.run == run; });
+        }
+
         void order(const TaskRunId& run, int percent)
         {
-            const auto task = std::find_if(this->bestEffort.begin(), this->bestEffort.end(), [&](const auto& other) { return other.run == run; });
+            const auto task = this->findTask(run);
             task->orderedPercent = percent;
             task->orderArrivesAt = this->now + std::chrono::milliseconds(150);
         }
 
+        // stop() stops a task, which goes on until the order has arrived.
+        void stop(const TaskRunId& run)
+        {
+            this->worker.runs.at(run).isStopping = true;
+            this->findTask(run)->stopsAt = this->now + std::chrono::milliseconds(550);
+        }
+
         // startTask() starts a task of a random image where it is admitted; every fifth one may be at a reduced speed.
         void startTask()
         {
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -384,6 +384,8 @@
     this->bestEffortControl.observe(worker, context.now);
     for (const SpeedChange& change : this->bestEffortControl.speedChangesFor(worker, context.now))
         this->setSpeed(worker, change, context);
+    for (const TaskRunId& run : this->bestEffortControl.runsToStop(worker, context.now))
+        this->stopRun(worker, run, "target-missed", context);
 }
 
 void Dispatcher::applyStartSpeed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context)
