--- a/packages/testing/process/lab.sh
+++ b/packages/testing/process/lab.sh
@@ -65,7 +65,7 @@
 lab_workers() { lab_start "workers-$1" worker_standin --platform "$LAB_PLATFORM" --data-centre "$1" --count "$2" "${@:3}"; }
 lab_runners() { lab_start "runners-$1" runner_standin --platform "$LAB_PLATFORM" --data-centre "$1" --service "$2" --count "$3" "${@:4}"; }
 
-# lab_daemon NAME DATA_CENTRE REGION: starts one daemon and puts it on the platform's list.
+# lab_daemon NAME DATA_CENTRE REGION [SETTINGS]: starts one daemon, with more lines of settings, and puts it on the platform's list.
 lab_daemon() {
     local name=$1 centre=$2 region=$3
     cat >"$LAB_DIR/$name.yaml" <<SETTINGS
@@ -75,12 +75,47 @@
 callers: 127.0.0.1:0
 peers: 127.0.0.1:0
 platform: $LAB_PLATFORM
+${4:-}
 SETTINGS
     lab_start "$name" dragonflytrayd --settings "$LAB_DIR/$name.yaml"
     LAB_CALLERS[$name]=$(lab_endpoint "$name" callers)
     lab_control "$LAB_PLATFORM" PUT "/hosts/$name" "{\"name\":\"$name\",\"kind\":\"entry-host\",\"endpoint\":\"${LAB_CALLERS[$name]}\",\"peerEndpoint\":\"$(lab_endpoint "$name" peers)\",\"dataCentre\":\"$centre\"}" >/dev/null
 }
 
+# lab_scheduler NAME [SETTINGS]: starts a scheduler daemon without a store, with more lines of the map `entry`. Its settings name no
+# free port by 0, so ports below the range of outgoing connections are tried.
+lab_scheduler() {
+    local name=$1 port attempt
+    for attempt in 1 2 3 4 5 6 7 8; do
+        port=$((20000 + (RANDOM % 4000) * 3))
+        cat >"$LAB_DIR/$name.yaml" <<SETTINGS
+host: $name
+dataCentre: rs-poa
+entry:
+  callers: 127.0.0.1:$port
+  readiness: 127.0.0.1:$((port + 1))
+  store: 127.0.0.1:$((port + 2))
+  dataCentres:
+    - { name: rs-poa, region: sul-rs }
+${2:-}
+SETTINGS
+        "$LAB_BIN/dragonflytrayd" --settings "$LAB_DIR/$name.yaml" >>"$LAB_DIR/$name.log" 2>&1 &
+        LAB_PID[$name]=$!
+        LAB_CALLERS[$name]=127.0.0.1:$port
+        lab_until 20 lab_serves_or_ended "$name" $((port + 1))
+        if kill -0 "${LAB_PID[$name]}" 2>/dev/null; then
+            LAB_PIDS+=("${LAB_PID[$name]}")
+            return 0
+        fi
+    done
+    lab_fail "no free ports for $name after $attempt attempts"
+}
+
+# lab_serves_or_ended NAME READINESS_PORT: whether the process has answered a metrics request or has ended.
+lab_serves_or_ended() {
+    ! kill -0 "${LAB_PID[$1]}" 2>/dev/null || lab_control "127.0.0.1:$2" GET /metrics
+}
+
 lab_control() { "$LAB_BIN/standin_control" "$@"; }
 lab_fault() { lab_control "$1" POST /faults "$2" >/dev/null; }
 
