transport: limits on untrusted clients in every server

Beast's buffer has no maximum by default and holds a whole chunk header or trailer block, its header limit applies to the unparsed rest only, and incomplete bodies were bounded for each connection only. The server now reads in pieces and checks bytes and limits after each: bytes that are not parsed, header fields, bytes on the wire, memory of all incomplete requests and the time until a request is whole. At the connection limit a new connection replaces the one that has been idle or incomplete for longest; without a descriptor, accepting pauses. A refusal reaches a client that is still sending. Queued parts of a stream are limited in bytes.

--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -2,6 +2,7 @@
 
 // An HTTP/1.1 server with limits on everything that comes from outside.
 
+#include "transport/client_refusal.h"
 #include "transport/http_message.h"
 #include "transport/io_loop.h"
 #include <functional>
@@ -10,6 +11,10 @@
 
 namespace dragonflytray {
 
+namespace internal {
+    struct HttpServerState;
+} // namespace internal
+
 // HttpReply answers one request. All calls belong to the loop's thread. A reply that is dropped
 // without an answer closes the connection.
 class HttpReply {
@@ -29,7 +34,9 @@
     virtual void endStream() = 0;
 };
 
-// HttpServer accepts connections on a loop and hands whole requests to one handler.
+// HttpServer accepts connections on a loop and hands whole requests to one handler. Clients are not trusted: at the connection limit
+// a new connection replaces the one that has been idle or incomplete for longest, and a request over a limit is refused. A refused
+// or incomplete request has not been run. A connection whose request is with the handler is never ended to make space.
 class HttpServer {
 public:
     struct Options {
@@ -38,7 +45,14 @@
         std::size_t headerLimit { 16 << 10 }; // bytes
         std::size_t connectionLimit { 4096 };
         std::size_t streamBacklog { 256 }; // chunks queued for a slow reader
-        Duration idleTimeout { std::chrono::seconds(60) }; // between requests, and within one
+        Duration idleTimeout { std::chrono::seconds(60) }; // between requests, and of a response that the client does not read
+        Duration requestTimeout { std::chrono::seconds(60) }; // from the first byte of a request until it is whole
+        std::size_t bufferLimit { 64 << 10 }; // bytes of a connection that are not parsed yet: a chunk header or the trailers
+        std::size_t fieldLimit { 128 }; // header fields and trailers of a request
+        std::size_t wireLimit { 0 }; // bytes of a request with its framing; 0: twice `bodyLimit`, and the header and buffer limits
+        std::size_t receiveBudget { 32 << 20 }; // bytes of all incomplete requests; at least one whole request fits
+        std::size_t streamBytes { 1 << 20 }; // queued for a slow reader
+        std::function<void(const std::string& sentence)> log {}; // about refusals, at most once in ten seconds
     };
     using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
 
@@ -65,9 +79,11 @@
     // openConnections() is the number of connections, idle ones included.
     std::size_t openConnections() const;
 
+    // refusals() counts refused requests and ended connections by cause.
+    const ClientRefusalCounts& refusals() const;
+
 private:
-    struct State;
-    std::shared_ptr<State> state;
+    std::shared_ptr<internal::HttpServerState> state;
 };
 
 } // namespace dragonflytray
