entry, daemon: limits on callers from the host, and counters of refused clients

entry.descriptors and entry.memoryMegabytes, filled in by the deploy template, bound the connections of callers and the memory of incomplete requests. dragonflytray_client_refusals_total counts by listener and cause, and one log line in ten seconds sums the refusals.

--- a/packages/daemon/duties/caller_duty.cc
+++ b/packages/daemon/duties/caller_duty.cc
@@ -20,7 +20,7 @@
 CallerDuty::CallerDuty(const Settings& settings, Rings& rings)
     : rings(rings)
     , shutdownGrace(settings.limits.shutdownGrace)
-    , server(this->loop, { .endpoint = settings.callers, .bodyLimit = settings.limits.bodyBytes, .headerLimit = settings.limits.headerBytes, .connectionLimit = settings.limits.connections }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->take(std::move(request), std::move(reply)); })
+    , server(this->loop, { .endpoint = settings.callers, .bodyLimit = settings.limits.bodyBytes, .headerLimit = settings.limits.headerBytes, .connectionLimit = settings.limits.connections, .log = [](const std::string& sentence) { logWarning(LogPart::Callers, sentence); } }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->take(std::move(request), std::move(reply)); })
 {
     drainOnWake(this->loop, rings.callers, [this](CallerMessage message) { this->handle(std::move(message)); });
 }
@@ -233,6 +233,8 @@
 {
     MetricsSnapshot snapshot { "callers", {} };
     snapshot.metrics.push_back({ "dragonflytray_open_requests", MetricKind::Gauge, {}, static_cast<double>(this->server.openRequests()) });
+    for (const auto& [cause, name] : clientRefusalNames)
+        snapshot.metrics.push_back({ "dragonflytray_client_refusals_total", MetricKind::Counter, { { "listener", "callers" }, { "cause", std::string(name) } }, static_cast<double>(this->server.refusals()[cause]) });
     appendRingMetrics(snapshot.metrics, "callers", this->rings.callers);
     (void)this->rings.telemetry.tryPush(std::move(snapshot));
     this->loop.after(metricsInterval, [this] { this->reportMetrics(); });
--- a/packages/entry/duties/front_duty.cc
+++ b/packages/entry/duties/front_duty.cc
@@ -5,20 +5,44 @@
 namespace {
 
     constexpr std::size_t bodyLimit = 256 << 10; // bytes; the largest that the operator's configuration allows
+    constexpr std::size_t probeBodyLimit = 4 << 10; // bytes; probes have no body
+    constexpr std::size_t probeReceiveBudget = 1 << 20; // bytes
     constexpr std::size_t probeConnections = 32;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusUnavailable = 503;
 
+    void logRefusals(const std::string& sentence)
+    {
+        logWarning(LogPart::Callers, sentence);
+    }
+
+    HttpServer::Options callerOptions(const EntrySettings& settings)
+    {
+        const CallerLimits limits = callerLimits(settings);
+        return { .endpoint = settings.callers, .bodyLimit = bodyLimit, .connectionLimit = limits.connections, .receiveBudget = limits.receiveBudget, .log = logRefusals };
+    }
+
+    HttpServer::Options probeOptions(const Endpoint& endpoint)
+    {
+        return { .endpoint = endpoint, .bodyLimit = probeBodyLimit, .connectionLimit = probeConnections, .receiveBudget = probeReceiveBudget, .log = logRefusals };
+    }
+
+    void appendRefused(std::vector<Metric>& metrics, const std::string& listener, const ClientRefusalCounts& counts)
+    {
+        for (const auto& [cause, name] : clientRefusalNames)
+            metrics.push_back({ "dragonflytray_client_refusals_total", MetricKind::Counter, { { "listener", listener }, { "cause", std::string(name) } }, static_cast<double>(counts[cause]) });
+    }
+
 } // namespace
 
 FrontDuty::FrontDuty(const EntrySettings& settings, EntryRings& rings, const CallerProtocol& protocol)
     : rings(rings)
     , protocol(protocol)
-    , callers(this->loop, { .endpoint = settings.callers, .bodyLimit = bodyLimit, .connectionLimit = settings.connections }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveCaller(std::move(request), std::move(reply)); })
-    , probes(this->loop, { .endpoint = settings.readiness, .connectionLimit = probeConnections }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveProbe(request, reply); })
+    , callers(this->loop, callerOptions(settings), [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveCaller(std::move(request), std::move(reply)); })
+    , probes(this->loop, probeOptions(settings.readiness), [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serveProbe(request, reply); })
 {
     if (settings.metrics.port != 0)
-        this->metrics.emplace(this->loop, HttpServer::Options { .endpoint = settings.metrics, .connectionLimit = probeConnections }, [this](HttpRequest, std::shared_ptr<HttpReply> reply) { this->serveMetrics(std::move(reply)); });
+        this->metrics.emplace(this->loop, probeOptions(settings.metrics), [this](HttpRequest, std::shared_ptr<HttpReply> reply) { this->serveMetrics(std::move(reply)); });
     drainOnWake(this->loop, rings.front, [this](FrontMessage message) { std::visit([this](const auto& value) { this->on(value); }, message); });
 }
 
@@ -43,6 +67,12 @@
 void FrontDuty::serveMetrics(std::shared_ptr<HttpReply> reply)
 {
     const ReplyToken token = this->keep(std::move(reply));
+    MetricsSnapshot snapshot { "front", {} };
+    appendRefused(snapshot.metrics, "callers", this->callers.refusals());
+    appendRefused(snapshot.metrics, "readiness", this->probes.refusals());
+    if (this->metrics)
+        appendRefused(snapshot.metrics, "metrics", this->metrics->refusals());
+    (void)this->rings.journal.tryPush(std::move(snapshot));
     if (!this->rings.journal.tryPush(MetricsWanted { token }))
         this->answer(token, { .status = statusUnavailable });
 }
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_settings.h"
 
 #include "settings/settings.h"
+#include <algorithm>
 
 namespace dragonflytray {
 
@@ -14,6 +15,19 @@
 
     constexpr NumberRule changeLimitBounds { .minimum = 3000, .maximum = 3.6e6 }; // with less, a leader that is up to date would pause
 
+    constexpr std::size_t fileDescriptors = 200; // reserved for files
+    constexpr std::size_t leastConnections = 16;
+
+    // Half of the other descriptors is for callers: a leader needs connections to hundreds of workers, to the store and to agents.
+    constexpr std::size_t callerPart = 2;
+
+    // A host with 160 MB lets 2,560 callers connect; an idle connection takes less than 2 KiB.
+    constexpr std::size_t connectionsPerMegabyte = 16;
+
+    // Incomplete requests take an eighth of the memory at most: with a copy of a body while it grows, less than a quarter.
+    constexpr std::size_t receivePart = 8;
+    constexpr std::size_t largestReceiveBudget = 32 << 20;
+
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
         std::vector<DataCentrePlace> places;
@@ -36,6 +50,8 @@
         settings.leadershipScope = map.choice("leadershipScope", leadershipScopeNames, settings.leadershipScope);
         settings.processorShare = map.number("processorShare", { .maximum = 1024, .fallback = settings.processorShare });
         settings.connections = static_cast<std::size_t>(map.number("connections", { .minimum = 1, .maximum = 1e6, .fallback = static_cast<double>(settings.connections), .isWhole = true }));
+        settings.descriptors = static_cast<std::size_t>(map.number("descriptors", { .minimum = 1, .maximum = 1e9, .fallback = 0, .isWhole = true }));
+        settings.memoryMegabytes = static_cast<std::size_t>(map.number("memoryMegabytes", { .minimum = 1, .maximum = 1e9, .fallback = 0, .isWhole = true }));
         settings.leaseLimit = readMilliseconds(map, "leaseLimitMilliseconds", millisecondBounds, settings.leaseLimit);
         settings.stopTimeout = readMilliseconds(map, "stopTimeoutMilliseconds", millisecondBounds, settings.stopTimeout);
         settings.cancellationLimit = readMilliseconds(map, "cancellationLimitMilliseconds", changeLimitBounds, settings.cancellationLimit);
@@ -71,6 +87,20 @@
     return settings;
 }
 
+CallerLimits callerLimits(const EntrySettings& settings)
+{
+    CallerLimits limits { .connections = settings.connections, .receiveBudget = largestReceiveBudget };
+    if (settings.descriptors > 0) {
+        const std::size_t others = settings.descriptors > fileDescriptors ? settings.descriptors - fileDescriptors : 0;
+        limits.connections = std::min(limits.connections, std::max(others / callerPart, leastConnections));
+    }
+    if (settings.memoryMegabytes > 0) {
+        limits.connections = std::min(limits.connections, std::max(settings.memoryMegabytes * connectionsPerMegabyte, leastConnections));
+        limits.receiveBudget = std::min(limits.receiveBudget, (settings.memoryMegabytes << 20U) / receivePart);
+    }
+    return limits;
+}
+
 Scheduler::Options schedulerOptions(const EntrySettings& settings)
 {
     Scheduler::Options options {
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -28,6 +28,8 @@
     LeadershipScope leadershipScope { LeadershipScope::Whole };
     double processorShare { 1 }; // of a core
     std::size_t connections { 2000 }; // from callers at a time
+    std::size_t descriptors { 0 }; // that the process may open; 0: not known
+    std::size_t memoryMegabytes { 0 }; // of the process; 0: not known
     Duration leaseLimit { std::chrono::seconds(6) }; // a worker shortens longer leases to it
     Duration stopTimeout { std::chrono::milliseconds(400) }; // of a worker's stop
     Duration cancellationLimit { std::chrono::seconds(3) }; // from the answer to a cancellation to the last start of a task of the job
@@ -43,6 +45,15 @@
 // isEntrySettings() says whether `text` is meant for a scheduler daemon: it has a map `entry`.
 bool isEntrySettings(const std::string& text, const std::string& file);
 
+// CallerLimits is what callers may take of the process.
+struct CallerLimits {
+    std::size_t connections { 0 };
+    std::size_t receiveBudget { 0 }; // bytes of all incomplete requests
+};
+
+// callerLimits() derives the limits on callers from the descriptors and the memory of the process, as far as they are known. Pure.
+CallerLimits callerLimits(const EntrySettings& settings);
+
 // schedulerOptions() is what the decisions need of the settings.
 Scheduler::Options schedulerOptions(const EntrySettings& settings);
 
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -78,6 +78,31 @@
     }
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "CallerLimits_hostIsNotKnown_areThoseOfTheSettings")
+{
+    EntrySettings settings;
+    settings.connections = 700;
+    const CallerLimits limits = callerLimits(settings);
+    CHECK(limits.connections == 700);
+    CHECK(limits.receiveBudget == 32 << 20);
+}
+
+// Guards against callers that take the descriptors which workers, the store and files need.
+TEST_CASE_METHOD(EntrySettingsFixture, "CallerLimits_descriptorsAreKnown_leaveRoomForOtherUsers")
+{
+    const std::string entry = "entry:\n";
+    std::string text = this->text;
+    text.insert(text.find(entry) + entry.size(), "  connections: 4100\n  descriptors: 4100\n  memoryMegabytes: 160\n");
+    auto settings = parseEntrySettings(text, "entry.yaml");
+    REQUIRE(settings);
+    CHECK(callerLimits(*settings).connections == 1950);
+    CHECK(callerLimits(*settings).receiveBudget == 20 << 20);
+    settings->memoryMegabytes = 64;
+    CHECK(callerLimits(*settings).connections == 1024);
+    settings->descriptors = 150;
+    CHECK(callerLimits(*settings).connections == 16);
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
