scheduling: submissions with an unclear write are settled while their callers wait

Cause: a submission whose write was unanswered was told as unclear at once, and every refusal gave one second. A submission was also refused while a write of the same id was in flight, which could still take effect. With ClientRequests::Options::longestRetryAfter, refusals carry the advice of RetryAdvisor, and an unclear submission is written again under the same condition, at most eight at a time and in the order of HeldSubmissions, until its caller has to be answered. An id whose write may still take effect is never refused, and a submission whose result could not be remembered is not written. Without the option nothing changes.

--- a/packages/retry_advice/held_submissions.cc
+++ b/packages/retry_advice/held_submissions.cc
@@ -4,13 +4,13 @@
 
 void HeldSubmissions::hold(const HeldSubmission& submission)
 {
-    this->remove(submission.job);
+    this->release(submission.job);
     this->submissions.emplace(submission.job, submission);
     this->byImportance.emplace(submission.urgency, submission.answerBy, submission.job);
     this->byTime.emplace(submission.answerBy, submission.job);
 }
 
-void HeldSubmissions::remove(const JobId& job)
+void HeldSubmissions::release(const JobId& job)
 {
     const auto found = this->submissions.find(job);
     if (found == this->submissions.end())
@@ -23,9 +23,9 @@
 std::vector<JobId> HeldSubmissions::takeHopeless(Instant nextTry)
 {
     std::vector<JobId> hopeless;
-    while (!this->byTime.empty() && this->byTime.begin()->first < nextTry + this->options.shortestTry) {
+    while (!this->byTime.empty() && this->isHopeless(this->byTime.begin()->first, nextTry)) {
         hopeless.push_back(this->byTime.begin()->second);
-        this->remove(hopeless.back());
+        this->release(hopeless.back());
     }
     return hopeless;
 }
@@ -39,7 +39,7 @@
             due.push_back(job);
     }
     for (const JobId& job : due)
-        this->remove(job);
+        this->release(job);
     return due;
 }
 
--- a/packages/retry_advice/held_submissions.h
+++ b/packages/retry_advice/held_submissions.h
@@ -22,8 +22,8 @@
     Instant notBefore; // of the next try
 };
 
-// HeldSubmissions keeps submissions between two tries. Pure: the time is passed in. Not thread-safe. All functions but takeDue() are
-// logarithmic in the number of submissions for each one that they handle.
+// HeldSubmissions keeps submissions between two tries. Pure: the time is passed in. Not thread-safe. Commands other than takeDue()
+// are logarithmic in the number of submissions, for each one that they handle.
 class HeldSubmissions {
 public:
     struct Options {
@@ -40,6 +40,9 @@
     // hold() adds a submission, or replaces that of the same job.
     void hold(const HeldSubmission& submission);
 
+    // release() removes the submission of a job, if there is one.
+    void release(const JobId& job);
+
     // takeHopeless() removes and returns the submissions with a caller that could not be answered in time if the next try began at
     // `nextTry`.
     std::vector<JobId> takeHopeless(Instant nextTry);
@@ -52,9 +55,10 @@
 
     std::size_t size() const { return this->submissions.size(); }
 
-private:
-    void remove(const JobId& job);
+    // isHopeless() returns true if a caller could not be answered in time by a try that begins at `nextTry`.
+    bool isHopeless(Instant answerBy, Instant nextTry) const { return answerBy < nextTry + this->options.shortestTry; }
 
+private:
     Options options;
     std::map<JobId, HeldSubmission> submissions;
     std::set<std::tuple<int, Instant, JobId>> byImportance;
--- a/packages/retry_advice/retry_advice.h
+++ b/packages/retry_advice/retry_advice.h
@@ -7,7 +7,7 @@
 //
 //     RetryAdvisor advisor({ .longestRetryAfter = std::chrono::seconds(8) });
 //     advisor.storeLost(now);
-//     reply.retryAfter = advisor.advise(AdviceReason::StoreLost, queue.priority, now);
+//     reply.retryAfter = advisor.advise(AdviceReason::StoreUnavailable, queue.priority, now);
 //
 //     HeldSubmissions held({});
 //     held.hold({ .job = job, .urgency = queue.priority, .answerBy = answerBy, .notBefore = now + pause });
--- a/packages/retry_advice/retry_advisor.cc
+++ b/packages/retry_advice/retry_advisor.cc
@@ -53,7 +53,7 @@
     if (longer.empty()) {
         // The longest of n equally distributed values is exceeded by 1/n of it on average; this outage is one of them.
         const auto outageCount = static_cast<Duration::rep>(this->outages.size() + 1);
-        return now + std::max(age / outageCount, this->options.resolution);
+        return now + age / outageCount;
     }
     const auto middle = longer.begin() + static_cast<std::ptrdiff_t>(longer.size() / 2);
     std::nth_element(longer.begin(), middle, longer.end());
--- a/packages/retry_advice/retry_advisor.h
+++ b/packages/retry_advice/retry_advisor.h
@@ -17,14 +17,14 @@
 
 // AdviceReason is why a caller has to come back.
 enum class AdviceReason {
-    StoreLost,
+    StoreUnavailable, // for an outage, or for this call alone
     TooManyCalls, // wait for the store
     NotReady, // this host has not read everything yet that it needs
     LimitReached, // a limit that holds for minutes
 };
 
 inline constexpr NameTable adviceReasonNames { std::to_array<NameEntry<AdviceReason>>({
-    { AdviceReason::StoreLost, "store-lost" },
+    { AdviceReason::StoreUnavailable, "store-unavailable" },
     { AdviceReason::TooManyCalls, "too-many-calls" },
     { AdviceReason::NotReady, "not-ready" },
     { AdviceReason::LimitReached, "limit-reached" },
--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -15,46 +15,58 @@
 
 ClientRequests::ClientRequests(Options options)
     : options(options)
+    , heldSubmissions(options.heldSubmissions)
 {
+    if (options.longestRetryAfter > Duration(0))
+        this->advisor.emplace(RetryAdvisor::Options { .longestRetryAfter = options.longestRetryAfter });
 }
 
-void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context)
+void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context, int urgency)
 {
     ++this->counts[reason];
+    const Duration retryAfter = this->retryAfter(status, reason, urgency, context.now);
     const DecisionEvent event = status == ReplyStatus::Unclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused;
-    context.add(LogDecision { event, subject, {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 });
-    const bool hasRetry = status == ReplyStatus::Refused;
-    context.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = hasRetry ? this->options.retryAfter : Duration(0) });
+    LogDecision line { event, subject, {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 };
+    if (this->advisor && retryAfter > Duration(0))
+        line.inputs = { { DecisionInput::RetryAfterMilliseconds, toMilliseconds(retryAfter) } };
+    context.add(std::move(line));
+    context.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = retryAfter });
 }
 
-void ClientRequests::submit(ReplyToken token, const JobDefinition& job, const JobCache& jobCache, CommandContext& context)
+void ClientRequests::submit(ReplyToken token, const JobDefinition& job, Duration timeAllowed, const JobCache& jobCache, CommandContext& context)
 {
-    const Call call { CallKind::Submit, token };
+    Call call { .kind = CallKind::Submit, .token = token, .urgency = job.queue.priority };
     if (const JobRecord* record = jobCache.find(job.id); record && record->isDefined())
         return this->answerFound(call, *record, context);
-    if (this->unclearJobs.contains(job.id) && !this->isStoreAnswering)
+    if (this->advisor) {
+        call.answerBy = context.now + this->holdTime(timeAllowed);
+        return this->submitWithDeadline(call, job, context);
+    }
+    if (this->unclearRows.contains(definitionOf(job.id)) && !this->isStoreAnswering)
         return this->refuse(token, job.id.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
     if (!this->isStoreAnswering)
         return this->refuse(token, job.id.value(), ReplyStatus::Refused, ReplyReason::StoreUnavailable, context);
     if (this->isFull())
-        return this->refuse(token, job.id.value(), this->unclearJobs.contains(job.id) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
-    this->write(WriteKind::AcceptJob, { { StoredRowKind::Definition, job.id.value() }, job }, call, context);
+        return this->refuse(token, job.id.value(), this->unclearRows.contains(definitionOf(job.id)) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
+    this->write(WriteKind::AcceptJob, { definitionOf(job.id), job }, call, context);
 }
 
 void ClientRequests::cancel(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context)
 {
     const Call call { CallKind::Cancel, token };
+    if (this->advisor && !this->canRecordUnclear(cancellationOf(job)))
+        return this->refuse(token, job.value(), this->mayTakeEffect(call.kind, job) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
     const JobRecord* record = jobCache.find(job);
     if (!record || !record->isDefined())
         return this->read(job, call, context);
     if (isFinal(record->phase()))
         return this->answerFound(call, *record, context);
-    this->write(WriteKind::CancelJob, { { StoredRowKind::Cancellation, job.value() }, CancellationRequest { context.wallTime } }, call, context);
+    this->write(WriteKind::CancelJob, { cancellationOf(job), CancellationRequest { context.wallTime } }, call, context);
 }
 
 void ClientRequests::lookUp(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context)
 {
-    const Call call { CallKind::LookUp, token };
+    const Call call { .kind = CallKind::LookUp, .token = token, .urgency = leastUrgent };
     if (const JobRecord* record = jobCache.find(job); record && record->isDefined())
         return this->answerFound(call, *record, context);
     this->read(job, call, context);
@@ -62,18 +74,24 @@
 
 void ClientRequests::write(WriteKind kind, StoredRowPut put, Call call, CommandContext& context)
 {
-    // The row that each kind of write requires to be absent, in the order of WriteKind.
-    static constexpr std::array<StoredRowKind, 3> absentRows { StoredRowKind::Definition, StoredRowKind::Cancellation, StoredRowKind::Definition };
     const auto inFlight = this->writeNumbers.find(put.key);
     if (inFlight != this->writeNumbers.end()) {
         this->writes.at(inFlight->second).calls.push_back(call);
         return;
     }
+    const JobId job(put.key.name);
+    this->send({ kind, job, std::move(put), { call }, context.now }, context);
+}
+
+void ClientRequests::send(Write write, CommandContext& context)
+{
+    // The row that each kind of write requires to be absent, in the order of WriteKind.
+    static constexpr std::array<StoredRowKind, 3> absentRows { StoredRowKind::Definition, StoredRowKind::Cancellation, StoredRowKind::Definition };
     const std::uint64_t number = context.nextWrite++;
-    this->writeNumbers.emplace(put.key, number);
-    const StoredRowKey key = put.key;
-    context.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { { absentRows[indexOf(kind)], key.name }, 0 } }, .puts = { put }, .removals = {} });
-    this->writes.emplace(number, Write { kind, JobId(key.name), std::move(put), { call }, context.now });
+    const StoredRowKey& key = write.put.key;
+    this->writeNumbers.emplace(key, number);
+    context.add(WriteStoredRows { .write = number, .partition = partitionOf(key), .conditions = { { { absentRows[indexOf(write.kind)], key.name }, 0 } }, .puts = { write.put }, .removals = {} });
+    this->writes.emplace(number, std::move(write));
 }
 
 void ClientRequests::read(const JobId& job, Call call, CommandContext& context)
@@ -93,16 +111,18 @@
     // A conflict shows that the row is there already; that of CancelAbsentJob shows that the job has been stored meanwhile.
     const bool isStored = end.status == TransactionStatus::Committed || (end.status == TransactionStatus::Conflict && write.kind != WriteKind::CancelAbsentJob);
     if (end.status == TransactionStatus::Ambiguous)
-        this->recordUnclear(write.job);
-    for (Call call : write.calls) {
-        call.hasUnclearWrite |= end.status == TransactionStatus::Ambiguous;
-        if (isStored)
-            this->answerWritten(write, call, context);
-        else if (end.status == TransactionStatus::Unavailable)
-            this->answerUnread(write.job, call, context);
-        else
-            this->read(write.job, call, context);
+        this->recordUnclear(this->advisor ? write.put.key : definitionOf(write.job), context.now);
+    if (write.isRepeat) {
+        --this->repeatsInFlight;
+        ++this->repeatResults[end.status];
     }
+    if (this->advisor && isStored)
+        this->forgetUnclear(write.put.key);
+    if (this->advisor && write.kind == WriteKind::AcceptJob && !isStored && this->unclearRows.contains(write.put.key))
+        this->hold(write.put, write.calls, context);
+    else
+        this->answerCalls(write, end.status, isStored, context);
+    this->resumeHeld(context);
     const bool isJob = write.put.key.kind == StoredRowKind::Definition;
     if (isStored)
         context.add(LogDecision { isJob ? DecisionEvent::JobAccepted : DecisionEvent::JobCancelled, write.job.value(), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
@@ -115,6 +135,19 @@
     return std::nullopt;
 }
 
+void ClientRequests::answerCalls(const Write& write, TransactionStatus status, bool isStored, CommandContext& context)
+{
+    for (Call call : write.calls) {
+        call.hasUnclearWrite |= status == TransactionStatus::Ambiguous;
+        if (isStored)
+            this->answerWritten(write, call, context);
+        else if (status == TransactionStatus::Unavailable)
+            this->answerUnread(write.job, call, context);
+        else
+            this->read(write.job, call, context);
+    }
+}
+
 void ClientRequests::rowsRead(const JobRowsRead& end, const JobCache& jobCache, CommandContext& context)
 {
     const auto found = this->reads.find(end.job);
@@ -152,9 +185,9 @@
 
 void ClientRequests::answerUnread(const JobId& job, const Call& call, CommandContext& context)
 {
-    const bool isUnclear = call.kind != CallKind::LookUp && this->unclearJobs.contains(job);
+    const bool isUnclear = this->advisor ? this->mayTakeEffect(call.kind, job) : call.kind != CallKind::LookUp && this->unclearRows.contains(definitionOf(job));
     const ReplyReason reason = isUnclear ? ReplyReason::StoreUnclear : ReplyReason::StoreUnavailable;
-    this->refuse(call.token, job.value(), isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, context);
+    this->refuse(call.token, job.value(), isUnclear ? ReplyStatus::Unclear : ReplyStatus::Refused, reason, context, call.urgency);
 }
 
 void ClientRequests::answerAbsent(const JobRowsRead& end, const Call& call, const JobCache& jobCache, CommandContext& context)
@@ -175,19 +208,28 @@
     if (call.hasUnclearWrite)
         return this->refuse(call.token, name, ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
     if (jobCache.unmatchedCancellations().size() >= this->options.maxUnmatchedCancellations)
-        return this->refuse(call.token, name, ReplyStatus::Refused, ReplyReason::TooManyCancellations, context);
-    this->write(WriteKind::CancelAbsentJob, { { StoredRowKind::Cancellation, name }, CancellationRequest { context.wallTime } }, call, context);
+        return this->refuse(call.token, name, this->advisor && this->mayTakeEffect(call.kind, end.job) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyCancellations, context);
+    this->write(WriteKind::CancelAbsentJob, { cancellationOf(end.job), CancellationRequest { context.wallTime } }, call, context);
 }
 
-void ClientRequests::recordUnclear(const JobId& job)
+void ClientRequests::recordUnclear(const StoredRowKey& key, Instant now)
 {
-    if (!this->unclearJobs.insert(job).second)
+    if (this->advisor)
+        this->forgetUnclear(key); // its age is that of the last write
+    if (!this->unclearRows.emplace(key, now).second)
         return;
-    this->unclearJobsByAge.push_back(job);
-    if (this->unclearJobsByAge.size() <= this->options.maxUnclearJobs)
+    this->unclearRowsByAge.emplace(now, key);
+    if (!this->advisor && this->unclearRows.size() > this->options.maxUnclearJobs)
+        this->forgetUnclear(StoredRowKey(this->unclearRowsByAge.begin()->second));
+}
+
+void ClientRequests::forgetUnclear(const StoredRowKey& key)
+{
+    const auto found = this->unclearRows.find(key);
+    if (found == this->unclearRows.end())
         return;
-    this->unclearJobs.erase(this->unclearJobsByAge.front());
-    this->unclearJobsByAge.pop_front();
+    this->unclearRowsByAge.erase({ found->second, key });
+    this->unclearRows.erase(found);
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/commands/client_calls.cc
+++ b/packages/scheduling/commands/client_calls.cc
@@ -61,7 +61,7 @@
     job.queue = *address->queue;
     job.acceptedAt = context.wallTime;
     job.cell = this->chooseCell(job, context.now);
-    this->clientRequests.submit(submit.token, job, this->jobCache, context);
+    this->clientRequests.submit(submit.token, job, submit.timeAllowed, this->jobCache, context);
 }
 
 void Scheduler::requestCancellation(const SchedulerCommand& command, CommandContext& context)
@@ -81,7 +81,7 @@
 void Scheduler::refuseQueueQuery(const SchedulerCommand& command, CommandContext& context)
 {
     const auto& query = std::get<RefuseQueueQuery>(command);
-    this->clientRequests.refuse(query.token, query.path, query.status, query.reason, context);
+    this->clientRequests.refuse(query.token, query.path, query.status, query.reason, context, leastUrgent);
 }
 
 } // namespace dragonflytray
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -39,8 +39,10 @@
     if (change.key.kind == StoredRowKind::EntryHost)
         return this->hostChanged(change);
     if (const JobRecord* record = this->jobCache.apply(change)) {
-        if (record->isDefined())
+        if (record->isDefined()) {
+            this->clientRequests.jobStored(*record, context);
             this->dispatcher.jobChanged(*record, context);
+        }
     } else if (change.key.kind == StoredRowKind::Definition) {
         this->dispatcher.jobRemoved(JobId(change.key.name));
     }
@@ -148,7 +150,7 @@
     if (isAnswering == this->isStoreAnswering)
         return;
     this->isStoreAnswering = isAnswering;
-    this->clientRequests.setStoreAnswering(isAnswering);
+    this->clientRequests.storeContactChanged(isAnswering, context);
     if (isAnswering)
         this->storeRegained(context);
     else
--- a/packages/scheduling/commands/upkeep.cc
+++ b/packages/scheduling/commands/upkeep.cc
@@ -45,6 +45,7 @@
     context.wallTime = this->wallTime;
     this->maintainLeases(context);
     this->dispatcher.tick(context);
+    this->clientRequests.tick(context);
     this->checkCancellations(context);
     this->removeEndedJobs(context);
     this->removeUnmatchedCancellations(context);
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -41,6 +41,7 @@
         .evacuatedDataCentres = this->dispatcher.evacuations().count(),
         .evacuatedRuns = this->dispatcher.evacuatedRuns(),
         .replies = this->clientRequests.replies(),
+        .retries = this->clientRequests.retries(),
         .stageTimes = this->stageTimes,
     };
     if (this->dispatcher.leadsAny())
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -137,6 +137,7 @@
 
     Instant now { std::chrono::hours(1) };
     Dispatcher::Options dispatcherOptions; // of hosts that are created later
+    ClientRequests::Options clientRequestsOptions; // the same
     std::map<std::string, EntryHost> ownEntries; // the same, by host
     SimulatedStore store;
     std::map<std::string, std::unique_ptr<Scheduler>> hosts;
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -22,6 +22,7 @@
     std::string host;
     std::string path;
     JobDefinition job; // id, queue, cell and acceptedAt are set when the job is accepted
+    Duration timeAllowed { 0 }; // that the caller waits for the answer, from now on; 0: not given
 };
 
 // RequestCancellation asks to cancel the job that host and path identify.
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -141,7 +141,7 @@
     ReplyReason reason { ReplyReason::None };
     JobPhase phase { JobPhase::Queued }; // of JobFound
     std::uint64_t pending { 0 }; // of QueueFound: accepted jobs of which no task has started
-    Duration retryAfter { 0 }; // of Refused: when to repeat the call
+    Duration retryAfter { 0 }; // of Refused, and of Unclear with advice while the store is lost: when to repeat the call; 0: not said
 };
 
 // FollowWorkers starts or stops the reading of the list of workers, which only leaders need.
@@ -262,6 +262,7 @@
     EvacuatedDataCentres,
     EvacuatedRuns, // on workers of evacuated data centres
     MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
+    RetryAfterMilliseconds, // until a refused caller should come back
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -294,8 +295,9 @@
     { DecisionInput::EvacuatedDataCentres, "evacuatedDataCentres" },
     { DecisionInput::EvacuatedRuns, "evacuatedRuns" },
     { DecisionInput::MissedMilliseconds, "missedMs" },
+    { DecisionInput::RetryAfterMilliseconds, "retryAfterMs" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::MissedMilliseconds));
+static_assert(decisionInputNames.isWhole(DecisionInput::RetryAfterMilliseconds));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -56,6 +56,7 @@
     std::size_t evacuatedDataCentres { 0 };
     std::size_t evacuatedRuns { 0 }; // on workers there, of the cells that this host leads
     ReplyCounts replies;
+    std::optional<RetrySummary> retries; // nothing without advice to callers
     StageTimes stageTimes;
 };
 
