--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -99,6 +99,8 @@
         gauge("dragonflytray_evacuated_data_centres", static_cast<double>(summary.evacuatedDataCentres));
         gauge("dragonflytray_evacuated_runs", static_cast<double>(summary.evacuatedRuns));
     }
+    if (summary.retries)
+        addRetryMetrics(*summary.retries, snapshot.metrics);
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
@@ -106,6 +108,16 @@
     (void)this->rings.journal.tryPush(std::move(snapshot));
 }
 
+void SchedulingDuty::addRetryMetrics(const RetrySummary& retries, std::vector<Metric>& metrics)
+{
+    for (const auto& entry : adviceReasonNames)
+        metrics.push_back({ "dragonflytray_retry_advice_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(retries.told[entry.value]) });
+    for (const auto& entry : transactionStatusNames)
+        metrics.push_back({ "dragonflytray_repeated_submissions_total", MetricKind::Counter, { { "result", std::string(entry.name) } }, static_cast<double>(retries.repeatResults[entry.value]) });
+    metrics.push_back({ "dragonflytray_longest_retry_after_seconds", MetricKind::Gauge, {}, toSeconds(retries.longestAdvice) });
+    metrics.push_back({ "dragonflytray_held_submissions", MetricKind::Gauge, {}, static_cast<double>(retries.heldSubmissions) });
+}
+
 void SchedulingDuty::carryOut(WriteStoredRows effect)
 {
     const std::uint64_t write = effect.write;
--- a/packages/entry/duties/scheduling_duty.h
+++ b/packages/entry/duties/scheduling_duty.h
@@ -19,6 +19,7 @@
     void decide(const SchedulerCommand& command);
     void tick(Instant now);
     void reportMetrics(const SchedulerSummary& summary);
+    static void addRetryMetrics(const RetrySummary& retries, std::vector<Metric>& metrics);
     void reportReadiness(Instant now);
 
     void carryOut(WriteStoredRows effect);
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -14,6 +14,8 @@
 
     constexpr NumberRule changeLimitBounds { .minimum = 3000, .maximum = 3.6e6 }; // with less, a leader that is up to date would pause
 
+    constexpr NumberRule retryAfterBounds { .minimum = 1000, .maximum = 60'000 }; // callers are told whole seconds, and none waits for a minute
+
     std::vector<DataCentrePlace> readDataCentres(YamlMap& map)
     {
         std::vector<DataCentrePlace> places;
@@ -42,6 +44,8 @@
         settings.drainingLimit = readMilliseconds(map, "drainingLimitMilliseconds", changeLimitBounds, settings.drainingLimit);
         if (map.has("evacuationLimitMilliseconds"))
             settings.evacuationLimit = readMilliseconds(map, "evacuationLimitMilliseconds", changeLimitBounds, settings.evacuationLimit);
+        if (map.has("longestRetryAfterMilliseconds"))
+            settings.longestRetryAfter = readMilliseconds(map, "longestRetryAfterMilliseconds", retryAfterBounds, settings.longestRetryAfter);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -91,6 +95,7 @@
     options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
     if (settings.evacuationLimit > Duration(0))
         options.dispatcher.maxEvacuationsViewAge = settings.evacuationLimit - options.dispatcher.startValidity;
+    options.clientRequests.longestRetryAfter = settings.longestRetryAfter;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -78,6 +78,21 @@
     }
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_longestRetryAfter_isOffUnlessGivenWithinItsBounds")
+{
+    CHECK(schedulerOptions(*parseEntrySettings(this->text, "entry.yaml")).clientRequests.longestRetryAfter == Duration(0));
+    const auto withLimit = [&](const std::string& limit) {
+        const std::string entry = "entry:\n";
+        std::string changed = this->text;
+        changed.insert(changed.find(entry) + entry.size(), "  longestRetryAfterMilliseconds: " + limit + "\n");
+        return parseEntrySettings(changed, "entry.yaml");
+    };
+    REQUIRE(withLimit("8000"));
+    CHECK(schedulerOptions(*withLimit("8000")).clientRequests.longestRetryAfter == std::chrono::seconds(8));
+    CHECK_FALSE(withLimit("999"));
+    CHECK_FALSE(withLimit("60001"));
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
