scheduling: plays of unclear submissions with short deadlines and stores that refuse writes

Two seeded faults were missed by the plays: an unclear result after the last caller was answered, and a refused write after an unclear one.

--- a/packages/scheduling/submission_retry_test.cc
+++ b/packages/scheduling/submission_retry_test.cc
@@ -297,22 +297,25 @@
             const std::string host = this->random.chance(2) ? "a" : "b";
             const std::uint64_t job = this->random.below(jobs);
             const Instant sentAt = this->now;
-            switch (this->random.below(10)) {
+            switch (this->random.below(12)) {
             case 0:
                 return this->silence(host, true);
             case 1:
                 return this->setStoreContact(host, false);
-            case 2:
+            case 2: // not noticed yet
+                this->isDisconnectedFromStore[host] = true;
+                return;
             case 3:
+            case 4:
                 return this->connect(host);
-            case 4: {
+            case 5: {
                 const auto token = static_cast<std::uint64_t>(this->lastToken + 1);
                 this->calls.emplace(token, Call { host, job, false, Instant::max() });
                 (void)this->cancel(host, job);
                 return;
             }
             default: {
-                const Duration timeAllowed = this->random.chance(2) ? Duration(0) : this->random.duration(500, 5000);
+                const Duration timeAllowed = this->random.chance(3) ? Duration(0) : this->random.duration(500, this->random.chance(2) ? 1200 : 5000);
                 const auto token = static_cast<std::uint64_t>(this->lastToken + 1);
                 this->calls.emplace(token, Call { host, job, true, sentAt + (timeAllowed > Duration(0) ? timeAllowed : Duration(seconds(3))) });
                 (void)this->submit(host, job, "/q/", timeAllowed);
