--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -80,17 +80,11 @@
 
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_longestRetryAfter_isOffUnlessGivenWithinItsBounds")
 {
-    CHECK(schedulerOptions(*parseEntrySettings(this->text, "entry.yaml")).clientRequests.longestRetryAfter == Duration(0));
-    const auto withLimit = [&](const std::string& limit) {
-        const std::string entry = "entry:\n";
-        std::string changed = this->text;
-        changed.insert(changed.find(entry) + entry.size(), "  longestRetryAfterMilliseconds: " + limit + "\n");
-        return parseEntrySettings(changed, "entry.yaml");
-    };
-    REQUIRE(withLimit("8000"));
-    CHECK(schedulerOptions(*withLimit("8000")).clientRequests.longestRetryAfter == std::chrono::seconds(8));
-    CHECK_FALSE(withLimit("999"));
-    CHECK_FALSE(withLimit("60001"));
+    const auto withEntry = [&](const std::string& line) { return parseEntrySettings(std::string(this->text).insert(this->text.find("  callers"), line), "entry.yaml"); };
+    CHECK(schedulerOptions(withEntry("").value()).clientRequests.longestRetryAfter == Duration(0));
+    CHECK(schedulerOptions(withEntry("  longestRetryAfterMilliseconds: 8000\n").value()).clientRequests.longestRetryAfter == std::chrono::seconds(8));
+    CHECK_FALSE(withEntry("  longestRetryAfterMilliseconds: 999\n"));
+    CHECK_FALSE(withEntry("  longestRetryAfterMilliseconds: 60001\n"));
 }
 
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
