scheduling: a refused repeat does not send the next one in the same step

With a full ring towards the store, a write is refused while it is sent; each refusal sent the next held submission, as deep as there are held submissions. After a refusal the next tick sends them.

--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -122,7 +122,8 @@
         this->hold(write.put, write.calls, context);
     else
         this->answerCalls(write, end.status, isStored, context);
-    this->resumeHeld(context);
+    if (end.status != TransactionStatus::Unavailable) // it may have been reported while the write was sent; another one would end likewise
+        this->resumeHeld(context);
     const bool isJob = write.put.key.kind == StoredRowKind::Definition;
     if (isStored)
         context.add(LogDecision { isJob ? DecisionEvent::JobAccepted : DecisionEvent::JobCancelled, write.job.value(), {}, std::string(transactionStatusNames.nameOf(end.status)), end.revision, 0 });
--- a/packages/scheduling/client_requests.h
+++ b/packages/scheduling/client_requests.h
@@ -59,8 +59,8 @@
 
     explicit ClientRequests(Options options);
 
-    // submit() stores a job, unless the cache contains it already. The reply follows when the store has answered, or with advice at
-    // the end of `timeAllowed`; 0: the default.
+    // submit() stores a job, unless the cache contains it already. The reply follows when the store has answered; with
+    // longestRetryAfter, before `timeAllowed` has passed. 0: the default.
     void submit(ReplyToken token, const JobDefinition& job, Duration timeAllowed, const JobCache& jobCache, CommandContext& context);
 
     // cancel() stores a cancellation request, unless the job has ended. A job that is not cached is read first. The reply is
@@ -152,9 +152,9 @@
     void hold(const StoredRowPut& put, const std::vector<Call>& calls, CommandContext& context);
     void enqueue(const JobId& job, const Held& submission);
 
-    // resumeHeld() sends the tries that are due, after it has answered the callers for whom they would come too late.
+    // answerHopeless() answers the callers for whom the next try would come too late. resumeHeld() then sends the tries that are due.
+    void answerHopeless(CommandContext& context);
     void resumeHeld(CommandContext& context);
-    void answerHopeless(const JobId& job, Instant nextTry, CommandContext& context);
     void writeAgain(const JobId& job, CommandContext& context);
 
     // answerOverdue() answers callers whose time ends while a write is in flight.
--- a/packages/scheduling/client_requests_repeats.cc
+++ b/packages/scheduling/client_requests_repeats.cc
@@ -78,7 +78,7 @@
     Held& submission = this->held.try_emplace(job, Held { put, {}, context.now + this->options.repeatPause }).first->second;
     submission.calls.insert(submission.calls.end(), calls.begin(), calls.end());
     this->enqueue(job, submission);
-    this->resumeHeld(context);
+    this->answerHopeless(context);
 }
 
 void ClientRequests::enqueue(const JobId& job, const Held& submission)
@@ -95,28 +95,29 @@
 {
     if (!this->advisor)
         return;
-    const Instant nextTry = this->isStoreAnswering ? context.now : this->advisor->expectedEnd(context.now);
-    for (const JobId& job : this->heldSubmissions.takeHopeless(nextTry))
-        this->answerHopeless(job, nextTry, context);
+    this->answerHopeless(context);
     if (!this->isStoreAnswering)
         return;
     for (const JobId& job : this->heldSubmissions.takeDue(context.now, this->options.maxRepeatsInFlight - this->repeatsInFlight))
         this->writeAgain(job, context);
 }
 
-void ClientRequests::answerHopeless(const JobId& job, Instant nextTry, CommandContext& context)
+void ClientRequests::answerHopeless(CommandContext& context)
 {
-    const auto found = this->held.find(job);
-    std::erase_if(found->second.calls, [&](const Call& call) {
-        if (!this->heldSubmissions.isHopeless(call.answerBy, nextTry))
-            return false;
-        this->refuse(call.token, job.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context, call.urgency);
-        return true;
-    });
-    if (found->second.calls.empty())
-        this->held.erase(found);
-    else
-        this->enqueue(job, found->second);
+    const Instant nextTry = this->isStoreAnswering ? context.now : this->advisor->expectedEnd(context.now);
+    for (const JobId& job : this->heldSubmissions.takeHopeless(nextTry)) {
+        const auto found = this->held.find(job);
+        std::erase_if(found->second.calls, [&](const Call& call) {
+            if (!this->heldSubmissions.isHopeless(call.answerBy, nextTry))
+                return false;
+            this->refuse(call.token, job.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context, call.urgency);
+            return true;
+        });
+        if (found->second.calls.empty())
+            this->held.erase(found);
+        else
+            this->enqueue(job, found->second);
+    }
 }
 
 void ClientRequests::writeAgain(const JobId& job, CommandContext& context)
