--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -118,6 +118,15 @@
     CHECK(callerLimits(*settings).connections == 16);
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_longestRetryAfter_isOffUnlessGivenWithinItsBounds")
+{
+    const auto withEntry = [&](const std::string& line) { return parseEntrySettings(std::string(this->text).insert(this->text.find("  callers"), line), "entry.yaml"); };
+    CHECK(schedulerOptions(withEntry("").value()).clientRequests.longestRetryAfter == Duration(0));
+    CHECK(schedulerOptions(withEntry("  longestRetryAfterMilliseconds: 8000\n").value()).clientRequests.longestRetryAfter == std::chrono::seconds(8));
+    CHECK_FALSE(withEntry("  longestRetryAfterMilliseconds: 999\n"));
+    CHECK_FALSE(withEntry("  longestRetryAfterMilliseconds: 60001\n"));
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
