worker_health: workers are judged by their runs beside those of their peers

Cause: a worker that lists itself as ready but is slow, fails or refuses everything, stalls or flaps keeps getting tasks, since it always has room. WorkerHealth reduces the share of such a worker, quarantines it if the sign remains, and returns it by probes. At most a quarter of the peers may be quarantined, and a sign that most peers show judges none of them. Nothing uses it yet.

--- /dev/null
+++ b/packages/worker_health/worker_health_test.cc
@@ -0,0 +1,241 @@
+// A worker that is worse than it reports must get less work, and a wrong or outdated judgement must neither last nor take a fleet out of
+// service.
+
+#include "worker_health/worker_health.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace dragonflytray {
+
+namespace {
+
+    const PeerGroupName peers("peers");
+    constexpr Duration second = std::chrono::seconds(1);
+
+    // WorkerHealthFixture has eight workers that end a run each second. Tasks are expected to take a second, and may take three.
+    struct WorkerHealthFixture {
+        Instant now { std::chrono::hours(1) };
+        WorkerHealth health { {} };
+        std::vector<std::string> names { "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8" };
+        std::vector<HealthTransition> transitions;
+
+        WorkerHealthFixture() { this->health.workersCounted({ { peers, this->names.size() } }); }
+
+        ObservedRun start(const std::string& worker)
+        {
+            const ObservedRun run = this->health.runStarted(worker, peers, { .expected = second, .limit = 3 * second }, this->now);
+            this->health.startAccepted(run, this->now);
+            return run;
+        }
+
+        void finish(const std::string& worker, RunResult result, Duration took) { this->health.runEnded(this->start(worker), result, took, this->now); }
+
+        // pass() passes some seconds in which all workers but `bad` end runs as expected, and `act` is done for each of these.
+        template <typename Act>
+        void pass(int seconds, const std::set<std::string>& bad, Act act)
+        {
+            for (int i = 0; i < seconds; ++i) {
+                for (const std::string& name : this->names) {
+                    if (bad.contains(name))
+                        act(name);
+                    else
+                        this->finish(name, RunResult::Done, second);
+                }
+                this->now += second;
+                const auto changes = this->health.judge(this->now);
+                this->transitions.insert(this->transitions.end(), changes.begin(), changes.end());
+            }
+        }
+
+        // passProbing() does the same with `act` only where placement would start a run.
+        template <typename Act>
+        void passProbing(int seconds, const std::string& bad, Act act)
+        {
+            this->pass(seconds, { bad }, [&](const std::string& name) {
+                if (this->health.shareOf(name) > 0 || this->health.mayProbe(name, this->now))
+                    act(name);
+            });
+        }
+
+        void expectOnly(HealthSign sign, const std::string& worker) const
+        {
+            REQUIRE_FALSE(this->transitions.empty());
+            for (const HealthTransition& transition : this->transitions) {
+                CHECK(transition.sign == sign);
+                CHECK(transition.worker == worker);
+            }
+        }
+    };
+
+} // namespace
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_allRunsAreSlowAlike_judgesNobody")
+{
+    this->pass(40, { this->names.begin(), this->names.end() }, [&](const std::string& name) { this->finish(name, RunResult::Done, 7 * second); });
+    CHECK(this->transitions.empty());
+    CHECK_FALSE(this->health.hasSuspects());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_tooFewRuns_judgesNobody")
+{
+    this->pass(7, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Done, 20 * second); });
+    CHECK(this->transitions.empty());
+}
+
+// One task of a few takes far longer than the others, and callers' estimates are wrong by up to a factor of two.
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_someStragglersAndWrongEstimates_judgesNobody")
+{
+    int count = 0;
+    this->pass(60, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Done, ++count % 5 == 0 ? 7 * second : 3 * second / 2); });
+    CHECK(this->transitions.empty());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_runsAreSlowerButKeepObjective_isReducedOnly")
+{
+    this->pass(40, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Done, 5 * second / 2 + std::chrono::milliseconds(200)); });
+    this->expectOnly(HealthSign::Slow, "w1");
+    CHECK(this->health.shareOf("w1") == 0.5);
+    CHECK(this->health.count(WorkerCondition::Quarantined) == 0);
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_runsMissObjective_isReducedThenQuarantined")
+{
+    this->pass(40, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Done, 5 * second); });
+    this->expectOnly(HealthSign::Slow, "w1");
+    REQUIRE(this->transitions.size() == 2);
+    CHECK(this->transitions[0].to == WorkerCondition::Reduced);
+    CHECK(this->transitions[1].to == WorkerCondition::Quarantined);
+    CHECK(this->transitions[1].slowness > 3.5);
+    CHECK(this->health.isQuarantined("w1"));
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_everyRunFails_isQuarantinedAfterFour")
+{
+    this->pass(3, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    CHECK(this->health.shareOf("w1") == 1);
+    this->pass(1, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    this->expectOnly(HealthSign::Failing, "w1");
+    CHECK(this->health.isQuarantined("w1"));
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_runsFailOnMostWorkers_judgesNobody")
+{
+    this->pass(20, { "w1", "w2", "w3", "w4", "w5" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    CHECK(this->transitions.empty());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_startsAreRefused_isQuarantined")
+{
+    this->pass(4, { "w1" }, [&](const std::string& name) {
+        this->health.runEnded(this->health.runStarted(name, peers, {}, this->now), RunResult::Refused, std::nullopt, this->now);
+    });
+    this->expectOnly(HealthSign::Refusing, "w1");
+    CHECK(this->health.isQuarantined("w1"));
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_runsStandStillWhileOthersEnd_isQuarantinedOnceWorthless")
+{
+    int started = 0;
+    const auto startTwo = [&](const std::string& name) {
+        if (++started <= 2)
+            this->start(name);
+    };
+    this->pass(8, { "w1" }, startTwo);
+    CHECK(this->transitions.empty());
+    this->pass(4, { "w1" }, startTwo);
+    this->expectOnly(HealthSign::Stalled, "w1");
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_longRunsProgressOrOthersEndBesides_judgesNobody")
+{
+    std::vector<ObservedRun> runs { this->start("w1"), this->start("w1"), this->start("w2"), this->start("w2") };
+    this->pass(30, { "w1" }, [&](const std::string&) {
+        this->health.runProgressed(runs[0], this->now);
+        this->health.runProgressed(runs[1], this->now);
+    });
+    CHECK(this->transitions.empty());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_contactGoesUpAndDown_isReducedThenQuarantined")
+{
+    int count = 0;
+    const auto flap = [&](const std::string& name) {
+        this->finish(name, RunResult::Done, second);
+        if (++count % 5 == 0)
+            this->health.contactLost(name, peers, this->now);
+    };
+    this->pass(10, { "w1" }, flap);
+    CHECK(this->transitions.empty());
+    this->pass(6, { "w1" }, flap);
+    CHECK(this->health.shareOf("w1") == 0.5);
+    this->pass(4, { "w1" }, [&](const std::string& name) { this->health.contactLost(name, peers, this->now); });
+    this->expectOnly(HealthSign::Flapping, "w1");
+    CHECK(this->health.isQuarantined("w1"));
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_contactIsLostRarely_judgesNobody")
+{
+    int count = 0;
+    this->pass(100, { "w1" }, [&](const std::string& name) {
+        if (++count % 20 == 0)
+            this->health.contactLost(name, peers, this->now);
+    });
+    CHECK(this->transitions.empty());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_halfOfWorkersLookBad_quarantinesAQuarterAtMost")
+{
+    this->pass(60, { "w1", "w2", "w3", "w4" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    CHECK(this->health.count(WorkerCondition::Quarantined) == 2);
+    CHECK(this->health.count(WorkerCondition::Reduced) == 2);
+    CHECK(this->health.sparedCount() == 2);
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_quarantinedWorkerGetsBetter_returnsByProbesAndRuns")
+{
+    this->pass(4, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    REQUIRE(this->health.isQuarantined("w1"));
+    CHECK_FALSE(this->health.mayProbe("w1", this->now));
+    this->passProbing(5, "w1", [&](const std::string& name) { this->finish(name, RunResult::Done, second); });
+    CHECK(this->health.shareOf("w1") == 0.5);
+    this->passProbing(10, "w1", [&](const std::string& name) { this->finish(name, RunResult::Done, second); });
+    CHECK(this->health.shareOf("w1") == 1);
+    CHECK_FALSE(this->health.hasSuspects());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_probesKeepFailing_getRare")
+{
+    this->pass(4, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    int probes = 0;
+    this->passProbing(300, "w1", [&](const std::string& name) {
+        ++probes;
+        this->finish(name, RunResult::Failed, second);
+    });
+    CHECK(this->health.isQuarantined("w1"));
+    CHECK(probes >= 6);
+    CHECK(probes <= 10);
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_probeIsUnderWay_allowsNoOther")
+{
+    this->pass(4, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    this->passProbing(3, "w1", [](const std::string&) {});
+    REQUIRE(this->health.mayProbe("w1", this->now));
+    const ObservedRun probe = this->start("w1");
+    CHECK_FALSE(this->health.mayProbe("w1", this->now));
+    this->health.runEnded(probe, RunResult::Withdrawn, std::nullopt, this->now);
+    CHECK(this->health.mayProbe("w1", this->now)); // it has shown nothing
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_workerIsForgotten_itsRunsAreIgnored")
+{
+    this->pass(4, { "w1" }, [&](const std::string& name) { this->finish(name, RunResult::Failed, second); });
+    const ObservedRun run = this->start("w1");
+    this->health.forget("w1");
+    this->health.runEnded(run, RunResult::Failed, second, this->now);
+    CHECK(this->health.shareOf("w1") == 1);
+    CHECK_FALSE(this->health.hasSuspects());
+}
+
+} // namespace dragonflytray
