worker_health: a flapping worker returns once its contact lasts

Cause: a service may run nothing but long-running tasks, which are no probes, so that a worker quarantined for lost contacts would never return. Refusals count only over a time in which no room can be left by runs that end late, and a reduced worker that is full of long-running tasks gets a probe, too.

--- a/packages/worker_health/worker_health.cc
+++ b/packages/worker_health/worker_health.cc
@@ -20,11 +20,11 @@
 
 // The signs of workers whose runs can't succeed come first.
 const std::array<WorkerHealth::SignRule, healthSignNames.size() - 1> WorkerHealth::signRules { {
-    { HealthSign::Failing, WorkerCondition::Quarantined, &WorkerHealth::isFailing, &WorkerHealth::isAlwaysCostly },
-    { HealthSign::Refusing, WorkerCondition::Quarantined, &WorkerHealth::isRefusing, &WorkerHealth::isAlwaysCostly },
-    { HealthSign::Stalled, WorkerCondition::Quarantined, &WorkerHealth::isStalled, &WorkerHealth::isAlwaysCostly },
-    { HealthSign::Slow, WorkerCondition::Reduced, &WorkerHealth::isSlow, &WorkerHealth::makesJobsLate },
-    { HealthSign::Flapping, WorkerCondition::Reduced, &WorkerHealth::isFlapping, &WorkerHealth::isAlwaysCostly },
+    { HealthSign::Failing, WorkerCondition::Quarantined, &WorkerHealth::isFailing, &WorkerHealth::isAlwaysCostly, &WorkerHealth::hasGoodRuns },
+    { HealthSign::Refusing, WorkerCondition::Quarantined, &WorkerHealth::isRefusing, &WorkerHealth::isAlwaysCostly, &WorkerHealth::hasGoodRuns },
+    { HealthSign::Stalled, WorkerCondition::Quarantined, &WorkerHealth::isStalled, &WorkerHealth::isAlwaysCostly, &WorkerHealth::hasGoodRuns },
+    { HealthSign::Slow, WorkerCondition::Reduced, &WorkerHealth::isSlow, &WorkerHealth::makesJobsLate, &WorkerHealth::hasGoodRuns },
+    { HealthSign::Flapping, WorkerCondition::Reduced, &WorkerHealth::isFlapping, &WorkerHealth::isAlwaysCostly, &WorkerHealth::hasKeptContact },
 } };
 
 WorkerHealth::WorkerHealth(Options options)
@@ -41,7 +41,7 @@
 {
     const ObservedRun run { ++this->lastRun };
     Worker& observed = this->findOrAdd(worker, group, now);
-    if (observed.condition == WorkerCondition::Quarantined && observed.probe == ObservedRun(0))
+    if (observed.condition != WorkerCondition::Healthy && observed.probe == ObservedRun(0))
         observed.probe = run;
     this->runs.emplace(run, Run { worker, expectation, now, now });
     return run;
@@ -78,7 +78,8 @@
     if (result == RunResult::Done)
         worker.lastDoneAt = now;
     const bool isEvidence = ended.startedAt >= worker.since; // what was started before says nothing about the present condition
-    worker.refusals += isEvidence && result == RunResult::Refused ? 1 : 0;
+    if (isEvidence && result == RunResult::Refused && worker.refusals++ == 0)
+        worker.refusedSince = now;
     if (isEvidence && (result == RunResult::Done || result == RunResult::Failed)) {
         const bool isTimed = result == RunResult::Done && took;
         const bool isLate = isTimed && ended.expectation.limit > Duration(0) && *took > ended.expectation.limit + this->options.reportTolerance;
@@ -93,7 +94,7 @@
         return;
     if (this->isGoodProbe(worker, ended.expectation, result, took))
         ++worker.goodProbes;
-    else
+    else if (worker.condition == WorkerCondition::Quarantined)
         this->delayProbe(worker, now);
 }
 
@@ -118,6 +119,7 @@
 void WorkerHealth::contactLost(const std::string& worker, const PeerGroupName& group, Instant now)
 {
     Worker& observed = this->findOrAdd(worker, group, now);
+    observed.lastContactLossAt = now;
     if (observed.condition == WorkerCondition::Quarantined)
         return this->delayProbe(observed, now);
     observed.contactLosses.push_back(now);
@@ -154,7 +156,7 @@
 bool WorkerHealth::mayProbe(const std::string& worker, Instant now) const
 {
     const auto found = this->workers.find(worker);
-    if (found == this->workers.end() || found->second.condition != WorkerCondition::Quarantined)
+    if (found == this->workers.end() || found->second.condition == WorkerCondition::Healthy)
         return false;
     return found->second.probe == ObservedRun(0) && now >= found->second.nextProbeAt;
 }
@@ -200,9 +202,9 @@
     return samples.size() >= this->options.minFailures && std::all_of(samples.rbegin(), samples.rbegin() + this->options.minFailures, [](const EndedRunSample& sample) { return sample.isFailed; });
 }
 
-bool WorkerHealth::isRefusing(const Worker& worker, const Peers&, Instant) const
+bool WorkerHealth::isRefusing(const Worker& worker, const Peers&, Instant now) const
 {
-    return worker.refusals >= this->options.minRefusals;
+    return worker.refusals >= this->options.minRefusals && now >= worker.refusedSince + this->options.refusalTime;
 }
 
 bool WorkerHealth::isStalled(const Worker& worker, const Peers& peers, Instant) const
@@ -232,6 +234,16 @@
     return 2 * static_cast<std::size_t>(late) >= worker.samples.size();
 }
 
+bool WorkerHealth::hasGoodRuns(const Worker& worker, Instant) const
+{
+    return worker.condition == WorkerCondition::Quarantined ? worker.goodProbes >= this->options.probesToReturn : worker.samples.size() >= this->options.minRuns;
+}
+
+bool WorkerHealth::hasKeptContact(const Worker& worker, Instant now) const
+{
+    return now >= std::max(worker.since, worker.lastContactLossAt) + this->options.contactWindow;
+}
+
 void WorkerHealth::countStalledRuns(Instant now)
 {
     for (auto& [id, worker] : this->workers) {
@@ -288,12 +300,15 @@
     return found == signRules.end() ? nullptr : &*found;
 }
 
-WorkerCondition WorkerHealth::conditionAfter(Worker& worker, const SignRule* rule, const Peers& peers) const
+WorkerCondition WorkerHealth::conditionAfter(Worker& worker, const SignRule* rule, const Peers& peers, Instant now) const
 {
-    if (worker.condition == WorkerCondition::Quarantined)
-        return worker.goodProbes >= this->options.probesToReturn ? WorkerCondition::Reduced : WorkerCondition::Quarantined;
-    if (!rule)
-        return worker.samples.size() >= this->options.minRuns ? WorkerCondition::Healthy : worker.condition;
+    const bool isQuarantined = worker.condition == WorkerCondition::Quarantined;
+    if (isQuarantined || !rule) {
+        const auto former = std::find_if(signRules.begin(), signRules.end(), [&](const SignRule& candidate) { return candidate.sign == worker.sign; });
+        const bool isRefuted = former != signRules.end() && (this->*former->isRefuted)(worker, now);
+        return !isRefuted ? worker.condition : isQuarantined ? WorkerCondition::Reduced
+                                                             : WorkerCondition::Healthy;
+    }
     const WorkerCondition next = worker.condition == WorkerCondition::Healthy ? rule->first : (this->*rule->isCostly)(worker) ? WorkerCondition::Quarantined
                                                                                                                               : WorkerCondition::Reduced;
     const bool isLimitReached = static_cast<double>(peers.quarantined + 1) > this->options.maxQuarantinedShare * static_cast<double>(peers.size);
@@ -315,6 +330,7 @@
     worker.isSpared = worker.isSpared && to == WorkerCondition::Reduced;
     worker.goodProbes = 0;
     worker.probe = ObservedRun(0);
+    worker.nextProbeAt = now;
     worker.probeInterval = this->options.probeInterval;
     if (to == WorkerCondition::Quarantined)
         this->delayProbe(worker, now);
@@ -332,7 +348,7 @@
     for (auto& [id, worker] : this->workers) {
         Peers& peers = groups.at(worker.group);
         const SignRule* rule = this->ruleShownBy(worker, peers, now);
-        const WorkerCondition next = this->conditionAfter(worker, rule, peers);
+        const WorkerCondition next = this->conditionAfter(worker, rule, peers, now);
         if (next == worker.condition)
             continue;
         if (next == WorkerCondition::Quarantined)
--- a/packages/worker_health/worker_health.h
+++ b/packages/worker_health/worker_health.h
@@ -7,7 +7,8 @@
 // room. Callers lose the objective of each job that a run on it delays, and an attempt of each task that fails there.
 //
 // A worker with a sign of that gets less work, and none if the sign remains or its runs can't succeed. Then it gets one probe at a
-// time, at growing intervals, until probes go well. A sign that more than half of the peers show says nothing about one of them, and
+// time, at growing intervals, until probes go well, or
+// contact lasts. A sign that more than half of the peers show says nothing about one of them, and
 // at most a share of the peers may be quarantined, so that a wrong judgement can't take a fleet out of service.
 //
 // Example:
@@ -117,6 +118,7 @@
         std::size_t maxRuns { 16 }; // the last ones, that count
         std::uint32_t minFailures { 4 }; // in a row; a task has about two attempts, so that this has cost the attempts of two
         std::uint32_t minRefusals { 4 }; // the same of refused starts, which cost their tasks only time
+        Duration refusalTime { std::chrono::seconds(3) }; // since the first of them; a run that is stopped or ends late occupies room for less
         std::size_t minStalledRuns { 2 }; // one may be a task that takes far longer than the others
         std::uint32_t minContactLosses { 3 }; // within contactWindow
         Duration contactWindow { std::chrono::seconds(30) }; // with a loss every ten seconds, a long-running task that is moved is absent for most of them
@@ -137,7 +139,7 @@
     // workersCounted() sets the number of workers of each group. Only these count for the shares of a group.
     void workersCounted(std::map<PeerGroupName, std::size_t> counts);
 
-    // runStarted() reports that a run is being started on a worker; on a quarantined one it is the probe. runProgressed() reports that
+    // runStarted() reports that a run is being started on a worker; unless that is healthy, it is the probe if none is under way. runProgressed() reports that
     // the run has advanced. runEnded() ends it; `took` is the run time, if it is known. Runs that are unknown, or none, are ignored.
     ObservedRun runStarted(const std::string& worker, const PeerGroupName& group, const RunExpectation& expectation, Instant now);
     void runProgressed(ObservedRun run, Instant now);
@@ -162,7 +164,7 @@
     // shareOf() returns the share of its capacity that a worker may use: 1, or less if it is reduced, or 0 if it is quarantined.
     double shareOf(const std::string& worker) const;
 
-    // mayProbe() returns true if one run may be started on a quarantined worker.
+    // mayProbe() returns true if one run may be started on a worker that is not healthy, whatever its share.
     bool mayProbe(const std::string& worker, Instant now) const;
 
     // count() returns the number of workers in a condition other than Healthy; sparedCount() that of those which only the limit of
@@ -191,7 +193,9 @@
         Instant since {}; // of the condition
         std::deque<EndedRunSample> samples {}; // of this condition, the last ones
         std::uint32_t refusals { 0 }; // since a start was accepted
-        std::deque<Instant> contactLosses {}; // within Options::contactWindow
+        Instant refusedSince {};
+        std::deque<Instant> contactLosses {}; // of this condition, the last ones
+        Instant lastContactLossAt {};
         Instant lastDoneAt {};
         std::size_t stalledRuns { 0 }; // that neither end nor progress, as of the current judgement
         Instant stalledSince {}; // when the last of them should have ended
@@ -225,6 +229,7 @@
         WorkerCondition first; // condition of a worker that was healthy
         bool (WorkerHealth::*isShown)(const Worker& worker, const Peers& peers, Instant now) const;
         bool (WorkerHealth::*isCostly)(const Worker& worker) const; // callers lose enough to quarantine a reduced worker
+        bool (WorkerHealth::*isRefuted)(const Worker& worker, Instant now) const; // a worker of this condition may get more work
     };
     static const std::array<SignRule, healthSignNames.size() - 1> signRules;
 
@@ -235,6 +240,8 @@
     bool isFlapping(const Worker& worker, const Peers& peers, Instant now) const;
     bool isAlwaysCostly(const Worker& worker) const;
     bool makesJobsLate(const Worker& worker) const;
+    bool hasGoodRuns(const Worker& worker, Instant now) const;
+    bool hasKeptContact(const Worker& worker, Instant now) const;
 
     Worker& findOrAdd(const std::string& worker, const PeerGroupName& group, Instant now);
     double medianRatio(const Worker& worker) const; // 0: too few runs
@@ -244,7 +251,7 @@
     // ruleShownBy() returns the first rule whose sign the worker shows, unless most of its peers do; null: none.
     const SignRule* ruleShownBy(const Worker& worker, const Peers& peers, Instant now) const;
     // conditionAfter() returns the condition that follows from a sign, or from its absence.
-    WorkerCondition conditionAfter(Worker& worker, const SignRule* rule, const Peers& peers) const;
+    WorkerCondition conditionAfter(Worker& worker, const SignRule* rule, const Peers& peers, Instant now) const;
     HealthTransition change(const std::string& id, Worker& worker, WorkerCondition to, HealthSign sign, double peerRatio, Instant now);
     bool isGoodProbe(const Worker& worker, const RunExpectation& expectation, RunResult result, std::optional<Duration> took) const;
     void delayProbe(Worker& worker, Instant now) const;
