scheduling: workers are judged by their runs, and run times correct estimates

Cause: a worker that does worse than it reports kept getting tasks, and objectives followed estimates that are wrong by a factor of two. The dispatcher reports starts, ends and lost contacts to WorkerHealth and RunTimes, placement asks the share of a worker, and the expected run time feeds the objective and the slack of a job. Both are off unless the options judgesWorkers and learnsRunTimes are set.

--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -20,6 +20,8 @@
     , crashSuspects(options.crashes)
     , crashVerdicts(options.crashVerdicts)
     , dataCentreEvacuations(options.evacuations)
+    , runTimes(options.runTimes)
+    , workerHealth(options.workerHealth)
 {
 }
 
@@ -36,6 +38,7 @@
     cell.formerLeaseEnd = this->fleet.latestLeaseEnd(context.now + this->options.formerLeaderTimeout, this->options.maxLeaseAfterTerm);
     cell.formerRuns.inherit(WorkerId(), { acquired.former.unconfirmed.begin(), acquired.former.unconfirmed.end() }, cell.formerLeaseEnd);
     this->fleet.beginEpoch(acquired.cell, context.now);
+    this->workerHealth.clear();
     std::erase_if(this->orphanedRuns, [&](const auto& entry) { const FleetWorker* worker = this->fleet.find(entry.second); return !worker || worker->cell == acquired.cell; });
     Cell& ledCell = this->cells[acquired.cell] = std::move(cell);
     this->inheritWorkers(acquired, ledCell);
@@ -65,6 +68,7 @@
         this->startWindow.reset();
         this->crashVerdicts.clear();
         this->crashSuspects.clear();
+        this->workerHealth.clear();
     }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
@@ -131,6 +135,8 @@
     const WallTime age = mayHaveRuns && record.definition.repetitions == 0 ? std::max<WallTime>(context.wallTime - record.definition.acceptedAt, 0) : 0;
     auto execution = std::make_unique<JobExecution>(record, cell.epoch, mayHaveRuns, context.now - std::chrono::milliseconds(age));
     JobExecution& job = *execution;
+    if (this->options.learnsRunTimes)
+        job.expectCriticalPath(this->expectedCriticalPath(record.definition));
     this->jobExecutions[record.definition.id] = std::move(execution);
     if (record.cancellationVersion > 0)
         return this->finish(job, JobPhase::Cancelled, context);
@@ -269,6 +275,7 @@
         return;
     this->reconcileCells(context);
     this->judgeCrashes(context);
+    this->judgeWorkers(context);
     if (this->nextOccurrenceDue && context.wallTime >= *this->nextOccurrenceDue) {
         this->nextOccurrenceDue.reset();
         for (auto& [id, job] : this->jobExecutions)
@@ -327,11 +334,16 @@
 void Dispatcher::countWorkers()
 {
     std::map<DataCentreName, std::size_t> counts;
+    std::map<PeerGroupName, std::size_t> peers;
     for (const auto& [id, worker] : this->fleet.all()) {
-        if (worker.isListed)
-            ++counts[worker.entry.dataCentre];
+        if (!worker.isListed)
+            continue;
+        ++counts[worker.entry.dataCentre];
+        if (this->options.judgesWorkers)
+            ++peers[peersOf(worker)];
     }
     this->agents.workersCounted(std::move(counts));
+    this->workerHealth.workersCounted(std::move(peers));
 }
 
 void Dispatcher::agentContact(const Endpoint& agent, bool isAnswering, CommandContext& context)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -18,6 +18,7 @@
 
 #include "dispatch/dispatch.h"
 #include "evacuation/evacuation.h"
+#include "run_times/run_times.h"
 #include "scheduling/best_effort_control.h"
 #include "scheduling/cell_leadership.h"
 #include "scheduling/cell_roster.h"
@@ -32,6 +33,7 @@
 #include "scheduling/recorder.h"
 #include "scheduling/room_claims.h"
 #include "scheduling/store_view.h"
+#include "worker_health/worker_health.h"
 #include <algorithm>
 #include <array>
 #include <span>
@@ -62,6 +64,10 @@
         Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
         Duration maxEvacuationsViewAge { 0 }; // the same of the operator's evacuations of data centres; 0: there are none
         DataCentreEvacuations::Options evacuations {};
+        bool learnsRunTimes { false }; // run times of tasks correct the estimates from which the objectives of jobs follow
+        bool judgesWorkers { false }; // workers that do worse than their peers get less work
+        RunTimes::Options runTimes {};
+        WorkerHealth::Options workerHealth {};
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -256,6 +262,13 @@
     const DataCentreEvacuations& evacuations() const { return this->dataCentreEvacuations; }
     std::size_t evacuatedRuns() const;
 
+    // health() is what is known of workers that do worse than their peers, observedRunTimes() the run times of tasks. Both are empty
+    // unless they are asked for.
+    bool judgesWorkers() const { return this->options.judgesWorkers; }
+    bool learnsRunTimes() const { return this->options.learnsRunTimes; }
+    const WorkerHealth& health() const { return this->workerHealth; }
+    const RunTimes& observedRunTimes() const { return this->runTimes; }
+
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
 
@@ -347,6 +360,21 @@
     std::function<bool(const FleetWorker&)> admissionOf(const JobExecution& job, const TaskId& task) const;
     bool reserveWorker(JobExecution& job, const TaskId& task, Instant now);
 
+    // Observation of runs, for RunTimes and WorkerHealth. observeStart() and observeEnd() report the start and the end of a run; call
+    // the latter before its allocation is released. judgeWorkers() logs what WorkerHealth has found, and applyHealth() restricts
+    // placement by it, linear in all workers while it has found something. Only tasks that end by themselves and alone are observed, and
+    // may be probes.
+    static PeerGroupName peersOf(const FleetWorker& worker);
+    static RunResult runResultOf(RunOutcome outcome);
+    static RunResult runResultOf(WorkerCallStatus status); // of a start that was not accepted
+    bool mayProbe(const JobExecution& job, const TaskId& task) const;
+    void observeStart(const JobExecution& job, const TaskId& task, FleetWorker& worker, RunAllocation& allocation, Instant now);
+    void observeEnd(FleetWorker& worker, const TaskRunId& run, RunResult result, Instant now);
+    void judgeWorkers(CommandContext& context);
+    void applyHealth(Instant now);
+    Duration expectedRunTime(const JobDefinition& job, std::uint32_t step) const;
+    Duration expectedCriticalPath(const JobDefinition& job) const;
+
     // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, which they claim, besides what
     // `plannedRoom` holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the
     // long-running tasks that wait or are being stopped.
@@ -504,6 +532,9 @@
     StoreView evacuationsView;
     DataCentreEvacuations dataCentreEvacuations;
     bool areWorkersRestricted { false }; // by the last applyEvacuations()
+    RunTimes runTimes;
+    WorkerHealth workerHealth;
+    bool areSuspectsRestricted { false }; // by the last applyHealth()
     std::optional<WallTime> nextOccurrenceDue; // when the next occurrence of any job is due
     std::optional<Epoch> lastFencedEpoch; // own epoch that a worker rejected
     std::set<WorkerId> workersWithUnacknowledgedEnds; // ends handled but not yet recorded
--- a/packages/scheduling/dispatcher_calls.cc
+++ b/packages/scheduling/dispatcher_calls.cc
@@ -27,8 +27,10 @@
         if (this->mayPoll(worker, context.now))
             this->poll(worker, context);
     }
-    for (const WorkerId& id : removedWorkers)
+    for (const WorkerId& id : removedWorkers) {
+        this->workerHealth.forget(id.value());
         this->fleet.remove(id);
+    }
 }
 
 void Dispatcher::logWorkerGone(const FleetWorker& worker, const Cell& cell, CommandContext& context)
@@ -175,6 +177,7 @@
         context.stageTimes[Stage::Start].record(context.now - taskExecution->since);
         worker.runs[end.run].lastConfirmedAt = context.now;
         worker.runs[end.run].firstConfirmedAt = context.now;
+        this->workerHealth.startAccepted(worker.runs[end.run].observedRun, context.now);
         this->markRunning(*job, end.run.task, context);
         return this->applyStartSpeed(worker, end.run, context);
     }
@@ -185,6 +188,7 @@
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.noRoomCooldown);
     if (end.status == WorkerCallStatus::Unhealthy || end.status == WorkerCallStatus::NotSent || end.status == WorkerCallStatus::Rejected)
         worker.cooldownUntil = std::max(worker.cooldownUntil, context.now + this->options.unhealthyCooldown);
+    this->observeEnd(worker, end.run, runResultOf(end.status), context.now);
     this->fleet.release(worker, end.run);
     job->setStage(end.run.task, TaskStage::Waiting, context.now);
     if (job->definition().steps[end.run.task.step].isGang)
--- a/packages/scheduling/dispatcher_crashes.cc
+++ b/packages/scheduling/dispatcher_crashes.cc
@@ -34,6 +34,8 @@
 {
     if (worker.entry.isDraining)
         return;
+    if (this->options.judgesWorkers)
+        this->workerHealth.contactLost(worker.entry.id.value(), peersOf(worker), now);
     const WorkerEnd end = this->crashSuspects.endOf(worker, now, std::nullopt);
     this->crashVerdicts.contactLost({ .worker = worker.entry.id, .earliest = end.earliest, .latest = end.latest, .isExplained = end.isAtOnceAfterStart });
 }
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -117,6 +117,7 @@
     if (this->areStartsPaused)
         return;
     this->applyEvacuations(context.now);
+    this->applyHealth(context.now);
     this->needsPass = false;
     this->lastPass = context.now;
     this->crashSuspects.releaseWorkers(this->fleet, context.now);
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -91,6 +91,7 @@
         .countRunsOfStep = [this, task](const WorkerId& worker) { return this->countRunsOfStep(task, worker); },
         .admits = this->admissionOf(job, task),
         .minSpeedPercent = this->minSpeedPercentFor(job, step, now),
+        .mayProbe = this->mayProbe(job, task),
         .isCrashSuspect = isCrashSuspect(job, task),
     };
 }
@@ -132,7 +133,7 @@
     if (context.now < taskExecution.nextSearchAt)
         return failure;
     const bool hasOnlyResourceNeeds = !mayAvoidWorkers && step.requiredLabel.empty() && step.maxPerWorker == 0 && step.nearLabel.empty();
-    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now), this->minSpeedPercentFor(job, step, context.now) };
+    const PlacementPass::UnplacedTask unplaced { &job.definition().cell, &rule.service, &step, !this->mayIgnoreDataLocality(step, taskExecution, context.now), this->minSpeedPercentFor(job, step, context.now), this->mayProbe(job, task) };
     const bool isKnownNotToFit = !isSuspect && pass.hasNoRoomFor(unplaced);
     const bool maySearch = !hasClaim && pass.evictionSearches < this->options.maxEvictionSearchesPerPass && this->mayEvictFor(job, step, taskExecution, context.now);
     if (isKnownNotToFit && !maySearch)
@@ -161,6 +162,7 @@
     if (!maySearch)
         return failure;
     ++pass.evictionSearches;
+    request.mayProbe = false;
     const bool isRoomClaimed = this->evictFor(job, task, request, pass, context) || (this->isOverdue(step, taskExecution, context.now) && this->clearWorkerFor(job, task, request, pass));
     return isRoomClaimed ? PlacementOutcome::RoomBeingFreed : failure;
 }
@@ -250,6 +252,7 @@
     job.setStage(task, TaskStage::Starting, context.now);
     const TaskRunId id { task, run };
     RunAllocation allocation = this->allocationFor(job, step);
+    this->observeStart(job, task, worker, allocation, context.now);
     allocation.sentAt = context.now;
     if (wasAbsent)
         allocation.returnedAt = context.now;
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -127,6 +127,7 @@
     worker.lastHandledEnd = end.number;
     this->needsPass = true;
     const TaskId& task = end.id.task;
+    this->observeEnd(worker, end.id, runResultOf(end.outcome), context.now);
     this->fleet.release(worker, end.id);
     this->orphanedRuns.erase(end.id);
     JobExecution* job = this->findJobExecution(task.job);
@@ -291,7 +292,10 @@
     if (taskExecution->stage == TaskStage::Starting || taskExecution->stage == TaskStage::Unclear) {
         this->markRunning(*job, task.id.task, context);
         this->applyStartSpeed(worker, task.id, context);
+        this->workerHealth.startAccepted(allocation.observedRun, context.now);
     }
+    if (!task.checkpoint.empty() && task.checkpoint != taskExecution->checkpoint)
+        this->workerHealth.runProgressed(allocation.observedRun, context.now);
     taskExecution->speedPercent = task.percent;
     if (!task.checkpoint.empty())
         taskExecution->checkpoint = task.checkpoint;
@@ -405,6 +409,7 @@
 
 void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context)
 {
+    this->observeEnd(worker, run, cause == RunLossCause::Stopped ? RunResult::Withdrawn : RunResult::Lost, context.now);
     this->fleet.release(worker, run);
     this->orphanedRuns.erase(run);
     JobExecution* job = this->findJobExecution(run.task.job);
--- a/packages/scheduling/fleet.cc
+++ b/packages/scheduling/fleet.cc
@@ -42,10 +42,11 @@
     return this->isListed && this->isFenced && this->enrolment == Enrolment::Stored && !this->isSuspect && !this->entry.isDraining && !this->isEvacuated && this->clock && now >= this->cooldownUntil && now < this->acceptsUntil && !this->isRestartListed();
 }
 
-bool FleetWorker::hasFillRoom() const
+bool FleetWorker::hasFillRoom(bool isProbe) const
 {
+    const double share = isProbe ? this->fillShare : std::min(this->fillShare, this->healthShare);
     const auto inUse = static_cast<double>(this->used.millicores + this->bestEffortMillicores);
-    return this->fillShare >= 1 || inUse < this->fillShare * static_cast<double>(this->entry.capacity.millicores);
+    return share >= 1 || inUse < share * static_cast<double>(this->entry.capacity.millicores);
 }
 
 std::optional<std::int64_t> FleetWorker::deadlineAt(Instant now, Duration lease) const
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -10,6 +10,7 @@
 //     FleetWorker* worker = fleet.find(WorkerId("i-7f3a91c2"));
 
 #include "scheduling/scheduling_commands.h"
+#include "worker_health/worker_health.h"
 #include <deque>
 #include <unordered_map>
 
@@ -41,6 +42,8 @@
     std::int64_t load { 0 }; // as last reported; see RunningTask::load
     double minHeadroomAlone { 0 }; // of a serving run: the least recent headroom without what best-effort tasks took; 0: not measured
     int speedPercent { 100 }; // last requested
+    ObservedRun observedRun { 0 }; // by which WorkerHealth knows it
+    bool isRunTimeWhole { false }; // it does all of its task's work at full speed, so that its run time is that of the task
 };
 
 // UnacknowledgedEnd is an end of a run that has been handled. It is acknowledged to the worker once the store holds
@@ -93,6 +96,8 @@
     Instant coldUntil; // while it is slow after its start
     bool isEvacuated { false }; // its data centre is evacuated, as of the current placement pass
     double fillShare { 1 }; // of its capacity, up to which tasks are started on it, as of the current placement pass
+    double healthShare { 1 }; // of its capacity, up to which WorkerHealth lets tasks be started on it, as of the current placement pass
+    bool mayProbe { false }; // the same, whether one task may be started beyond that
     Instant drainingSince; // when it began to drain, at the latest; the least value: before it was first seen here; zero: it does not drain
     bool isFenced { false }; // has answered under the current epoch, so it rejects former leaders
     bool isInherited { false }; // the roster of the former leader contains it
@@ -169,8 +174,9 @@
     // acceptsTasks() says whether new tasks may be placed on the worker. Their lease is that of the worker, which polls extend.
     bool acceptsTasks(Instant now) const;
 
-    // hasFillRoom() says whether it uses less of its capacity than its data centre may while that fills up after an evacuation.
-    bool hasFillRoom() const;
+    // hasFillRoom() says whether it uses less of its capacity than it may, while its data centre fills up after an evacuation, and by
+    // its health unless the task is a probe.
+    bool hasFillRoom(bool isProbe) const;
 
     // deadlineAt() is the end of a lease granted at `now`, in ms on the worker's clock; nothing while the clock is unknown.
     std::optional<std::int64_t> deadlineAt(Instant now, Duration lease) const;
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -18,6 +18,11 @@
 } // namespace
 
 Duration criticalPathOf(const JobDefinition& job)
+{
+    return criticalPathOf(job, [&job](std::uint32_t step) { return job.steps[step].estimate; });
+}
+
+Duration criticalPathOf(const JobDefinition& job, const std::function<Duration(std::uint32_t step)>& expectedRunTime)
 {
     std::vector<Duration> ends;
     Duration longest(0);
@@ -25,7 +30,7 @@
         Duration begin(0);
         for (const std::uint32_t earlier : step.after)
             begin = std::max(begin, earlier < ends.size() ? ends[earlier] : Duration(0));
-        ends.push_back(begin + step.estimate);
+        ends.push_back(begin + expectedRunTime(static_cast<std::uint32_t>(ends.size())));
         longest = std::max(longest, ends.back());
     }
     return longest;
@@ -34,18 +39,23 @@
 JobExecution::JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant acceptedAt)
     : record(&record)
     , epoch(epoch)
+    , acceptedAt(acceptedAt)
     , mayHaveFormerRuns(mayHaveFormerRuns)
     , currentProgress(record.progress)
     , progressVersion(record.progressVersion)
 {
     this->currentProgress.epoch = epoch;
     this->recordedGeneration = this->currentProgress.generation;
-    const QueueRule& queue = record.definition.queue;
-    const auto criticalPath = std::chrono::duration<double, std::nano>(criticalPathOf(record.definition));
-    const auto objective = std::chrono::duration_cast<Duration>(criticalPath * queue.slackFactor) + queue.targetLatency;
-    this->objectiveDeadline = acceptedAt + objective;
-    this->lateDeadline = acceptedAt + lateDeadlineFactor * objective;
-    this->slack = std::max(objective - criticalPathOf(record.definition), Duration(0));
+    this->expectCriticalPath(criticalPathOf(record.definition));
+}
+
+void JobExecution::expectCriticalPath(Duration criticalPath)
+{
+    const QueueRule& queue = this->definition().queue;
+    const auto objective = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(criticalPath) * queue.slackFactor) + queue.targetLatency;
+    this->objectiveDeadline = this->acceptedAt + objective;
+    this->lateDeadline = this->acceptedAt + lateDeadlineFactor * objective;
+    this->slack = std::max(objective - criticalPath, Duration(0));
 }
 
 std::uint32_t JobExecution::stepExecutionNumber(std::uint32_t occurrence, std::uint32_t step) const
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -11,6 +11,7 @@
 
 #include "scheduling/job_cache.h"
 #include "scheduling/worker_types.h"
+#include <functional>
 #include <set>
 
 namespace dragonflytray {
@@ -180,6 +181,9 @@
     // nextRun() returns the run number for the next start of a task. It is higher than those of all former leaders.
     std::uint64_t nextRun(const TaskExecution& taskExecution) const;
 
+    // expectCriticalPath() replaces the estimated run time of the longest chain of steps, from which the objective follows.
+    void expectCriticalPath(Duration criticalPath);
+
     // setPhase() changes the phase of the job. `wallTime` becomes the time of its end if the phase is final, which the recorder
     // writes sooner than other progress.
     void setPhase(JobPhase phase, WallTime wallTime);
@@ -247,6 +251,7 @@
 
     const JobRecord* record;
     Epoch epoch;
+    Instant acceptedAt;
     bool mayHaveFormerRuns;
     JobProgress currentProgress;
     RowVersion progressVersion { 0 };
@@ -260,4 +265,7 @@
 // criticalPathOf() returns the estimated run time of the longest chain of dependent steps of a job.
 Duration criticalPathOf(const JobDefinition& job);
 
+// criticalPathOf() with a function returns the same by the run times that it expects of the steps with these indices.
+Duration criticalPathOf(const JobDefinition& job, const std::function<Duration(std::uint32_t step)>& expectedRunTime);
+
 } // namespace dragonflytray
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -27,6 +27,9 @@
     // A worker that is slow after its start gets tasks only when no other one has room near their data.
     constexpr double coldWeight = dataLocalityWeight;
 
+    // The same holds for a worker that does worse than its peers: a probe costs its caller least while the task would wait otherwise.
+    constexpr double unhealthyWeight = coldWeight;
+
     bool hasLabel(const FleetWorker& worker, const std::string& label)
     {
         const std::vector<std::string>& labels = worker.entry.labels;
@@ -45,7 +48,7 @@
     // isEligible() says whether the task may run on the worker, apart from room.
     bool isEligible(const FleetWorker& worker, const PlacementRequest& request)
     {
-        if (!worker.acceptsTasks(request.now) || !worker.hasFillRoom())
+        if (!worker.acceptsTasks(request.now) || !worker.hasFillRoom(request.mayProbe && worker.mayProbe))
             return false;
         const StepDefinition& step = request.step;
         if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel))
@@ -95,6 +98,8 @@
             score += servingScore(worker, request.image);
         if (request.now < worker.coldUntil)
             score += coldWeight;
+        if (worker.healthShare < 1)
+            score += unhealthyWeight;
         if (!step.nearLabel.empty() && !hasLabel(worker, step.nearLabel))
             score += 2 * dataLocalityWeight;
         if (request.avoidsFailingWorkers && worker.consecutiveFailures > 0)
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -30,6 +30,7 @@
     std::function<std::uint32_t(const WorkerId&)> countRunsOfStep; // on a worker, for StepDefinition::maxPerWorker; may be empty
     std::function<bool(const FleetWorker&)> admits {}; // whether the task may be placed on a worker, apart from the rest; empty: on all
     int minSpeedPercent { 100 }; // of its full speed, below which a best-effort task is not started
+    bool mayProbe { false }; // may be started on a worker that WorkerHealth probes
     bool isCrashSuspect { false }; // its failure to find a worker says nothing about other tasks
 };
 
--- a/packages/scheduling/placement_pass.h
+++ b/packages/scheduling/placement_pass.h
@@ -32,6 +32,7 @@
         const StepDefinition* step;
         bool needsNearLabel { false }; // StepDefinition::nearLabel is required, not only preferred
         int minSpeedPercent { 100 }; // of a best-effort task
+        bool mayProbe { false }; // PlacementRequest::mayProbe
 
         // includes() says whether each worker with room for `other` would have room for this task, as far as the steps say.
         bool includes(const UnplacedTask& other) const
@@ -39,7 +40,7 @@
             const bool isSameKind = this->step->isBestEffort == other.step->isBestEffort && (!other.step->isBestEffort || this->step->image == other.step->image);
             const bool hasRequiredLabel = this->step->requiredLabel.empty() || this->step->requiredLabel == other.step->requiredLabel;
             const bool hasNearLabel = !this->needsNearLabel || (other.needsNearLabel && this->step->nearLabel == other.step->nearLabel);
-            return isSameKind && this->minSpeedPercent <= other.minSpeedPercent && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
+            return isSameKind && this->mayProbe >= other.mayProbe && this->minSpeedPercent <= other.minSpeedPercent && hasRequiredLabel && hasNearLabel && *this->cell == *other.cell && *this->service == *other.service && this->step->need.fitsIn(other.step->need);
         }
     };
 
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -40,6 +40,12 @@
         .followsEvacuations = this->dispatcher.followsEvacuations(),
         .evacuatedDataCentres = this->dispatcher.evacuations().count(),
         .evacuatedRuns = this->dispatcher.evacuatedRuns(),
+        .judgesWorkers = this->dispatcher.judgesWorkers(),
+        .reducedWorkers = this->dispatcher.health().count(WorkerCondition::Reduced),
+        .quarantinedWorkers = this->dispatcher.health().count(WorkerCondition::Quarantined),
+        .sparedWorkers = this->dispatcher.health().sparedCount(),
+        .learnsRunTimes = this->dispatcher.learnsRunTimes(),
+        .runTimeKeys = this->dispatcher.observedRunTimes().size(),
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -386,6 +386,8 @@
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
     SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
+    if (this->changeWork)
+        this->changeWork(effect.to.worker, work);
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
     TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Unclear };
     if (this->replaced.contains(effect.to.worker)) {
@@ -394,6 +396,10 @@
     }
     if (!this->canReach(name, effect.to.worker))
         return this->deliverAfter(callTimeout, name, end);
+    if (this->refusing.contains(effect.to.worker)) {
+        end.status = WorkerCallStatus::Unhealthy;
+        return this->send(name, end);
+    }
     if (this->startTransmission > Duration(0)) {
         const Instant freeAt = this->slowStarts.empty() ? this->now : this->slowStarts.back().due - this->startPropagation;
         return this->slowStarts.push_back({ start, std::max(freeAt, this->now) + this->startTransmission + this->startPropagation });
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -86,6 +86,9 @@
     // ChooseStopDelay is the time for which a run goes on after its worker has answered a stop.
     using ChooseStopDelay = std::function<Duration(const TaskRunId& run)>;
 
+    // ChangeWork changes what a run does on its worker.
+    using ChangeWork = std::function<void(const WorkerId& worker, SimulatedRun& work)>;
+
     // SentStart is a start that a host has sent to a worker.
     struct SentStart {
         std::string host;
@@ -158,6 +161,8 @@
     bool areProgressWritesRefused { false };
     bool shouldDeliverLists { true }; // whether hosts receive answers of the feed of workers
     Duration pollTimeout { std::chrono::milliseconds(20) }; // after which a poll without an answer ends
+    ChangeWork changeWork; // none: runs do what the fixture says of all of them
+    std::set<WorkerId> refusing; // workers that answer polls and refuse starts
     std::set<WorkerId> unlisted; // workers that are missing from the list
     std::set<WorkerId> unreachable; // workers to which polls can't be sent
     std::set<WorkerId> crashed; // workers whose process does not run
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -187,6 +187,9 @@
     EvacuationLearned, // of a data centre, by this host
     EvacuationInForce, // the leader starts nothing there any more
     EvacuationWithdrawn,
+    WorkerReduced, // a worker does worse than its peers and gets less work, or is no longer quarantined
+    WorkerQuarantined, // the same, and gets one probe at a time
+    WorkerReinstated, // it does as well as its peers again
     TaskWaiting, // a task has not run for long; the outcome says why
 };
 
@@ -227,6 +230,9 @@
     { DecisionEvent::EvacuationLearned, "evacuation-learned" },
     { DecisionEvent::EvacuationInForce, "evacuation-in-force" },
     { DecisionEvent::EvacuationWithdrawn, "evacuation-withdrawn" },
+    { DecisionEvent::WorkerReduced, "worker-reduced" },
+    { DecisionEvent::WorkerQuarantined, "worker-quarantined" },
+    { DecisionEvent::WorkerReinstated, "worker-reinstated" },
     { DecisionEvent::TaskWaiting, "task-waiting" },
 }) };
 static_assert(decisionEventNames.isWhole(DecisionEvent::TaskWaiting));
@@ -262,6 +268,10 @@
     EvacuatedDataCentres,
     EvacuatedRuns, // on workers of evacuated data centres
     MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
+    ObservedRuns, // that ended on the worker since its condition last changed
+    SlownessPercent, // of the peers' run times
+    QuarantinedWorkers,
+    SparedWorkers, // that only the limit of quarantined workers keeps out of quarantine
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -294,8 +304,12 @@
     { DecisionInput::EvacuatedDataCentres, "evacuatedDataCentres" },
     { DecisionInput::EvacuatedRuns, "evacuatedRuns" },
     { DecisionInput::MissedMilliseconds, "missedMs" },
+    { DecisionInput::ObservedRuns, "observedRuns" },
+    { DecisionInput::SlownessPercent, "slownessPercent" },
+    { DecisionInput::QuarantinedWorkers, "quarantined" },
+    { DecisionInput::SparedWorkers, "spared" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::MissedMilliseconds));
+static_assert(decisionInputNames.isWhole(DecisionInput::SparedWorkers));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -55,6 +55,12 @@
     bool followsEvacuations { false }; // of data centres
     std::size_t evacuatedDataCentres { 0 };
     std::size_t evacuatedRuns { 0 }; // on workers there, of the cells that this host leads
+    bool judgesWorkers { false };
+    std::size_t reducedWorkers { 0 }; // that do worse than their peers and get less work
+    std::size_t quarantinedWorkers { 0 };
+    std::size_t sparedWorkers { 0 }; // that only the limit of quarantined workers keeps out of quarantine
+    bool learnsRunTimes { false };
+    std::size_t runTimeKeys { 0 }; // kinds of tasks whose run times are observed
     ReplyCounts replies;
     StageTimes stageTimes;
 };
--- a/packages/worker_health/worker_health.cc
+++ b/packages/worker_health/worker_health.cc
@@ -41,8 +41,9 @@
 {
     const ObservedRun run { ++this->lastRun };
     Worker& observed = this->findOrAdd(worker, group, now);
-    if (observed.condition != WorkerCondition::Healthy && observed.probe == ObservedRun(0))
+    if (observed.condition == WorkerCondition::Quarantined && observed.probe == ObservedRun(0))
         observed.probe = run;
+    ++observed.openRuns;
     this->runs.emplace(run, Run { worker, expectation, now, now });
     return run;
 }
@@ -75,6 +76,7 @@
     if (observed == this->workers.end())
         return;
     Worker& worker = observed->second;
+    --worker.openRuns;
     if (result == RunResult::Done)
         worker.lastDoneAt = now;
     const bool isEvidence = ended.startedAt >= worker.since; // what was started before says nothing about the present condition
@@ -94,7 +96,7 @@
         return;
     if (this->isGoodProbe(worker, ended.expectation, result, took))
         ++worker.goodProbes;
-    else if (worker.condition == WorkerCondition::Quarantined)
+    else
         this->delayProbe(worker, now);
 }
 
@@ -158,7 +160,8 @@
     const auto found = this->workers.find(worker);
     if (found == this->workers.end() || found->second.condition == WorkerCondition::Healthy)
         return false;
-    return found->second.probe == ObservedRun(0) && now >= found->second.nextProbeAt;
+    const Worker& observed = found->second;
+    return observed.condition == WorkerCondition::Reduced ? observed.openRuns == 0 : observed.probe == ObservedRun(0) && now >= observed.nextProbeAt;
 }
 
 std::size_t WorkerHealth::count(WorkerCondition condition) const
@@ -330,7 +333,6 @@
     worker.isSpared = worker.isSpared && to == WorkerCondition::Reduced;
     worker.goodProbes = 0;
     worker.probe = ObservedRun(0);
-    worker.nextProbeAt = now;
     worker.probeInterval = this->options.probeInterval;
     if (to == WorkerCondition::Quarantined)
         this->delayProbe(worker, now);
--- a/packages/worker_health/worker_health.h
+++ b/packages/worker_health/worker_health.h
@@ -139,8 +139,9 @@
     // workersCounted() sets the number of workers of each group. Only these count for the shares of a group.
     void workersCounted(std::map<PeerGroupName, std::size_t> counts);
 
-    // runStarted() reports that a run is being started on a worker; unless that is healthy, it is the probe if none is under way. runProgressed() reports that
-    // the run has advanced. runEnded() ends it; `took` is the run time, if it is known. Runs that are unknown, or none, are ignored.
+    // runStarted() reports that a run is being started on a worker; on a quarantined one it is the probe, if none is under way.
+    // runProgressed() reports that the run has advanced. runEnded() ends it; `took` is the run time, if it is known. Runs that are
+    // unknown, or none, are ignored.
     ObservedRun runStarted(const std::string& worker, const PeerGroupName& group, const RunExpectation& expectation, Instant now);
     void runProgressed(ObservedRun run, Instant now);
     void runEnded(ObservedRun run, RunResult result, std::optional<Duration> took, Instant now);
@@ -164,7 +165,8 @@
     // shareOf() returns the share of its capacity that a worker may use: 1, or less if it is reduced, or 0 if it is quarantined.
     double shareOf(const std::string& worker) const;
 
-    // mayProbe() returns true if one run may be started on a worker that is not healthy, whatever its share.
+    // mayProbe() returns true if one run may be started on a worker whatever its share: a probe of a quarantined one, or the only run of
+    // a reduced one, whose share may be in use by what is not reported here.
     bool mayProbe(const std::string& worker, Instant now) const;
 
     // count() returns the number of workers in a condition other than Healthy; sparedCount() that of those which only the limit of
@@ -200,6 +202,7 @@
         std::size_t stalledRuns { 0 }; // that neither end nor progress, as of the current judgement
         Instant stalledSince {}; // when the last of them should have ended
         bool isSpared { false }; // quarantine is due, and too many peers are quarantined
+        std::size_t openRuns { 0 }; // that have not ended
         ObservedRun probe { 0 }; // under way
         std::uint32_t goodProbes { 0 }; // in a row
         Instant nextProbeAt {};
