--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -99,6 +99,13 @@
         gauge("dragonflytray_evacuated_data_centres", static_cast<double>(summary.evacuatedDataCentres));
         gauge("dragonflytray_evacuated_runs", static_cast<double>(summary.evacuatedRuns));
     }
+    if (summary.judgesWorkers) {
+        gauge("dragonflytray_reduced_workers", static_cast<double>(summary.reducedWorkers));
+        gauge("dragonflytray_quarantined_workers", static_cast<double>(summary.quarantinedWorkers));
+        gauge("dragonflytray_spared_workers", static_cast<double>(summary.sparedWorkers));
+    }
+    if (summary.learnsRunTimes || summary.judgesWorkers)
+        gauge("dragonflytray_run_time_keys", static_cast<double>(summary.runTimeKeys));
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -42,6 +42,8 @@
         settings.drainingLimit = readMilliseconds(map, "drainingLimitMilliseconds", changeLimitBounds, settings.drainingLimit);
         if (map.has("evacuationLimitMilliseconds"))
             settings.evacuationLimit = readMilliseconds(map, "evacuationLimitMilliseconds", changeLimitBounds, settings.evacuationLimit);
+        settings.learnsRunTimes = map.flag("learnsRunTimes", settings.learnsRunTimes);
+        settings.judgesWorkers = map.flag("judgesWorkers", settings.judgesWorkers);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -91,6 +93,8 @@
     options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
     if (settings.evacuationLimit > Duration(0))
         options.dispatcher.maxEvacuationsViewAge = settings.evacuationLimit - options.dispatcher.startValidity;
+    options.dispatcher.learnsRunTimes = settings.learnsRunTimes;
+    options.dispatcher.judgesWorkers = settings.judgesWorkers;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -78,6 +78,19 @@
     }
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_observationOfRuns_isOffUnlessAskedFor")
+{
+    const auto optionsOf = [](const std::string& text) { return schedulerOptions(*parseEntrySettings(text, "entry.yaml")).dispatcher; };
+    CHECK_FALSE(optionsOf(this->text).learnsRunTimes);
+    CHECK_FALSE(optionsOf(this->text).judgesWorkers);
+    const std::string entry = "entry:\n";
+    std::string text = this->text;
+    text.insert(text.find(entry) + entry.size(), "  learnsRunTimes: true\n  judgesWorkers: true\n");
+    REQUIRE(parseEntrySettings(text, "entry.yaml"));
+    CHECK(optionsOf(text).learnsRunTimes);
+    CHECK(optionsOf(text).judgesWorkers);
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
