worker_health: runs whose ends can't be read yet are not taken for stalled

Cause: after a freeze of the leader, or while a worker does not answer, open runs looked as if they stood still, as soon as the reports of half of the peers had been handled. Time in which the leader does not judge does not count, nor do the runs of a worker for 30 s after it has lost contact.

--- a/packages/worker_health/worker_health.cc
+++ b/packages/worker_health/worker_health.cc
@@ -122,6 +122,11 @@
 {
     Worker& observed = this->findOrAdd(worker, group, now);
     observed.lastContactLossAt = now;
+    // The ends of its runs can't be known meanwhile. They are given up, or reported, before this time is over.
+    for (auto& [number, run] : this->runs) {
+        if (run.worker == worker)
+            run.progressedAt = now + this->options.contactWindow;
+    }
     if (observed.condition == WorkerCondition::Quarantined)
         return this->delayProbe(observed, now);
     observed.contactLosses.push_back(now);
@@ -344,6 +349,11 @@
     std::vector<HealthTransition> transitions;
     if (now < this->lastJudgedAt + this->options.judgeInterval)
         return transitions;
+    // After a time in which this process did not run, the reports of some workers are handled before those of others.
+    if (const Duration paused = now - this->lastJudgedAt - this->options.judgeInterval; paused >= 2 * this->options.judgeInterval) {
+        for (auto& [number, run] : this->runs)
+            run.progressedAt = std::max(run.progressedAt, std::min(run.progressedAt + paused, now));
+    }
     this->lastJudgedAt = now;
     this->countStalledRuns(now);
     std::map<PeerGroupName, Peers> groups = this->summarize(now);
--- a/packages/worker_health/worker_health_test.cc
+++ b/packages/worker_health/worker_health_test.cc
@@ -157,6 +157,25 @@
     CHECK(this->transitions.empty());
 }
 
+// The reports of its peers are handled first when the leader goes on.
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_leaderWasFrozen_runsWithUnreadEndsAreNotStalled")
+{
+    this->start("w1");
+    this->start("w1");
+    this->now += 60 * second;
+    this->pass(2, { "w1" }, [](const std::string&) {});
+    CHECK(this->transitions.empty());
+}
+
+TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_workerIsSilent_itsRunsAreNotStalled")
+{
+    this->start("w1");
+    this->start("w1");
+    this->health.contactLost("w1", peers, this->now);
+    this->pass(30, { "w1" }, [](const std::string&) {});
+    CHECK(this->transitions.empty());
+}
+
 TEST_CASE_METHOD(WorkerHealthFixture, "WorkerHealth_contactGoesUpAndDown_isReducedThenQuarantined")
 {
     int count = 0;
