--- a/packages/worker_health/worker_health.h
+++ b/packages/worker_health/worker_health.h
@@ -19,7 +19,7 @@
 //     health.runEnded(run, RunResult::Done, took, now);
 //     for (const HealthTransition& transition : health.judge(now))
 //         log(transition);
-//     if (health.shareOf("i-7f3a", now) == 0 && !health.mayProbe("i-7f3a", now)) { ... }
+//     if (health.shareOf("i-7f3a") == 0 && !health.mayProbe("i-7f3a", now)) { ... }
 
 #include "model/model.h"
 #include <array>
