--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -101,6 +101,13 @@
     }
     if (summary.retries)
         addRetryMetrics(*summary.retries, snapshot.metrics);
+    if (summary.judgesWorkers) {
+        gauge("dragonflytray_reduced_workers", static_cast<double>(summary.reducedWorkers));
+        gauge("dragonflytray_quarantined_workers", static_cast<double>(summary.quarantinedWorkers));
+        gauge("dragonflytray_spared_workers", static_cast<double>(summary.sparedWorkers));
+    }
+    if (summary.learnsRunTimes || summary.judgesWorkers)
+        gauge("dragonflytray_run_time_keys", static_cast<double>(summary.runTimeKeys));
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -62,6 +62,8 @@
             settings.evacuationLimit = readMilliseconds(map, "evacuationLimitMilliseconds", changeLimitBounds, settings.evacuationLimit);
         if (map.has("longestRetryAfterMilliseconds"))
             settings.longestRetryAfter = readMilliseconds(map, "longestRetryAfterMilliseconds", retryAfterBounds, settings.longestRetryAfter);
+        settings.learnsRunTimes = map.flag("learnsRunTimes", settings.learnsRunTimes);
+        settings.judgesWorkers = map.flag("judgesWorkers", settings.judgesWorkers);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -126,6 +128,8 @@
     if (settings.evacuationLimit > Duration(0))
         options.dispatcher.maxEvacuationsViewAge = settings.evacuationLimit - options.dispatcher.startValidity;
     options.clientRequests.longestRetryAfter = settings.longestRetryAfter;
+    options.dispatcher.learnsRunTimes = settings.learnsRunTimes;
+    options.dispatcher.judgesWorkers = settings.judgesWorkers;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -127,6 +127,17 @@
     CHECK_FALSE(withEntry("  longestRetryAfterMilliseconds: 60001\n"));
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_observationOfRuns_isOffUnlessAskedFor")
+{
+    CHECK_FALSE(schedulerOptions(*parseEntrySettings(this->text, "entry.yaml")).dispatcher.learnsRunTimes);
+    CHECK_FALSE(schedulerOptions(*parseEntrySettings(this->text, "entry.yaml")).dispatcher.judgesWorkers);
+    this->text.insert(this->text.find("  callers:"), "  learnsRunTimes: true\n  judgesWorkers: true\n");
+    const auto settings = parseEntrySettings(this->text, "entry.yaml");
+    REQUIRE(settings);
+    CHECK(schedulerOptions(*settings).dispatcher.learnsRunTimes);
+    CHECK(schedulerOptions(*settings).dispatcher.judgesWorkers);
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_textOfTheOtherDaemon_isToldApart")
 {
     CHECK_FALSE(isEntrySettings("host: a\ncallers: 127.0.0.1:1\n", "daemon.yaml"));
