scheduling: queues of one priority share the capacity

With Dispatcher::Options::sharesCapacity, the order of placement takes queues of one priority and urgency class by start-time fair queuing; within a queue the order stays the end of the objective. Long-running and best-effort jobs keep their places. Off by default.

New metrics dragonflytray_queue_cores and dragonflytray_queue_debt_core_seconds, new log event queue-delayed.

--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -99,6 +99,11 @@
         gauge("dragonflytray_evacuated_data_centres", static_cast<double>(summary.evacuatedDataCentres));
         gauge("dragonflytray_evacuated_runs", static_cast<double>(summary.evacuatedRuns));
     }
+    for (const QueueDebt& debt : summary.queueDebts) {
+        const std::map<std::string, std::string> labels { { "queue", debt.use.queue.value() } };
+        snapshot.metrics.push_back({ "dragonflytray_queue_cores", MetricKind::Gauge, labels, debt.use.cores });
+        snapshot.metrics.push_back({ "dragonflytray_queue_debt_core_seconds", MetricKind::Gauge, labels, debt.debt });
+    }
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/model/ids.h
+++ b/packages/model/ids.h
@@ -13,6 +13,7 @@
 using TeamName = StrongId<struct TeamNameTag>;
 using CallerName = StrongId<struct CallerNameTag>;
 using ServiceName = StrongId<struct ServiceNameTag>;
+using QueueName = StrongId<struct QueueNameTag>;
 using BatchClassName = StrongId<struct BatchClassNameTag>;
 using RequestId = StrongId<struct RequestIdTag>; // chosen by the caller; the idempotency key
 using JobId = StrongId<struct JobIdTag>; // chosen by the submitter; the idempotency key
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -20,6 +20,7 @@
     , crashSuspects(options.crashes)
     , crashVerdicts(options.crashVerdicts)
     , dataCentreEvacuations(options.evacuations)
+    , queueShares(options.queueShares)
 {
 }
 
@@ -65,6 +66,7 @@
         this->startWindow.reset();
         this->crashVerdicts.clear();
         this->crashSuspects.clear();
+        this->queueShares.clear();
     }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -16,6 +16,7 @@
 //     dispatcher.pollEnded(end, context);
 //     dispatcher.tick(context);
 
+#include "admission/admission.h"
 #include "dispatch/dispatch.h"
 #include "evacuation/evacuation.h"
 #include "scheduling/best_effort_control.h"
@@ -62,6 +63,8 @@
         Duration maxWorkersViewAge { std::chrono::seconds(2) }; // the same of the list of workers; older views miss workers that began to drain
         Duration maxEvacuationsViewAge { 0 }; // the same of the operator's evacuations of data centres; 0: there are none
         DataCentreEvacuations::Options evacuations {};
+        bool sharesCapacity { false }; // queues of one priority share it; otherwise their jobs come in the order of their objectives
+        QueueShares::Options queueShares {};
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -256,6 +259,10 @@
     const DataCentreEvacuations& evacuations() const { return this->dataCentreEvacuations; }
     std::size_t evacuatedRuns() const;
 
+    // queueDebts() is what the queues of this leader take, and how far they are ahead of each other; empty unless
+    // Options::sharesCapacity is set.
+    std::vector<QueueDebt> queueDebts() const { return this->queueShares.debts(); }
+
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
 
@@ -439,7 +446,18 @@
         std::vector<JobExecution*> overdueJobs;
         std::vector<JobExecution*> jobs;
     };
-    PlacementOrder placementOrder(Instant now);
+    PlacementOrder placementOrder(CommandContext& context);
+    // PlacementEntry is a job with waiting tasks and what its place in the order depends on.
+    struct PlacementEntry {
+        int rank { 0 };
+        Instant deadline;
+        JobExecution* job { nullptr };
+    };
+    // shareCapacity() reorders sorted entries of equal rank by the shares of their queues. Long-running and best-effort jobs keep their
+    // places. Linear in the jobs in execution.
+    void shareCapacity(std::vector<PlacementEntry>& entries, CommandContext& context);
+    void followQueueUses(Instant now);
+    void reportQueueDebts(CommandContext& context);
     // placeJobs() and placeStep() try the overdue tasks, or all others. placeJobs() returns the number of jobs that it tried before
     // Options::maxUnplacedTasksPerPass found no worker.
     std::size_t placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
@@ -524,6 +542,8 @@
     };
     std::vector<FailedEvictionSearch> failedEvictionSearches;
     RoomClaims roomClaims;
+    QueueShares queueShares;
+    Instant nextDebtReportAt;
     Instant lastPass;
     std::chrono::duration<double> lastPassCost { 0 }; // of a core, for the last pass, as estimated from its searches
     Instant nextWaitReportAt;
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -16,6 +16,12 @@
     return now <= job.lateDeadline ? UrgencyClass::Late : UrgencyClass::Expired;
 }
 
+bool hasBestEffortStep(const JobExecution& job)
+{
+    const std::vector<StepDefinition>& steps = job.definition().steps;
+    return std::any_of(steps.begin(), steps.end(), [](const StepDefinition& step) { return step.isBestEffort; });
+}
+
 namespace {
 
     // rankOf() is the place of a job in the order of placement; the least comes first. Late jobs come after all others,
@@ -28,12 +34,6 @@
         return lateness * lateRank + 2 * priority + (urgency == UrgencyClass::LongRunning ? 1 : 0);
     }
 
-    bool hasBestEffortStep(const JobExecution& job)
-    {
-        const std::vector<StepDefinition>& steps = job.definition().steps;
-        return std::any_of(steps.begin(), steps.end(), [](const StepDefinition& step) { return step.isBestEffort; });
-    }
-
     // leastRecentTry() returns when the step of the job that has not been tried for longest was tried; zero: never.
     Instant leastRecentTry(JobExecution& job)
     {
@@ -47,14 +47,10 @@
 
 } // namespace
 
-Dispatcher::PlacementOrder Dispatcher::placementOrder(Instant now)
+Dispatcher::PlacementOrder Dispatcher::placementOrder(CommandContext& context)
 {
-    struct Entry {
-        int rank;
-        Instant deadline;
-        JobExecution* job;
-    };
-    std::vector<Entry> entries;
+    const Instant now = context.now;
+    std::vector<PlacementEntry> entries;
     std::vector<std::pair<Instant, JobExecution*>> overdue;
     for (auto& [id, job] : this->jobExecutions) {
         const auto cell = this->cells.find(job->definition().cell);
@@ -67,13 +63,15 @@
         if (const auto since = this->overdueSince(*job, now))
             overdue.emplace_back(*since, job.get());
     }
-    std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
+    std::sort(entries.begin(), entries.end(), [](const PlacementEntry& a, const PlacementEntry& b) {
         return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
     });
+    if (this->options.sharesCapacity)
+        this->shareCapacity(entries, context);
     std::stable_sort(overdue.begin(), overdue.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     PlacementOrder order;
     order.jobs.reserve(entries.size());
-    for (const Entry& entry : entries)
+    for (const PlacementEntry& entry : entries)
         order.jobs.push_back(entry.job);
     for (const auto& [since, job] : overdue)
         order.overdueJobs.push_back(job);
@@ -125,7 +123,7 @@
     // What the window has no room for is decided later, when it can be delivered and by what is known then.
     std::size_t evictionSearches = 0;
     if (this->startWindow.hasRoom()) {
-        const PlacementOrder order = this->placementOrder(context.now);
+        const PlacementOrder order = this->placementOrder(context);
         this->placeJobs(order.overdueJobs, true, pass, context);
         evictionSearches = std::exchange(pass.evictionSearches, 0);
         pass.unplacedCount = 0;
--- a/packages/scheduling/job_types.h
+++ b/packages/scheduling/job_types.h
@@ -15,7 +15,6 @@
 
 namespace dragonflytray {
 
-using QueueName = StrongId<struct QueueNameTag>;
 using CellName = StrongId<struct CellNameTag>; // a group of workers under one leader
 using WorkerId = StrongId<struct WorkerIdTag>; // stays the same when the worker's process restarts
 using ImageName = StrongId<struct ImageNameTag>;
--- a/packages/scheduling/placement_pass.h
+++ b/packages/scheduling/placement_pass.h
@@ -24,6 +24,9 @@
 // urgencyOf() returns how `job` stands at `now`.
 UrgencyClass urgencyOf(const JobExecution& job, Instant now);
 
+// hasBestEffortStep() returns true if some step of the job runs on processors that other tasks leave idle.
+bool hasBestEffortStep(const JobExecution& job);
+
 // PlacementPass records the needs for which a pass found no room, so that it does not search for equal or larger ones.
 struct Dispatcher::PlacementPass {
     struct UnplacedTask {
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -40,6 +40,7 @@
         .followsEvacuations = this->dispatcher.followsEvacuations(),
         .evacuatedDataCentres = this->dispatcher.evacuations().count(),
         .evacuatedRuns = this->dispatcher.evacuatedRuns(),
+        .queueDebts = this->dispatcher.queueDebts(),
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -216,9 +216,25 @@
     this->send(name, EvacuationsFollowed { std::move(delivered) });
 }
 
+void SchedulerFixture::addQueue(const std::string& queue, int priority)
+{
+    QueueRule rule = this->configuration.queues.front();
+    rule.name = QueueName(queue);
+    rule.pathPrefix = "/" + queue + "/";
+    rule.priority = priority;
+    this->configuration.queues.push_back(rule);
+}
+
 ReplyStatus SchedulerFixture::submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
 {
-    SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = prefix + id, .job = {} };
+    return this->submitTo(this->configuration.queues.front().name.value(), name, id, std::move(steps));
+}
+
+ReplyStatus SchedulerFixture::submitTo(const std::string& queue, const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
+{
+    const auto rule = std::find_if(this->configuration.queues.begin(), this->configuration.queues.end(), [&](const QueueRule& candidate) { return candidate.name.value() == queue; });
+    REQUIRE(rule != this->configuration.queues.end());
+    SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = rule->pathPrefix + id, .job = {} };
     submit.job.spec = "spec of " + id;
     submit.job.steps = std::move(steps);
     this->replies.clear();
@@ -385,7 +401,8 @@
 {
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
-    SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
+    const Duration duration = this->chooseTaskDuration ? this->chooseTaskDuration(effect.run) : this->taskDuration;
+    SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + duration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
     TaskCallEnded end { TaskCallKind::Start, effect.to.worker, effect.to.token, effect.run, WorkerCallStatus::Unclear };
     if (this->replaced.contains(effect.to.worker)) {
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -36,6 +36,10 @@
     // submit() submits a job with these steps and returns the reply.
     ReplyStatus submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
 
+    // addQueue() configures another queue of this name beside "quick", for hosts that are created later. submitTo() submits a job to it.
+    void addQueue(const std::string& queue, int priority);
+    ReplyStatus submitTo(const std::string& queue, const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
+
     // addWorker() adds a worker with that many cores, in the data centre of the hosts unless another one is named. Leaders that read
     // the list earlier don't know it.
     SimulatedWorker& addWorker(const std::string& id, std::int64_t cores, const std::string& dataCentre = homeDataCentre);
@@ -86,6 +90,9 @@
     // ChooseStopDelay is the time for which a run goes on after its worker has answered a stop.
     using ChooseStopDelay = std::function<Duration(const TaskRunId& run)>;
 
+    // ChooseTaskDuration is the time after which a run ends by itself.
+    using ChooseTaskDuration = std::function<Duration(const TaskRunId& run)>;
+
     // SentStart is a start that a host has sent to a worker.
     struct SentStart {
         std::string host;
@@ -209,6 +216,7 @@
     std::vector<BegunRun> begunRuns; // in the order of time
     std::vector<LogDecision> log;
     Duration taskDuration { std::chrono::seconds(1) };
+    ChooseTaskDuration chooseTaskDuration; // none: taskDuration
     SchedulingConfiguration configuration;
 };
 
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -188,6 +188,7 @@
     EvacuationInForce, // the leader starts nothing there any more
     EvacuationWithdrawn,
     TaskWaiting, // a task has not run for long; the outcome says why
+    QueueDelayed, // jobs of a queue wait for those of others at its priority, since it has taken more than they have
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -228,8 +229,9 @@
     { DecisionEvent::EvacuationInForce, "evacuation-in-force" },
     { DecisionEvent::EvacuationWithdrawn, "evacuation-withdrawn" },
     { DecisionEvent::TaskWaiting, "task-waiting" },
+    { DecisionEvent::QueueDelayed, "queue-delayed" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::TaskWaiting));
+static_assert(decisionEventNames.isWhole(DecisionEvent::QueueDelayed));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -262,6 +264,8 @@
     EvacuatedDataCentres,
     EvacuatedRuns, // on workers of evacuated data centres
     MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
+    DebtCoreMilliseconds, // of a queue, as QueueShares::debtOf()
+    UsedMillicores, // by the tasks of a queue
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -294,8 +298,10 @@
     { DecisionInput::EvacuatedDataCentres, "evacuatedDataCentres" },
     { DecisionInput::EvacuatedRuns, "evacuatedRuns" },
     { DecisionInput::MissedMilliseconds, "missedMs" },
+    { DecisionInput::DebtCoreMilliseconds, "debtCoreMs" },
+    { DecisionInput::UsedMillicores, "usedMillicores" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::MissedMilliseconds));
+static_assert(decisionInputNames.isWhole(DecisionInput::UsedMillicores));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -6,6 +6,7 @@
 //
 //     const auto view = std::get<ReadinessView>(scheduler.ask(ReadinessQuery {}, now));
 
+#include "admission/admission.h"
 #include "scheduling/client_requests.h"
 #include <variant>
 
@@ -55,6 +56,7 @@
     bool followsEvacuations { false }; // of data centres
     std::size_t evacuatedDataCentres { 0 };
     std::size_t evacuatedRuns { 0 }; // on workers there, of the cells that this host leads
+    std::vector<QueueDebt> queueDebts; // as Dispatcher::queueDebts()
     ReplyCounts replies;
     StageTimes stageTimes;
 };
