scheduling: a job that can't succeed is refused at once with a retry time

While capacity is short, a job was refused only when the store did not answer or too many calls were pending, and never because it could not succeed. Its caller learnt that at the end of its deadline.

With entry.admission.refusesHopeless, the leader publishes a forecast with its lease report: the capacity of each service, and the waiting work of jobs on time by priority and by the time for which it precedes others. A host refuses a job (reply reason hopeless) only if even its best case ends after the late limit, and names the time after which the same forecast would accept it. Without the map, the lease row has no new field and every reply is as before.

New metric dragonflytray_admissions_total, new log event job-hopeless.

--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -104,6 +104,10 @@
         snapshot.metrics.push_back({ "dragonflytray_queue_cores", MetricKind::Gauge, labels, debt.use.cores });
         snapshot.metrics.push_back({ "dragonflytray_queue_debt_core_seconds", MetricKind::Gauge, labels, debt.debt });
     }
+    for (const auto& entry : admissionOutcomeNames) {
+        if (summary.refusesHopeless)
+            snapshot.metrics.push_back({ "dragonflytray_admissions_total", MetricKind::Counter, { { "outcome", std::string(entry.name) } }, static_cast<double>(summary.admissions[entry.value]) });
+    }
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -24,6 +24,13 @@
         return places;
     }
 
+    void readAdmission(YamlMap map, EntrySettings& settings)
+    {
+        settings.sharesCapacity = map.flag("shares", settings.sharesCapacity);
+        settings.refusesHopeless = map.flag("refusesHopeless", settings.refusesHopeless);
+        map.finish();
+    }
+
     void readEntry(YamlMap map, EntrySettings& settings)
     {
         settings.callers = readEndpoint(map, "callers", Presence::Required);
@@ -42,6 +49,8 @@
         settings.drainingLimit = readMilliseconds(map, "drainingLimitMilliseconds", changeLimitBounds, settings.drainingLimit);
         if (map.has("evacuationLimitMilliseconds"))
             settings.evacuationLimit = readMilliseconds(map, "evacuationLimitMilliseconds", changeLimitBounds, settings.evacuationLimit);
+        if (map.has("admission"))
+            readAdmission(map.map("admission"), settings);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -91,6 +100,9 @@
     options.dispatcher.maxWorkersViewAge = settings.drainingLimit - options.dispatcher.startValidity;
     if (settings.evacuationLimit > Duration(0))
         options.dispatcher.maxEvacuationsViewAge = settings.evacuationLimit - options.dispatcher.startValidity;
+    options.dispatcher.sharesCapacity = settings.sharesCapacity;
+    options.dispatcher.publishesForecast = settings.refusesHopeless;
+    options.refusesHopeless = settings.refusesHopeless;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -33,6 +33,8 @@
     Duration cancellationLimit { std::chrono::seconds(3) }; // from the answer to a cancellation to the last start of a task of the job
     Duration drainingLimit { std::chrono::seconds(3) }; // from the entry of a draining worker to the last start on it
     Duration evacuationLimit { 0 }; // from the answer to an evacuation of a data centre to the last start there; 0: there are none
+    bool sharesCapacity { false }; // among queues of one priority
+    bool refusesHopeless { false }; // jobs that would miss their late limit even in the best case
     Duration shutdownLimit { std::chrono::seconds(6) }; // between SIGTERM and SIGKILL
     LogOptions log;
 };
--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -232,6 +232,30 @@
 
     TaskId decodeTask(const Json& json) { return { JobId(json.at(0)), smallNumberOf(json.at(1)), smallNumberOf(json.at(2)), smallNumberOf(json.at(3)) }; }
 
+    Json encodeForecast(const Forecast& forecast)
+    {
+        Json services = Json::array();
+        for (const auto& [name, service] : forecast.services) {
+            Json preceding = Json::array();
+            for (const PrecedingWork& work : service.preceding)
+                preceding.push_back({ work.priority, work.precedesMilliseconds, work.coreMilliseconds, work.maxMillicores, work.maxMegabytes });
+            services.push_back({ name.value(), service.millicores, service.longestTaskMilliseconds, std::move(preceding) });
+        }
+        return Json::array({ forecast.epoch, forecast.composedAt, std::move(services) });
+    }
+
+    Forecast decodeForecast(const Json& json)
+    {
+        Forecast forecast { .epoch = ordinalOf(json.at(0)), .composedAt = timeOf(json.at(1)) };
+        for (const Json& entry : json.at(2)) {
+            ServiceForecast service { .millicores = numberOf<std::int64_t>(entry.at(1), maxOrdinal), .longestTaskMilliseconds = numberOf<std::int64_t>(entry.at(2), maxPeriod) };
+            for (const Json& work : entry.at(3))
+                service.preceding.push_back({ .priority = numberOf<int>(work.at(0), maxQuantity), .precedesMilliseconds = numberOf<std::int64_t>(work.at(1), maxPeriod), .coreMilliseconds = numberOf<std::int64_t>(work.at(2), maxOrdinal), .maxMillicores = quantityOf(work.at(3)), .maxMegabytes = quantityOf(work.at(4)) });
+            forecast.services[ServiceName(entry.at(0))] = std::move(service);
+        }
+        return forecast;
+    }
+
     Json encode(const CellLease& lease)
     {
         Json unconfirmed = Json::array();
@@ -240,7 +264,10 @@
         Json silentWorkers = Json::array();
         for (const WorkerId& worker : lease.silentWorkers)
             silentWorkers.push_back(worker.value());
-        return { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete }, { "rosterSize", lease.rosterSize } };
+        Json json { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete }, { "rosterSize", lease.rosterSize } };
+        if (lease.forecast)
+            json["forecast"] = encodeForecast(*lease.forecast);
+        return json;
     }
 
     StoredRow decodeLease(const Json& json)
@@ -257,6 +284,8 @@
         lease.rosterSize = ordinalOf(fieldOrZero(json, "rosterSize"));
         for (const Json& worker : json.value("silent", Json::array()))
             lease.silentWorkers.emplace_back(worker.get<std::string>());
+        if (json.contains("forecast"))
+            lease.forecast = decodeForecast(json.at("forecast"));
         return lease;
     }
 
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -21,6 +21,7 @@
 
         JobProgress progress { .phase = JobPhase::Running, .epoch = 3, .generation = 9, .endedAt = 0, .stepProgress = { { 2, { .done = { true, false }, .failures = { { 1, { 4 } } }, .checkpoints = { { 1, "c" } }, .crashes = { { 0, { .runs = { 2 } } }, { 1, { .runs = { 3, 1004 }, .provenRuns = { 1004 }, .settledRun = 1 } }, { 2, { .settledRun = 7 } } } } } } };
         CellLease lease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true };
+        Forecast forecast { .epoch = 3, .composedAt = 1780000000000, .services = { { ServiceName("desk"), { .millicores = 64000, .longestTaskMilliseconds = 900, .preceding = { { 0, 500, 40000, 4000, 256 }, { 1, 4000, 100, 500, 64 } } } } } };
     };
 
 } // namespace
@@ -91,6 +92,19 @@
     CHECK(former.epoch == this->lease.epoch);
 }
 
+// Hosts of the earlier release read only the fields that they know, and write no forecast.
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseWithForecast_isReadBackAndHasOneMoreField")
+{
+    const nlohmann::json former = nlohmann::json::from_cbor(encodeRow(this->lease));
+    CHECK_FALSE(former.contains("forecast"));
+    CellLease lease = this->lease;
+    lease.forecast = this->forecast;
+    CHECK(this->readBack(StoredRowKind::CellLease, lease) == lease);
+    nlohmann::json json = nlohmann::json::from_cbor(encodeRow(lease));
+    CHECK(json.erase("forecast") == 1);
+    CHECK(json == former);
+}
+
 TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_deeplyNestedBytes_areUnreadable")
 {
     const std::size_t depth = GENERATE(100'000, 10'000'000);
--- a/packages/entry/row_fuzz_test.cc
+++ b/packages/entry/row_fuzz_test.cc
@@ -63,7 +63,7 @@
             { StoredRowKind::Definition, definition() },
             { StoredRowKind::Progress, progress() },
             { StoredRowKind::Cancellation, CancellationRequest { 1780000000000 } },
-            { StoredRowKind::CellLease, CellLease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true } },
+            { StoredRowKind::CellLease, CellLease { .holder = HostName("entry-1"), .epoch = 3, .renewalCount = 9, .capacityMillicores = 64000, .labels = { "a" }, .unconfirmed = { { JobId("00000000000000a1"), 0, 1, 2 } }, .silentWorkers = { WorkerId("i-1") }, .rosterSize = 7, .isRosterComplete = true, .forecast = Forecast { .epoch = 3, .composedAt = 1780000000000, .services = { { ServiceName("s"), { .millicores = 64000, .longestTaskMilliseconds = 900, .preceding = { { 1, 4000, 100, 500, 64 } } } } } } } },
             { StoredRowKind::WorkerRoster, WorkerRoster { { { WorkerId("i-1"), { { "10.1.1.1", 8080 }, { 64000, 256000, 0 }, std::set<TaskId> { { JobId("00000000000000a1"), 0, 1, 2 } } } } } } },
             { StoredRowKind::EntryHost, EntryHost { .dataCentre = DataCentreName("dc"), .agent = { "10.1.0.1", 7720 }, .linkMegabits = 20, .processorShare = 0.069 } },
         };
--- a/packages/scheduling/cell_leadership.cc
+++ b/packages/scheduling/cell_leadership.cc
@@ -96,6 +96,7 @@
         .silentWorkers = isHolder ? std::vector<WorkerId>() : this->lastRow.silentWorkers,
         .rosterSize = isHolder ? report.rosterSize : this->lastRow.rosterSize,
         .isRosterComplete = isHolder ? report.isRosterComplete : this->lastRow.isRosterComplete || this->lastRow.epoch == 0,
+        .forecast = isHolder && !this->isReleasing ? report.forecast : std::nullopt,
     };
     this->sentWrites.push_back({ .number = number, .row = row, .report = isHolder ? report.number : 0, .replaced = this->lastVersion, .sentAt = now });
     this->lastSentAt = now;
--- a/packages/scheduling/cell_leadership.h
+++ b/packages/scheduling/cell_leadership.h
@@ -34,6 +34,7 @@
     std::uint64_t rosterSize { 0 };
     bool isRosterComplete { false };
     std::vector<StoredRowPut> rosterPuts {}; // changed rows of the roster
+    std::optional<Forecast> forecast {};
 };
 
 // StoredReport names a report that the store holds.
--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -18,13 +18,14 @@
 {
 }
 
-void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context)
+void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context, Duration retryAfter)
 {
     ++this->counts[reason];
     const DecisionEvent event = status == ReplyStatus::Unclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused;
     context.add(LogDecision { event, subject, {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 });
     const bool hasRetry = status == ReplyStatus::Refused;
-    context.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = hasRetry ? this->options.retryAfter : Duration(0) });
+    const Duration retryTime = retryAfter > Duration(0) ? retryAfter : this->options.retryAfter;
+    context.add(ReplyToClient { .token = token, .status = status, .reason = reason, .retryAfter = hasRetry ? retryTime : Duration(0) });
 }
 
 void ClientRequests::submit(ReplyToken token, const JobDefinition& job, const JobCache& jobCache, CommandContext& context)
--- a/packages/scheduling/client_requests.h
+++ b/packages/scheduling/client_requests.h
@@ -51,12 +51,15 @@
     void lookUp(ReplyToken token, const JobId& job, const JobCache& jobCache, CommandContext& context);
 
     // refuse() replies that a call can't be served, counts the reason, and logs `subject`: the id of the job, or the path of
-    // the call if it contains none.
-    void refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context);
+    // the call if it contains none. The reply of a refusal names `retryAfter`, or Options::retryAfter if it is zero.
+    void refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context, Duration retryAfter = Duration(0));
 
     // setStoreAnswering() sets whether the store can be reached. Submissions are refused while it can't.
     void setStoreAnswering(bool isAnswering) { this->isStoreAnswering = isAnswering; }
 
+    // mayBeStored() returns true if a write that this host has sent may have stored the job, or still may.
+    bool mayBeStored(const JobId& job) const { return this->unclearJobs.contains(job) || this->writeNumbers.contains({ StoredRowKind::Definition, job.value() }); }
+
     // owns() returns true if `write` is a write of these calls that is in flight.
     bool owns(std::uint64_t write) const { return this->writes.contains(write); }
 
--- a/packages/scheduling/commands/client_calls.cc
+++ b/packages/scheduling/commands/client_calls.cc
@@ -27,6 +27,21 @@
         return !job.steps.empty();
     }
 
+    // demandOf() returns what is decided about at admission; nothing for jobs without a time of completion that capacity determines:
+    // long-running and repeated ones, and those with best-effort tasks.
+    std::optional<JobDemand> demandOf(const JobDefinition& job)
+    {
+        const bool hasBestEffortStep = std::any_of(job.steps.begin(), job.steps.end(), [](const StepDefinition& step) { return step.isBestEffort; });
+        if (job.isLongRunning() || hasBestEffortStep || job.repetitions > 0)
+            return std::nullopt;
+        JobDemand demand { .service = job.queue.service, .priority = job.queue.priority, .criticalPath = criticalPathOf(job), .coreMilliseconds = estimatedWorkOf(job), .minMillicores = job.steps.front().need.millicores, .minMegabytes = job.steps.front().need.megabytes, .lateLimit = lateLimitOf(job) };
+        for (const StepDefinition& step : job.steps) {
+            demand.minMillicores = std::min(demand.minMillicores, step.need.millicores);
+            demand.minMegabytes = std::min(demand.minMegabytes, step.need.megabytes);
+        }
+        return demand;
+    }
+
 } // namespace
 
 std::optional<Scheduler::JobAddress> Scheduler::resolve(ReplyToken token, const std::string& host, const std::string& path, CommandContext& context)
@@ -61,7 +76,28 @@
     job.queue = *address->queue;
     job.acceptedAt = context.wallTime;
     job.cell = this->chooseCell(job, context.now);
-    this->clientRequests.submit(submit.token, job, this->jobCache, context);
+    if (this->admit(submit.token, job, context))
+        this->clientRequests.submit(submit.token, job, this->jobCache, context);
+}
+
+bool Scheduler::admit(ReplyToken token, const JobDefinition& job, CommandContext& context)
+{
+    const std::optional<JobDemand> demand = this->options.refusesHopeless ? demandOf(job) : std::nullopt;
+    const JobRecord* known = this->jobCache.find(job.id);
+    if (!demand || (known && known->isDefined()) || this->clientRequests.mayBeStored(job.id))
+        return true;
+    const CellLeadership& leadership = this->leaderships.at(job.cell);
+    const std::optional<Forecast>& forecast = leadership.row().forecast;
+    const ForecastView view { .forecast = forecast ? &*forecast : nullptr, .highestEpoch = leadership.row().epoch, .receivedAt = leadership.changedAt() };
+    const AdmissionDecision decision = this->admissionControl.decide(*demand, view, context.wallTime, context.now);
+    ++this->admissionCounts[decision.outcome];
+    if (decision.outcome != AdmissionOutcome::Hopeless)
+        return true;
+    LogDecision line { DecisionEvent::JobHopeless, job.id.value(), {}, job.queue.name.value(), forecast->epoch, toMilliseconds(context.now - view.receivedAt) };
+    line.inputs = { { DecisionInput::EarliestEndMilliseconds, toMilliseconds(decision.earliestEnd) }, { DecisionInput::LateLimitMilliseconds, toMilliseconds(demand->lateLimit) }, { DecisionInput::RetryMilliseconds, toMilliseconds(decision.retryAfter) } };
+    context.add(std::move(line));
+    this->clientRequests.refuse(token, job.id.value(), ReplyStatus::Refused, ReplyReason::Hopeless, context, decision.retryAfter);
+    return false;
 }
 
 void Scheduler::requestCancellation(const SchedulerCommand& command, CommandContext& context)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -65,6 +65,7 @@
         DataCentreEvacuations::Options evacuations {};
         bool sharesCapacity { false }; // queues of one priority share it; otherwise their jobs come in the order of their objectives
         QueueShares::Options queueShares {};
+        bool publishesForecast { false }; // with the reports of its cells
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -143,8 +144,8 @@
     // composeReport() returns the report of a cell for the next renewal of its lease, and marks the workers that it enrols or
     // closes; it is empty while the cell is not led. Tasks are started on a worker only once a report that enrols it is stored, and
     // no more on one that a report closes, since it names the only tasks that may run there. Linear in all workers and the runs on
-    // closed ones.
-    CellReport composeReport(const CellName& cell, Instant now);
+    // closed ones, and in the jobs where Options::publishesForecast is set.
+    CellReport composeReport(const CellName& cell, Instant now, WallTime wallTime);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
     // workers were fenced sets how far the store has to be followed before the cell is reconciled.
@@ -458,6 +459,9 @@
     void shareCapacity(std::vector<PlacementEntry>& entries, CommandContext& context);
     void followQueueUses(Instant now);
     void reportQueueDebts(CommandContext& context);
+    // forecastOf() returns the forecast of a cell; nothing until the runs of former leaders are accounted for.
+    std::optional<Forecast> forecastOf(const CellName& name, Instant now, WallTime wallTime) const;
+    void addPrecedingWork(JobExecution& job, Instant now, Forecast& forecast) const;
     // placeJobs() and placeStep() try the overdue tasks, or all others. placeJobs() returns the number of jobs that it tried before
     // Options::maxUnplacedTasksPerPass found no worker.
     std::size_t placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
--- a/packages/scheduling/dispatcher_admission.cc
+++ b/packages/scheduling/dispatcher_admission.cc
@@ -1,4 +1,4 @@
-// The shares of queues in the capacity of the cells that this host leads.
+// The shares of queues in the capacity of the cells that this host leads, and the forecast that it publishes of it.
 
 #include "scheduling/placement_pass.h"
 
@@ -21,6 +21,13 @@
     double coresOf(const StepDefinition& step) { return static_cast<double>(step.need.millicores) / millicoresPerCore; }
     double workOf(const StepDefinition& step) { return coresOf(step) * toSeconds(step.estimate); }
 
+    // needsOnlyRoom() says whether the tasks of a step start wherever there are cores and memory for them.
+    bool needsOnlyRoom(const StepDefinition& step)
+    {
+        const bool hasConstraint = step.isGang || step.isBestEffort || step.maxPerWorker > 0 || step.need.accelerators > 0;
+        return !hasConstraint && step.requiredLabel.empty() && step.nearLabel.empty();
+    }
+
     // waitingWorkOf() is the expected work of the waiting tasks of a job in core seconds.
     double waitingWorkOf(JobExecution& job)
     {
@@ -99,4 +106,32 @@
     context.add(std::move(line));
 }
 
+std::optional<Forecast> Dispatcher::forecastOf(const CellName& name, Instant now, WallTime wallTime) const
+{
+    const Cell& cell = this->cells.at(name);
+    if (!cell.isReconciled)
+        return std::nullopt;
+    Forecast forecast { .epoch = cell.epoch, .composedAt = wallTime };
+    for (const auto& [id, worker] : this->fleet.all()) {
+        const bool isEvacuated = this->dataCentreEvacuations.isEvacuated(worker.entry.dataCentre);
+        if (worker.cell == name && worker.isListed && !worker.isSuspect && !worker.entry.isDraining && !isEvacuated)
+            forecast.addCapacity(worker.entry.service, worker.entry.capacity.millicores);
+    }
+    for (const auto& [id, job] : this->jobExecutions) {
+        if (job->definition().cell == name && !isFinal(job->progress().phase) && urgencyOf(*job, now) == UrgencyClass::OnTime)
+            this->addPrecedingWork(*job, now, forecast);
+    }
+    return forecast;
+}
+
+void Dispatcher::addPrecedingWork(JobExecution& job, Instant now, Forecast& forecast) const
+{
+    const QueueRule& rule = this->queueRuleOf(job);
+    for (const auto& [number, stepExecution] : job.openSteps()) {
+        const StepDefinition& step = job.definition().steps[stepExecution.step];
+        if (stepExecution.lastOutcome == PlacementOutcome::NoRoom && needsOnlyRoom(step))
+            forecast.addWork(rule.service, { .priority = rule.priority, .untilObjective = job.objectiveDeadline - now, .count = stepExecution.waiting, .millicores = step.need.millicores, .megabytes = step.need.megabytes, .expectedRunTime = step.estimate });
+    }
+}
+
 } // namespace dragonflytray
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -27,7 +27,7 @@
     }
 }
 
-CellReport Dispatcher::composeReport(const CellName& name, Instant now)
+CellReport Dispatcher::composeReport(const CellName& name, Instant now, WallTime wallTime)
 {
     const auto found = this->cells.find(name);
     if (found == this->cells.end())
@@ -62,6 +62,8 @@
         enrolled.emplace(id, std::move(entry));
     }
     report.rosterSize = enrolled.size();
+    if (this->options.publishesForecast)
+        report.forecast = this->forecastOf(name, now, wallTime);
     const std::set<TaskId> unconfirmed = cell.formerRuns.tasksOn(WorkerId());
     report.unconfirmed.assign(unconfirmed.begin(), unconfirmed.end());
     report.rosterPuts = this->rosters.at(name).compose(report.number, enrolled);
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -31,6 +31,17 @@
     return longest;
 }
 
+Duration objectiveOf(const JobDefinition& job)
+{
+    const auto criticalPath = std::chrono::duration<double, std::nano>(criticalPathOf(job));
+    return std::chrono::duration_cast<Duration>(criticalPath * job.queue.slackFactor) + job.queue.targetLatency;
+}
+
+Duration lateLimitOf(const JobDefinition& job)
+{
+    return lateDeadlineFactor * objectiveOf(job);
+}
+
 JobExecution::JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant acceptedAt)
     : record(&record)
     , epoch(epoch)
@@ -40,11 +51,9 @@
 {
     this->currentProgress.epoch = epoch;
     this->recordedGeneration = this->currentProgress.generation;
-    const QueueRule& queue = record.definition.queue;
-    const auto criticalPath = std::chrono::duration<double, std::nano>(criticalPathOf(record.definition));
-    const auto objective = std::chrono::duration_cast<Duration>(criticalPath * queue.slackFactor) + queue.targetLatency;
+    const Duration objective = objectiveOf(record.definition);
     this->objectiveDeadline = acceptedAt + objective;
-    this->lateDeadline = acceptedAt + lateDeadlineFactor * objective;
+    this->lateDeadline = acceptedAt + lateLimitOf(record.definition);
     this->slack = std::max(objective - criticalPathOf(record.definition), Duration(0));
 }
 
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -260,4 +260,9 @@
 // criticalPathOf() returns the estimated run time of the longest chain of dependent steps of a job.
 Duration criticalPathOf(const JobDefinition& job);
 
+// objectiveOf() returns the time within which a job has its full value, and lateLimitOf() the time after which it has none, both from
+// its acceptance on.
+Duration objectiveOf(const JobDefinition& job);
+Duration lateLimitOf(const JobDefinition& job);
+
 } // namespace dragonflytray
--- a/packages/scheduling/queries/views.cc
+++ b/packages/scheduling/queries/views.cc
@@ -41,6 +41,8 @@
         .evacuatedDataCentres = this->dispatcher.evacuations().count(),
         .evacuatedRuns = this->dispatcher.evacuatedRuns(),
         .queueDebts = this->dispatcher.queueDebts(),
+        .refusesHopeless = this->options.refusesHopeless,
+        .admissions = this->admissionCounts,
         .replies = this->clientRequests.replies(),
         .stageTimes = this->stageTimes,
     };
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -61,6 +61,7 @@
     : options(std::move(options))
     , clientRequests(this->options.clientRequests)
     , cancellationCheck(this->options.cancellationCheck)
+    , admissionControl(this->options.admission)
     , unmatchedCancellations(this->options.unmatchedCancellations)
     , dispatcher(this->options.dispatcher, cellsOf(this->options.dataCentres, this->options.scope))
     , registration({ .self = this->options.self, .entry = this->options.ownEntry })
@@ -146,7 +147,7 @@
             leadership.renewSoon();
         if (!leadership.isWriteDue(context.now))
             continue;
-        context.add(leadership.nextWrite(this->nextWrite++, this->dispatcher.composeReport(cell, context.now), context.now));
+        context.add(leadership.nextWrite(this->nextWrite++, this->dispatcher.composeReport(cell, context.now, context.wallTime), context.now));
     }
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -60,6 +60,8 @@
         Dispatcher::Options dispatcher {};
         CancellationCheck::Options cancellationCheck {};
         ClientRequests::Options clientRequests {};
+        bool refusesHopeless { false }; // jobs that the forecast of their cell shows to miss their late limit
+        AdmissionControl::Options admission {};
         Duration lease { std::chrono::milliseconds(1500) }; // of a cell's leader
         Duration remoteCellDelay { std::chrono::milliseconds(1200) }; // added to the acquisition delay by hosts outside the cell
         double fullSizeShare { 0.5 }; // of a core; a host of this size can lead the largest fleet that is planned
@@ -148,6 +150,9 @@
     // chooseCell() returns the cell that should execute a new job: the home cell, unless another has clearly less load.
     CellName chooseCell(const JobDefinition& job, Instant now) const;
 
+    // admit() decides by the forecast of the job's cell whether a new job is accepted, and refuses it if not.
+    bool admit(ReplyToken token, const JobDefinition& job, CommandContext& context);
+
     // loadOf() returns the outstanding work of a cell in seconds of its whole capacity, plus penalties for a cell that has no
     // leader, lacks labels of the job, or is not the home cell.
     double loadOf(const CellName& cell, const JobDefinition& job, Instant now) const;
@@ -165,6 +170,8 @@
     JobCache jobCache;
     ClientRequests clientRequests;
     CancellationCheck cancellationCheck;
+    AdmissionControl admissionControl;
+    AdmissionCounts admissionCounts {};
     UnmatchedCancellations unmatchedCancellations;
     Dispatcher dispatcher;
     HostRegistration registration;
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -37,7 +37,7 @@
     std::unique_ptr<Scheduler>& scheduler = this->hosts[name];
     if (scheduler)
         return *scheduler;
-    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") }, { DataCentreName(otherDataCentre), RegionName("sul-sc") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions });
+    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") }, { DataCentreName(otherDataCentre), RegionName("sul-sc") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions, .refusesHopeless = this->refusesHopeless });
     this->send(name, SchedulerTick { wallTimeAt(this->now) });
     this->send(name, ConfigurationFollowed { this->configuration });
     return *scheduler;
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -144,6 +144,7 @@
 
     Instant now { std::chrono::hours(1) };
     Dispatcher::Options dispatcherOptions; // of hosts that are created later
+    bool refusesHopeless { false }; // the same
     std::map<std::string, EntryHost> ownEntries; // the same, by host
     SimulatedStore store;
     std::map<std::string, std::unique_ptr<Scheduler>> hosts;
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -118,6 +118,7 @@
     UnknownId,
     UnknownRoute, // no queue matches host and path
     BadRequest,
+    Hopeless, // the job would miss its late limit even in the best case
 };
 
 inline constexpr NameTable replyReasonNames { std::to_array<NameEntry<ReplyReason>>({
@@ -131,8 +132,9 @@
     { ReplyReason::UnknownId, "unknown-id" },
     { ReplyReason::UnknownRoute, "unknown-route" },
     { ReplyReason::BadRequest, "bad-request" },
+    { ReplyReason::Hopeless, "hopeless" },
 }) };
-static_assert(replyReasonNames.isWhole(ReplyReason::BadRequest));
+static_assert(replyReasonNames.isWhole(ReplyReason::Hopeless));
 
 // ReplyToClient answers one call of a caller.
 struct ReplyToClient {
@@ -189,6 +191,7 @@
     EvacuationWithdrawn,
     TaskWaiting, // a task has not run for long; the outcome says why
     QueueDelayed, // jobs of a queue wait for those of others at its priority, since it has taken more than they have
+    JobHopeless, // a new job would miss its late limit even in the best case, by the forecast of its cell
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -230,8 +233,9 @@
     { DecisionEvent::EvacuationWithdrawn, "evacuation-withdrawn" },
     { DecisionEvent::TaskWaiting, "task-waiting" },
     { DecisionEvent::QueueDelayed, "queue-delayed" },
+    { DecisionEvent::JobHopeless, "job-hopeless" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::QueueDelayed));
+static_assert(decisionEventNames.isWhole(DecisionEvent::JobHopeless));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -266,6 +270,9 @@
     MissedMilliseconds, // since a serving run on the worker was reported to miss its target; 0: from this report on, or none does
     DebtCoreMilliseconds, // of a queue, as QueueShares::debtOf()
     UsedMillicores, // by the tasks of a queue
+    EarliestEndMilliseconds, // of a new job, from now, in the best case
+    LateLimitMilliseconds, // of a new job
+    RetryMilliseconds, // named to its caller
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -300,8 +307,11 @@
     { DecisionInput::MissedMilliseconds, "missedMs" },
     { DecisionInput::DebtCoreMilliseconds, "debtCoreMs" },
     { DecisionInput::UsedMillicores, "usedMillicores" },
+    { DecisionInput::EarliestEndMilliseconds, "earliestEndMs" },
+    { DecisionInput::LateLimitMilliseconds, "lateLimitMs" },
+    { DecisionInput::RetryMilliseconds, "retryMs" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::UsedMillicores));
+static_assert(decisionInputNames.isWhole(DecisionInput::RetryMilliseconds));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -12,6 +12,9 @@
 
 namespace dragonflytray {
 
+// AdmissionCounts is the number of decisions about new jobs since the start of the process, by outcome.
+using AdmissionCounts = EnumArray<AdmissionOutcome, std::uint64_t, admissionOutcomeNames.size()>;
+
 // QueueQuery asks for the number of pending jobs of the queue that host and path select.
 struct QueueQuery {
     std::string host;
@@ -57,6 +60,8 @@
     std::size_t evacuatedDataCentres { 0 };
     std::size_t evacuatedRuns { 0 }; // on workers there, of the cells that this host leads
     std::vector<QueueDebt> queueDebts; // as Dispatcher::queueDebts()
+    bool refusesHopeless { false }; // jobs that can't succeed are refused here
+    AdmissionCounts admissions {};
     ReplyCounts replies;
     StageTimes stageTimes;
 };
--- a/packages/scheduling/stored_rows.h
+++ b/packages/scheduling/stored_rows.h
@@ -11,6 +11,7 @@
 //     const StoredRowKey key { StoredRowKind::Progress, job.id.value() };
 //     const std::uint32_t partition = partitionOf(key);
 
+#include "admission/admission.h"
 #include "scheduling/job_types.h"
 #include <optional>
 #include <set>
@@ -155,6 +156,7 @@
     std::vector<WorkerId> silentWorkers {}; // of the roster, as leaders report them that write no RosterEntry::possibleTasks
     std::uint64_t rosterSize { 0 }; // workers in the roster; another number was not read whole
     bool isRosterComplete { false }; // every other worker with runs is in the roster; leaders that know no roster write false
+    std::optional<Forecast> forecast {}; // by which hosts refuse jobs that can't succeed; nothing: they refuse none
 
     bool operator==(const CellLease&) const = default;
 };
