--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -108,6 +108,15 @@
     }
     if (summary.learnsRunTimes || summary.judgesWorkers)
         gauge("dragonflytray_run_time_keys", static_cast<double>(summary.runTimeKeys));
+    for (const QueueDebt& debt : summary.queueDebts) {
+        const std::map<std::string, std::string> labels { { "queue", debt.use.queue.value() } };
+        snapshot.metrics.push_back({ "dragonflytray_queue_cores", MetricKind::Gauge, labels, debt.use.cores });
+        snapshot.metrics.push_back({ "dragonflytray_queue_debt_core_seconds", MetricKind::Gauge, labels, debt.debt });
+    }
+    for (const auto& entry : admissionOutcomeNames) {
+        if (summary.refusesHopeless)
+            snapshot.metrics.push_back({ "dragonflytray_admissions_total", MetricKind::Counter, { { "outcome", std::string(entry.name) } }, static_cast<double>(summary.admissions[entry.value]) });
+    }
     for (const auto& entry : replyReasonNames)
         snapshot.metrics.push_back({ "dragonflytray_refusals_total", MetricKind::Counter, { { "reason", std::string(entry.name) } }, static_cast<double>(summary.replies[entry.value]) });
     for (const auto& entry : stageNames)
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -40,6 +40,13 @@
         return places;
     }
 
+    void readAdmission(YamlMap map, EntrySettings& settings)
+    {
+        settings.sharesCapacity = map.flag("shares", settings.sharesCapacity);
+        settings.refusesHopeless = map.flag("refusesHopeless", settings.refusesHopeless);
+        map.finish();
+    }
+
     void readEntry(YamlMap map, EntrySettings& settings)
     {
         settings.callers = readEndpoint(map, "callers", Presence::Required);
@@ -64,6 +71,8 @@
             settings.longestRetryAfter = readMilliseconds(map, "longestRetryAfterMilliseconds", retryAfterBounds, settings.longestRetryAfter);
         settings.learnsRunTimes = map.flag("learnsRunTimes", settings.learnsRunTimes);
         settings.judgesWorkers = map.flag("judgesWorkers", settings.judgesWorkers);
+        if (map.has("admission"))
+            readAdmission(map.map("admission"), settings);
         settings.shutdownLimit = readMilliseconds(map, "shutdownLimitMilliseconds", millisecondBounds, settings.shutdownLimit);
         map.finish();
     }
@@ -130,6 +139,9 @@
     options.clientRequests.longestRetryAfter = settings.longestRetryAfter;
     options.dispatcher.learnsRunTimes = settings.learnsRunTimes;
     options.dispatcher.judgesWorkers = settings.judgesWorkers;
+    options.dispatcher.sharesCapacity = settings.sharesCapacity;
+    options.dispatcher.publishesForecast = settings.refusesHopeless;
+    options.refusesHopeless = settings.refusesHopeless;
     // The rest of the limit is for an answer of the store that is lost, and its repetition.
     options.cancellationCheck.maxAge = options.dispatcher.maxJobsViewAge / 2;
     return options;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -38,6 +38,8 @@
     Duration longestRetryAfter { 0 }; // that a refused caller is told; 0: always a second, and submissions with an unclear write are not tried again
     bool learnsRunTimes { false }; // run times of tasks correct callers' estimates
     bool judgesWorkers { false }; // workers that do worse than their peers get less work
+    bool sharesCapacity { false }; // among queues of one priority
+    bool refusesHopeless { false }; // jobs that would miss their late limit even in the best case
     Duration shutdownLimit { std::chrono::seconds(6) }; // between SIGTERM and SIGKILL
     LogOptions log;
 };
--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -22,9 +22,13 @@
 }
 
 void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context, int urgency)
+{
+    this->refuse(token, subject, status, reason, this->retryAfter(status, reason, urgency, context.now), context);
+}
+
+void ClientRequests::refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, Duration retryAfter, CommandContext& context)
 {
     ++this->counts[reason];
-    const Duration retryAfter = this->retryAfter(status, reason, urgency, context.now);
     const DecisionEvent event = status == ReplyStatus::Unclear ? DecisionEvent::JobUnclear : DecisionEvent::JobRefused;
     LogDecision line { event, subject, {}, std::string(replyReasonNames.nameOf(reason)), 0, 0 };
     if (this->advisor && retryAfter > Duration(0))
--- a/packages/scheduling/client_requests.h
+++ b/packages/scheduling/client_requests.h
@@ -74,6 +74,9 @@
     // the call if it contains none. `urgency` is that of the queue.
     void refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, CommandContext& context, int urgency = mostUrgent);
 
+    // refuse() with `retryAfter` does so for a reason that gives the time to return itself.
+    void refuse(ReplyToken token, const std::string& subject, ReplyStatus status, ReplyReason reason, Duration retryAfter, CommandContext& context);
+
     // storeContactChanged() sets whether the store can be reached. Submissions are refused while it can't.
     void storeContactChanged(bool isAnswering, CommandContext& context);
 
@@ -83,6 +86,9 @@
     // tick() answers callers whose time ends, and tries held submissions again.
     void tick(CommandContext& context);
 
+    // mayBeStored() returns true if a write that this host has sent may have stored the job, or still may.
+    bool mayBeStored(const JobId& job) const { return this->held.contains(job) || this->mayTakeEffect(definitionOf(job)); }
+
     // owns() returns true if `write` is a write of these calls that is in flight.
     bool owns(std::uint64_t write) const { return this->writes.contains(write); }
 
--- a/packages/scheduling/client_requests_repeats.cc
+++ b/packages/scheduling/client_requests_repeats.cc
@@ -14,7 +14,7 @@
     constexpr int maxAnswerPart = 4;
 
     // The reason of the advice for each ReplyReason, in its order. Calls that are not to be repeated get no advice.
-    constexpr std::array<AdviceReason, replyReasonNames.size()> adviceReasons {
+    constexpr std::array adviceReasons {
         AdviceReason::NotReady, // None
         AdviceReason::NotReady, // NoConfiguration
         AdviceReason::NotReady, // JobsNotRead
@@ -25,7 +25,9 @@
         AdviceReason::NotReady, // UnknownId
         AdviceReason::NotReady, // UnknownRoute
         AdviceReason::NotReady, // BadRequest
+        AdviceReason::LimitReached, // Hopeless; the admission decision gives the time itself
     };
+    static_assert(adviceReasons.size() == replyReasonNames.size());
 
 } // namespace
 
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -22,6 +22,7 @@
     , dataCentreEvacuations(options.evacuations)
     , runTimes(options.runTimes)
     , workerHealth(options.workerHealth)
+    , queueShares(options.queueShares)
 {
 }
 
@@ -69,6 +70,7 @@
         this->crashVerdicts.clear();
         this->crashSuspects.clear();
         this->workerHealth.clear();
+        this->queueShares.clear();
     }
     std::erase_if(this->jobExecutions, [&](const auto& entry) { return entry.second->definition().cell == cell; });
 }
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -16,6 +16,7 @@
 //     dispatcher.pollEnded(end, context);
 //     dispatcher.tick(context);
 
+#include "admission/admission.h"
 #include "dispatch/dispatch.h"
 #include "evacuation/evacuation.h"
 #include "run_times/run_times.h"
@@ -68,6 +69,9 @@
         bool judgesWorkers { false }; // workers that do worse than their peers get less work
         RunTimes::Options runTimes {};
         WorkerHealth::Options workerHealth {};
+        bool sharesCapacity { false }; // queues of one priority share it; otherwise their jobs come in the order of their objectives
+        QueueShares::Options queueShares {};
+        bool publishesForecast { false }; // with the reports of its cells
         Duration storeSilenceTimeout { std::chrono::milliseconds(1500) }; // without any answer of the store, after which it counts as unavailable
         Duration pollWaitTimeout { std::chrono::milliseconds(1000) }; // for which a worker may delay its answer to a poll; at most a quarter of the lease
         Duration pollRetryDelay { std::chrono::milliseconds(150) }; // after a poll without an answer
@@ -146,8 +150,8 @@
     // composeReport() returns the report of a cell for the next renewal of its lease, and marks the workers that it enrols or
     // closes; it is empty while the cell is not led. Tasks are started on a worker only once a report that enrols it is stored, and
     // no more on one that a report closes, since it names the only tasks that may run there. Linear in all workers and the runs on
-    // closed ones.
-    CellReport composeReport(const CellName& cell, Instant now);
+    // closed ones, and in the jobs where Options::publishesForecast is set.
+    CellReport composeReport(const CellName& cell, Instant now, WallTime wallTime);
 
     // reportStored() reports that the store holds a report of composeReport(). The first one that was composed after all
     // workers were fenced sets how far the store has to be followed before the cell is reconciled.
@@ -268,6 +272,9 @@
     bool learnsRunTimes() const { return this->options.learnsRunTimes; }
     const WorkerHealth& health() const { return this->workerHealth; }
     const RunTimes& observedRunTimes() const { return this->runTimes; }
+    // queueDebts() is what the queues of this leader take, and how far they are ahead of each other; empty unless
+    // Options::sharesCapacity is set.
+    std::vector<QueueDebt> queueDebts() const { return this->queueShares.debts(); }
 
     // activeJobs() is the number of jobs in execution.
     std::size_t activeJobs() const { return this->jobExecutions.size(); }
@@ -467,7 +474,21 @@
         std::vector<JobExecution*> overdueJobs;
         std::vector<JobExecution*> jobs;
     };
-    PlacementOrder placementOrder(Instant now);
+    PlacementOrder placementOrder(CommandContext& context);
+    // PlacementEntry is a job with waiting tasks and what its place in the order depends on.
+    struct PlacementEntry {
+        int rank { 0 };
+        Instant deadline;
+        JobExecution* job { nullptr };
+    };
+    // shareCapacity() reorders sorted entries of equal rank by the shares of their queues. Long-running and best-effort jobs keep their
+    // places. Linear in the jobs in execution.
+    void shareCapacity(std::vector<PlacementEntry>& entries, CommandContext& context);
+    void followQueueUses(Instant now);
+    void reportQueueDebts(CommandContext& context);
+    // forecastOf() returns the forecast of a cell; nothing until the runs of former leaders are accounted for.
+    std::optional<Forecast> forecastOf(const CellName& name, Instant now, WallTime wallTime) const;
+    void addPrecedingWork(JobExecution& job, Instant now, Forecast& forecast) const;
     // placeJobs() and placeStep() try the overdue tasks, or all others. placeJobs() returns the number of jobs that it tried before
     // Options::maxUnplacedTasksPerPass found no worker.
     std::size_t placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context);
@@ -555,6 +576,8 @@
     };
     std::vector<FailedEvictionSearch> failedEvictionSearches;
     RoomClaims roomClaims;
+    QueueShares queueShares;
+    Instant nextDebtReportAt;
     Instant lastPass;
     std::chrono::duration<double> lastPassCost { 0 }; // of a core, for the last pass, as estimated from its searches
     Instant nextWaitReportAt;
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -36,6 +36,16 @@
     return longest;
 }
 
+Duration objectiveOf(const JobDefinition& job, Duration criticalPath)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(criticalPath) * job.queue.slackFactor) + job.queue.targetLatency;
+}
+
+Duration lateLimitOf(const JobDefinition& job)
+{
+    return lateDeadlineFactor * objectiveOf(job, criticalPathOf(job));
+}
+
 JobExecution::JobExecution(const JobRecord& record, Epoch epoch, bool mayHaveFormerRuns, Instant acceptedAt)
     : record(&record)
     , epoch(epoch)
@@ -51,8 +61,7 @@
 
 void JobExecution::expectCriticalPath(Duration criticalPath)
 {
-    const QueueRule& queue = this->definition().queue;
-    const auto objective = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(criticalPath) * queue.slackFactor) + queue.targetLatency;
+    const Duration objective = objectiveOf(this->definition(), criticalPath);
     this->objectiveDeadline = this->acceptedAt + objective;
     this->lateDeadline = this->acceptedAt + lateDeadlineFactor * objective;
     this->slack = std::max(objective - criticalPath, Duration(0));
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -268,4 +268,9 @@
 // criticalPathOf() with a function returns the same by the run times that it expects of the steps with these indices.
 Duration criticalPathOf(const JobDefinition& job, const std::function<Duration(std::uint32_t step)>& expectedRunTime);
 
+// objectiveOf() returns the time within which a job with that critical path has its full value, and lateLimitOf() the time after which
+// it has none, by its callers' estimates. Both count from its acceptance on.
+Duration objectiveOf(const JobDefinition& job, Duration criticalPath);
+Duration lateLimitOf(const JobDefinition& job);
+
 } // namespace dragonflytray
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -37,7 +37,7 @@
     std::unique_ptr<Scheduler>& scheduler = this->hosts[name];
     if (scheduler)
         return *scheduler;
-    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") }, { DataCentreName(otherDataCentre), RegionName("sul-sc") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions, .clientRequests = this->clientRequestsOptions });
+    scheduler = std::make_unique<Scheduler>(Scheduler::Options { .self = HostName(name), .home = dataCentre, .dataCentres = { { dataCentre, RegionName("sul-rs") }, { DataCentreName(otherDataCentre), RegionName("sul-sc") } }, .ownEntry = this->ownEntries[name], .dispatcher = this->dispatcherOptions, .clientRequests = this->clientRequestsOptions, .refusesHopeless = this->refusesHopeless });
     this->send(name, SchedulerTick { wallTimeAt(this->now) });
     this->send(name, ConfigurationFollowed { this->configuration });
     return *scheduler;
@@ -216,9 +216,25 @@
     this->send(name, EvacuationsFollowed { std::move(delivered) });
 }
 
+void SchedulerFixture::addQueue(const std::string& queue, int priority)
+{
+    QueueRule rule = this->configuration.queues.front();
+    rule.name = QueueName(queue);
+    rule.pathPrefix = "/" + queue + "/";
+    rule.priority = priority;
+    this->configuration.queues.push_back(rule);
+}
+
 ReplyStatus SchedulerFixture::submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
 {
-    SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = prefix + id, .job = {} };
+    return this->submitTo(this->configuration.queues.front().name.value(), name, id, std::move(steps));
+}
+
+ReplyStatus SchedulerFixture::submitTo(const std::string& queue, const std::string& name, const std::string& id, std::vector<StepDefinition> steps)
+{
+    const auto rule = std::find_if(this->configuration.queues.begin(), this->configuration.queues.end(), [&](const QueueRule& candidate) { return candidate.name.value() == queue; });
+    REQUIRE(rule != this->configuration.queues.end());
+    SubmitJobSteps submit { .token = ReplyToken { 1 }, .host = hostName, .path = rule->pathPrefix + id, .job = {} };
     submit.job.spec = "spec of " + id;
     submit.job.steps = std::move(steps);
     this->replies.clear();
@@ -385,7 +401,8 @@
 {
     this->starts.push_back(effect);
     const StepDefinition definition = this->stepOf(effect.run);
-    SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + this->taskDuration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
+    const Duration duration = this->chooseTaskDuration ? this->chooseTaskDuration(effect.run) : this->taskDuration;
+    SimulatedRun work { .id = effect.run, .need = needOf(definition), .end = definition.isLongRunning ? Instant::max() : this->now + duration, .isFailing = this->shouldTasksFail, .checkpoint = {} };
     if (this->changeWork)
         this->changeWork(effect.to.worker, work);
     const SentStart start { .host = name, .call = effect, .work = work, .sentAt = this->now, .isFromLeader = this->leader() == name };
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -36,6 +36,10 @@
     // submit() submits a job with these steps and returns the reply.
     ReplyStatus submit(const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
 
+    // addQueue() configures another queue of this name beside "quick", for hosts that are created later. submitTo() submits a job to it.
+    void addQueue(const std::string& queue, int priority);
+    ReplyStatus submitTo(const std::string& queue, const std::string& name, const std::string& id, std::vector<StepDefinition> steps);
+
     // addWorker() adds a worker with that many cores, in the data centre of the hosts unless another one is named. Leaders that read
     // the list earlier don't know it.
     SimulatedWorker& addWorker(const std::string& id, std::int64_t cores, const std::string& dataCentre = homeDataCentre);
@@ -88,6 +92,8 @@
 
     // ChangeWork changes what a run does on its worker.
     using ChangeWork = std::function<void(const WorkerId& worker, SimulatedRun& work)>;
+    // ChooseTaskDuration is the time after which a run ends by itself.
+    using ChooseTaskDuration = std::function<Duration(const TaskRunId& run)>;
 
     // SentStart is a start that a host has sent to a worker.
     struct SentStart {
@@ -141,6 +147,7 @@
     Instant now { std::chrono::hours(1) };
     Dispatcher::Options dispatcherOptions; // of hosts that are created later
     ClientRequests::Options clientRequestsOptions; // the same
+    bool refusesHopeless { false }; // the same
     std::map<std::string, EntryHost> ownEntries; // the same, by host
     SimulatedStore store;
     std::map<std::string, std::unique_ptr<Scheduler>> hosts;
@@ -215,6 +222,7 @@
     std::vector<BegunRun> begunRuns; // in the order of time
     std::vector<LogDecision> log;
     Duration taskDuration { std::chrono::seconds(1) };
+    ChooseTaskDuration chooseTaskDuration; // none: taskDuration
     SchedulingConfiguration configuration;
 };
 
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -118,6 +118,7 @@
     UnknownId,
     UnknownRoute, // no queue matches host and path
     BadRequest,
+    Hopeless, // the job would miss its late limit even in the best case
 };
 
 inline constexpr NameTable replyReasonNames { std::to_array<NameEntry<ReplyReason>>({
@@ -131,8 +132,9 @@
     { ReplyReason::UnknownId, "unknown-id" },
     { ReplyReason::UnknownRoute, "unknown-route" },
     { ReplyReason::BadRequest, "bad-request" },
+    { ReplyReason::Hopeless, "hopeless" },
 }) };
-static_assert(replyReasonNames.isWhole(ReplyReason::BadRequest));
+static_assert(replyReasonNames.isWhole(ReplyReason::Hopeless));
 
 // ReplyToClient answers one call of a caller.
 struct ReplyToClient {
@@ -191,6 +193,8 @@
     WorkerQuarantined, // the same, and gets one probe at a time
     WorkerReinstated, // it does as well as its peers again
     TaskWaiting, // a task has not run for long; the outcome says why
+    QueueDelayed, // jobs of a queue wait for those of others at its priority, since it has taken more than they have
+    JobHopeless, // a new job would miss its late limit even in the best case, by the forecast of its cell
 };
 
 inline constexpr NameTable decisionEventNames { std::to_array<NameEntry<DecisionEvent>>({
@@ -234,8 +238,10 @@
     { DecisionEvent::WorkerQuarantined, "worker-quarantined" },
     { DecisionEvent::WorkerReinstated, "worker-reinstated" },
     { DecisionEvent::TaskWaiting, "task-waiting" },
+    { DecisionEvent::QueueDelayed, "queue-delayed" },
+    { DecisionEvent::JobHopeless, "job-hopeless" },
 }) };
-static_assert(decisionEventNames.isWhole(DecisionEvent::TaskWaiting));
+static_assert(decisionEventNames.isWhole(DecisionEvent::JobHopeless));
 
 // DecisionInput is a quantity on which a decision rests.
 enum class DecisionInput {
@@ -273,6 +279,10 @@
     SlownessPercent, // of the peers' run times
     QuarantinedWorkers,
     SparedWorkers, // that only the limit of quarantined workers keeps out of quarantine
+    DebtCoreMilliseconds, // of a queue, as QueueShares::debtOf()
+    UsedMillicores, // by the tasks of a queue
+    EarliestEndMilliseconds, // of a new job, from now, in the best case
+    LateLimitMilliseconds, // of a new job
 };
 
 inline constexpr NameTable decisionInputNames { std::to_array<NameEntry<DecisionInput>>({
@@ -310,8 +320,12 @@
     { DecisionInput::SlownessPercent, "slownessPercent" },
     { DecisionInput::QuarantinedWorkers, "quarantined" },
     { DecisionInput::SparedWorkers, "spared" },
+    { DecisionInput::DebtCoreMilliseconds, "debtCoreMs" },
+    { DecisionInput::UsedMillicores, "usedMillicores" },
+    { DecisionInput::EarliestEndMilliseconds, "earliestEndMs" },
+    { DecisionInput::LateLimitMilliseconds, "lateLimitMs" },
 }) };
-static_assert(decisionInputNames.isWhole(DecisionInput::SparedWorkers));
+static_assert(decisionInputNames.isWhole(DecisionInput::LateLimitMilliseconds));
 
 // DecisionInputValue is one input of a decision, as logged.
 struct DecisionInputValue {
--- a/packages/scheduling/scheduling_queries.h
+++ b/packages/scheduling/scheduling_queries.h
@@ -6,11 +6,15 @@
 //
 //     const auto view = std::get<ReadinessView>(scheduler.ask(ReadinessQuery {}, now));
 
+#include "admission/admission.h"
 #include "scheduling/client_requests.h"
 #include <variant>
 
 namespace dragonflytray {
 
+// AdmissionCounts is the number of decisions about new jobs since the start of the process, by outcome.
+using AdmissionCounts = EnumArray<AdmissionOutcome, std::uint64_t, admissionOutcomeNames.size()>;
+
 // QueueQuery asks for the number of pending jobs of the queue that host and path select.
 struct QueueQuery {
     std::string host;
@@ -61,6 +65,9 @@
     std::size_t sparedWorkers { 0 }; // that only the limit of quarantined workers keeps out of quarantine
     bool learnsRunTimes { false };
     std::size_t runTimeKeys { 0 }; // kinds of tasks whose run times are observed
+    std::vector<QueueDebt> queueDebts; // as Dispatcher::queueDebts()
+    bool refusesHopeless { false }; // jobs that can't succeed are refused here
+    AdmissionCounts admissions {};
     ReplyCounts replies;
     std::optional<RetrySummary> retries; // nothing without advice to callers
     StageTimes stageTimes;
