--- a/packages/transport/untrusted_clients_test.cc
+++ b/packages/transport/untrusted_clients_test.cc
@@ -270,17 +270,18 @@
     // Guards against clients that hold a connection by sending or reading nothing; the response exceeds the kernel's buffers.
     TEST_CASE("HttpServer_clientNeitherSendsNorReads_connectionIsClosedInTime")
     {
-        const auto [text, cause] = GENERATE(table<std::string, ClientRefusal>({
+        const auto generated = GENERATE(table<std::string, ClientRefusal>({
             { "GET / HTTP/1.1\r\nHo", ClientRefusal::RequestTimeout },
             { "GET / HTTP/1.1\r\n\r\n", ClientRefusal::ResponseNotRead },
         }));
+        const ClientRefusal cause = std::get<1>(generated);
         constexpr Duration timeout = std::chrono::milliseconds(100);
         IoLoop loop;
         HttpServer server(loop, { .endpoint = { "127.0.0.1", 0 }, .idleTimeout = timeout, .requestTimeout = timeout }, [](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) { reply->send({ .status = 200, .headers = {}, .body = std::string(64 << 20, 'x') }); });
         boost::asio::io_context context;
         tcp::socket socket(context);
         socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.start().value().port });
-        boost::asio::write(socket, boost::asio::buffer(text));
+        boost::asio::write(socket, boost::asio::buffer(std::get<0>(generated)));
         int checks = 0;
         const std::function<void()> check = [&] {
             if (server.refusals()[cause] > 0 || ++checks == 1000)
