scheduling: a repeated submission whose first write is in flight is not refused

Cause: while the store did not answer, or too many calls were pending, a repeated submission was refused as surely not stored, although the first write of the same id was in flight and could still take effect. Change: it is answered as unclear. The new test fails without the change.

--- a/packages/scheduling/client_requests.cc
+++ b/packages/scheduling/client_requests.cc
@@ -46,12 +46,13 @@
         call.answerBy = context.now + this->holdTime(timeAllowed);
         return this->submitWithDeadline(call, job, context);
     }
-    if (this->unclearRows.contains(definitionOf(job.id)) && !this->isStoreAnswering)
+    const bool mayBeStored = this->mayTakeEffect(definitionOf(job.id));
+    if (mayBeStored && !this->isStoreAnswering)
         return this->refuse(token, job.id.value(), ReplyStatus::Unclear, ReplyReason::StoreUnclear, context);
     if (!this->isStoreAnswering)
         return this->refuse(token, job.id.value(), ReplyStatus::Refused, ReplyReason::StoreUnavailable, context);
     if (this->isFull())
-        return this->refuse(token, job.id.value(), this->unclearRows.contains(definitionOf(job.id)) ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
+        return this->refuse(token, job.id.value(), mayBeStored ? ReplyStatus::Unclear : ReplyStatus::Refused, ReplyReason::TooManyPending, context);
     this->write(WriteKind::AcceptJob, { definitionOf(job.id), job }, call, context);
 }
 
--- a/packages/scheduling/unclear_submission_test.cc
+++ b/packages/scheduling/unclear_submission_test.cc
@@ -72,6 +72,18 @@
 
 } // namespace
 
+// A caller that repeats its submission while the first write has no answer yet was told that the job is surely not stored.
+TEST_CASE_METHOD(UnclearSubmissionFixture, "UnclearSubmission_repeatedWhileStoreFallsSilent_isNotRefused")
+{
+    this->delayWrite(StoredRowKind::Definition);
+    (void)this->submit("a", job, { stepOfTasks(2, 4) });
+    this->send("a", StoreContact { false });
+    CHECK(this->submit("a", job, { stepOfTasks(2, 4) }) == ReplyStatus::Unclear);
+    CHECK(this->submit("a", "00000000000000a2", { stepOfTasks(2, 4) }) == ReplyStatus::Refused);
+    this->run({ "a", "b" }, settleTime);
+    CHECK(this->store.find({ StoredRowKind::Definition, job }) != nullptr);
+}
+
 TEST_CASE_METHOD(UnclearSubmissionFixture, "UnclearSubmission_cancelledBeforeItTakesEffect_nothingIsStarted")
 {
     this->submitUnclear("a");
