--- a/packages/scheduling/best_effort_control.cc
+++ b/packages/scheduling/best_effort_control.cc
@@ -280,6 +280,7 @@
     std::sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     candidates.resize((candidates.size() + 1) / 2);
     std::vector<TaskRunId> runs;
+    runs.reserve(candidates.size());
     for (const auto& [effect, run] : candidates)
         runs.push_back(run);
     return runs;
