--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -81,8 +81,8 @@
         Duration silenceReportTimeout { std::chrono::milliseconds(1500) }; // without an answer of a worker, after which it gets no more tasks and a report names those that may run there
         std::size_t maxTasksPerRosterPart { 1500 }; // named in a row of the roster; further workers stay there as if any task may run on them. A row of the store holds about 2,800
         std::size_t maxExposedRunsPerRosterPart { 500 }; // named there besides the tasks
-        std::size_t maxEvacuationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
-        Duration evacuationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
+        std::size_t maxRelocationsPerPass { 2 }; // long-running tasks that are moved off one draining worker at a time
+        Duration relocationGrace { std::chrono::seconds(2) }; // of draining, after which tasks are stopped without room elsewhere, too, so that their ends are known before the worker leaves
         Duration startValidity { std::chrono::seconds(1) }; // after the decision to start a task, for which the start may be sent and carried out
         AgentChoice::Options agents {};
         DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, within which a start has to arrive
@@ -382,11 +382,11 @@
     Duration expectedRunTime(const JobDefinition& job, std::uint32_t step) const;
     Duration expectedCriticalPath(const JobDefinition& job) const;
 
-    // Evacuation of draining workers. evacuate() stops long-running tasks that have room elsewhere, which they claim, besides what
-    // `plannedRoom` holds for others, and all of them after Options::evacuationGrace. planAbsentTasks() plans room for the
+    // Relocation of long-running tasks from draining workers. relocateRuns() stops those that have room elsewhere, which they claim, besides what
+    // `plannedRoom` holds for others, and all of them after Options::relocationGrace. planAbsentTasks() plans room for the
     // long-running tasks that wait or are being stopped.
-    void evacuateWorkers(CommandContext& context);
-    void evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
+    void relocateFromDrainingWorkers(CommandContext& context);
+    void relocateRuns(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
     void planAbsentTasks(PlannedRoom& plannedRoom, Instant now);
     void planAbsentTasks(JobExecution& job, const StepExecution& stepExecution, PlannedRoom& plannedRoom, Instant now);
 
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -134,7 +134,7 @@
     }
     const auto costPerWorker = this->options.passCostPerWorker + this->options.searchCostPerWorker * pass.searches + this->options.evictionSearchCostPerWorker * evictionSearches;
     this->lastPassCost = std::chrono::duration<double>(costPerWorker) * static_cast<double>(this->fleet.all().size());
-    this->evacuateWorkers(context);
+    this->relocateFromDrainingWorkers(context);
 }
 
 std::size_t Dispatcher::placeJobs(const std::vector<JobExecution*>& jobs, bool areOverdue, PlacementPass& pass, CommandContext& context)
--- a/packages/scheduling/dispatcher_evacuation.cc
+++ b/packages/scheduling/dispatcher_relocation.cc
@@ -1,24 +1,24 @@
-// Evacuation: long-running tasks on draining workers are stopped, to be started on workers that have room for them.
+// Relocation: long-running tasks on draining workers are stopped, to be started on workers that have room for them.
 
 #include "scheduling/dispatcher.h"
 
 namespace dragonflytray {
 
-void Dispatcher::evacuateWorkers(CommandContext& context)
+void Dispatcher::relocateFromDrainingWorkers(CommandContext& context)
 {
     std::optional<PlannedRoom> plannedRoom;
     for (auto& [id, worker] : this->fleet.all()) {
         if (worker.entry.isDraining && this->cells.contains(worker.cell))
-            this->evacuate(worker, plannedRoom, context);
+            this->relocateRuns(worker, plannedRoom, context);
     }
 }
 
-void Dispatcher::evacuate(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context)
+void Dispatcher::relocateRuns(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context)
 {
-    const bool isLeavingSoon = context.now >= worker.drainingSince + this->options.evacuationGrace;
-    std::size_t evacuatedRuns = 0;
+    const bool isLeavingSoon = context.now >= worker.drainingSince + this->options.relocationGrace;
+    std::size_t relocatedRuns = 0;
     for (const auto& [run, allocation] : worker.runs) {
-        if (evacuatedRuns >= this->options.maxEvacuationsPerPass)
+        if (relocatedRuns >= this->options.maxRelocationsPerPass)
             return;
         JobExecution* job = allocation.isStopping ? nullptr : this->findJobExecution(run.task.job);
         const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
@@ -36,8 +36,8 @@
             if (!allocation.isGang) // its members start together
                 this->roomClaims.add({ .task = run.task, .worker = destination->entry.id, .until = context.now + this->options.roomClaimTimeout });
         }
-        this->stopRun(worker, run, "evacuated", context);
-        ++evacuatedRuns;
+        this->stopRun(worker, run, "evacuated", context); // as the log has it; data centres are evacuated in another way
+        ++relocatedRuns;
     }
 }
 
--- a/packages/scheduling/long_running_absence_test.cc
+++ b/packages/scheduling/long_running_absence_test.cc
@@ -109,9 +109,9 @@
     CHECK(this->stopsOf(longRunningJob) <= 6);
 }
 
-TEST_CASE_METHOD(LongRunningAbsenceFixture, "Evacuation_shortTasksWaitForRoom_taskGetsTheRoomForWhichItWasStopped")
+TEST_CASE_METHOD(LongRunningAbsenceFixture, "Relocation_shortTasksWaitForRoom_taskGetsTheRoomForWhichItWasStopped")
 {
-    this->dispatcherOptions.evacuationGrace = std::chrono::seconds(60);
+    this->dispatcherOptions.relocationGrace = std::chrono::seconds(60);
     this->dispatcherOptions.maxEvictionSearchesPerPass = 0;
     this->restartHost("a");
     this->run({ "a" }, std::chrono::seconds(15));
@@ -154,7 +154,7 @@
 
 TEST_CASE_METHOD(LongRunningAbsenceFixture, "RoomClaim_memberOfGangIsMoved_membersStartTogether")
 {
-    this->dispatcherOptions.evacuationGrace = std::chrono::seconds(60);
+    this->dispatcherOptions.relocationGrace = std::chrono::seconds(60);
     this->restartHost("a");
     this->run({ "a" }, std::chrono::seconds(15));
     StepDefinition step = longRunningTasks(2, 10);
--- a/packages/scheduling/evacuation_test.cc
+++ b/packages/scheduling/relocation_test.cc
@@ -17,9 +17,9 @@
         return step;
     }
 
-    // EvacuationFixture has host "a" as the leader of worker "w1", which has room for four tasks.
-    struct EvacuationFixture : SchedulerFixture {
-        EvacuationFixture()
+    // RelocationFixture has host "a" as the leader of worker "w1", which has room for four tasks.
+    struct RelocationFixture : SchedulerFixture {
+        RelocationFixture()
         {
             this->dispatcherOptions.pollWaitTimeout = std::chrono::milliseconds(100);
             this->addWorker("w1", 16);
@@ -46,7 +46,7 @@
 
 } // namespace
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_roomForAll_allTasksMove")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_roomForAll_allTasksMove")
 {
     this->submitTasks(4);
     this->addRoom("w2", 16);
@@ -56,7 +56,7 @@
     CHECK(this->runningOn("w2") == 4);
 }
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_roomForOneTask_othersGoOnRunning")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_roomForOneTask_othersGoOnRunning")
 {
     this->submitTasks(4);
     this->addRoom("w2", 4);
@@ -66,7 +66,7 @@
     CHECK(this->runningOn("w2") == 1);
 }
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_workerLeavesSoonAndNoRoom_endsAreKnownBeforeItLeaves")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_workerLeavesSoonAndNoRoom_endsAreKnownBeforeItLeaves")
 {
     this->submitTasks(4);
     this->drain("w1");
@@ -79,9 +79,9 @@
     CHECK(this->runningOn("w2") == 4);
 }
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_stoppedTaskIsNotStartedYet_itsRoomIsNotCountedAgain")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_stoppedTaskIsNotStartedYet_itsRoomIsNotCountedAgain")
 {
-    this->dispatcherOptions.maxEvacuationsPerPass = 1;
+    this->dispatcherOptions.maxRelocationsPerPass = 1;
     this->restartHost("a");
     this->run({ "a" }, std::chrono::seconds(15));
     this->submitTasks(4);
@@ -92,7 +92,7 @@
     CHECK(this->runningOn("w2") == 1);
 }
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_twoWorkersDrainAndRoomForOneTask_oneIsStopped")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_twoWorkersDrainAndRoomForOneTask_oneIsStopped")
 {
     this->addRoom("w2", 16);
     this->submitTasks(8);
@@ -104,7 +104,7 @@
     CHECK(this->runningOn("w3") == 1);
 }
 
-TEST_CASE_METHOD(EvacuationFixture, "Evacuation_longRunningTaskLeavesTheRoomToShortOnes_noTaskIsStoppedForIt")
+TEST_CASE_METHOD(RelocationFixture, "Relocation_longRunningTaskLeavesTheRoomToShortOnes_noTaskIsStoppedForIt")
 {
     this->submitTasks(4);
     this->addRoom("w2", 4);
