--- a/packages/scheduling/data_centre_evacuation_test.cc
+++ b/packages/scheduling/data_centre_evacuation_test.cc
@@ -191,6 +191,44 @@
     CHECK(this->lateStarts() > 0);
 }
 
+// All workers of a data centre end at one moment. Their runs must neither be lost nor be believed alive for long.
+TEST_CASE_METHOD(DataCentreEvacuationFixture, "DataCentre_losesPowerWhileOtherIsEvacuated_jobCompletesOnceItIsBack")
+{
+    this->lead();
+    REQUIRE(this->submit("a", job, { stepOfTasks(40, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::seconds(1));
+    this->evacuateOther();
+    this->run({ "a", "b" }, std::chrono::milliseconds(500));
+    this->crashWorker(WorkerId("w1"));
+    this->run({ "a", "b" }, std::chrono::seconds(7));
+    CHECK(this->lateStarts() == 0);
+    this->restoreWorker(WorkerId("w1"));
+    this->run({ "a", "b" }, std::chrono::seconds(30));
+    CHECK(this->areOver({ job }));
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+    CHECK(this->lateStarts() == 0);
+    CHECK(this->maxConcurrentRuns <= 1);
+}
+
+// A data centre is cut off from the leader while a host in it and its callers reach each other and the store. What was started there
+// may go on until its lease ends, and the evacuation of another data centre leaves no capacity but that behind the cut.
+TEST_CASE_METHOD(DataCentreEvacuationFixture, "DataCentre_isCutFromLeaderWhileOtherIsEvacuated_noTaskRunsTwice")
+{
+    this->lead();
+    REQUIRE(this->submit("a", job, { stepOfTasks(60, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a", "b" }, std::chrono::seconds(1));
+    this->cutLinks.insert({ "a", WorkerId("w1") });
+    this->evacuateOther();
+    this->run({ "a", "b" }, std::chrono::seconds(8));
+    CHECK(this->submit("b", "00000000000000a2", { stepOfTasks(4, 4) }) == ReplyStatus::Accepted);
+    CHECK(this->lateStarts() == 0);
+    this->cutLinks.clear();
+    this->run({ "a", "b" }, std::chrono::seconds(40));
+    CHECK(this->areOver({ job, "00000000000000a2" }));
+    CHECK(this->lateStarts() == 0);
+    CHECK(this->maxConcurrentRuns <= 1);
+}
+
 namespace {
 
     // DataCentreEvacuationPlay plays random requests for both data centres beside late feeds, frozen and restarted hosts and lost
--- a/packages/worker_health/worker_health.h
+++ b/packages/worker_health/worker_health.h
@@ -7,9 +7,8 @@
 // room. Callers lose the objective of each job that a run on it delays, and an attempt of each task that fails there.
 //
 // A worker with a sign of that gets less work, and none if the sign remains or its runs can't succeed. Then it gets one probe at a
-// time, at growing intervals, until probes go well, or
-// contact lasts. A sign that more than half of the peers show says nothing about one of them, and
-// at most a share of the peers may be quarantined, so that a wrong judgement can't take a fleet out of service.
+// time, at growing intervals, until probes go well or contact lasts. A sign that more than half of the peers show says nothing about
+// one of them, and at most a share of the peers may be quarantined, so that a wrong judgement can't take a fleet out of service.
 //
 // Example:
 //
