scheduling: a new leader logs the evacuations that it takes over

Cause: a host that had followed an evacuation before it led said "evacuation-learned" then and nothing when it took over, while docs/OPERATIONS.md sends operators to "evacuation-in-force" at the leader. Change: the line follows "leadership-begun", one for each evacuated data centre. The new test fails without it (1 line instead of 2). Three comments name no deployment any more; two long ones are wrapped.

--- a/packages/evacuation/data_centre_evacuations.cc
+++ b/packages/evacuation/data_centre_evacuations.cc
@@ -57,6 +57,16 @@
     return std::any_of(this->requests.begin(), this->requests.end(), [&](const auto& entry) { return this->fillShare(entry.first, now) < 1; });
 }
 
+std::vector<EvacuationChange> DataCentreEvacuations::inEffect() const
+{
+    std::vector<EvacuationChange> changes;
+    for (const auto& [dataCentre, request] : this->requests) {
+        if (request.isEvacuated)
+            changes.push_back({ .dataCentre = dataCentre, .isEvacuated = true, .version = request.version });
+    }
+    return changes;
+}
+
 std::size_t DataCentreEvacuations::count() const
 {
     return static_cast<std::size_t>(std::count_if(this->requests.begin(), this->requests.end(), [](const auto& entry) { return entry.second.isEvacuated; }));
--- a/packages/evacuation/data_centre_evacuations.h
+++ b/packages/evacuation/data_centre_evacuations.h
@@ -64,7 +64,8 @@
     // restrictsStarts() returns true if some data centre is evacuated or fills up again.
     bool restrictsStarts(Instant now) const;
 
-    // count() is the number of evacuated data centres.
+    // inEffect() returns the requests that exist, by data centre. count() is their number.
+    std::vector<EvacuationChange> inEffect() const;
     std::size_t count() const;
 
 private:
--- a/packages/retry_advice/retry_advisor.h
+++ b/packages/retry_advice/retry_advisor.h
@@ -46,7 +46,7 @@
         Duration longestRetryAfter { 0 }; // no advice is longer; not less than `resolution`
         Duration resolution { std::chrono::seconds(1) }; // advice is a multiple of it, as callers are told whole seconds
         Duration slot { std::chrono::milliseconds(500) };
-        double returnsPerSecond { 20 }; // 39 hosts share four partitions that take 200 transactions per second each
+        double returnsPerSecond { 20 }; // of one host; some tens of hosts share partitions that take some hundred transactions per second each
         std::size_t maxOutages { 16 }; // remembered; bounds memory
     };
 
--- a/packages/scheduling/client_requests.h
+++ b/packages/scheduling/client_requests.h
@@ -50,9 +50,9 @@
         std::size_t maxUnmatchedCancellations { 5000 }; // stored cancellations of jobs that are not stored; bounds rows and memory
         Duration longestRetryAfter { 0 }; // of the advice to callers; 0: it is `retryAfter`, and nothing is written again
         Duration defaultDeadline { std::chrono::seconds(3) }; // of a submission whose caller gives none, from its arrival
-        Duration longestHold { std::chrono::seconds(10) }; // of a submission; outages last up to 5.8 s, and the cancellation of a job that is not stored is kept for 5 minutes
+        Duration longestHold { std::chrono::seconds(10) }; // of a submission; most outages are over by then, and the cancellation of a job that is not stored is kept for 5 minutes
         Duration repeatPause { std::chrono::milliseconds(100) }; // between the result of a write and the next try
-        std::size_t maxRepeatsInFlight { 8 }; // 39 hosts send 312, which four partitions of the store take in 0.4 s
+        std::size_t maxRepeatsInFlight { 8 }; // of one host; some tens of hosts then send what the partitions of the store take in half a second
         Duration unclearRetention { std::chrono::minutes(5) }; // after which a write no longer takes effect; they are late by seconds
         HeldSubmissions::Options heldSubmissions {};
     };
--- a/packages/scheduling/data_centre_evacuation_test.cc
+++ b/packages/scheduling/data_centre_evacuation_test.cc
@@ -151,6 +151,7 @@
     this->run({ "b" }, std::chrono::seconds(9));
     REQUIRE(this->leader() == "b");
     CHECK(this->lateStarts() == 0);
+    CHECK(this->countLines(DecisionEvent::EvacuationInForce) == 1); // by the former leader
     this->evacuationLag["b"] = Duration(0);
     this->run({ "b" }, std::chrono::seconds(4));
     CHECK(this->countBegun("w1", this->now - std::chrono::seconds(1), this->now) > 0);
@@ -168,6 +169,18 @@
     CHECK(this->lateStarts() == 0);
 }
 
+// The operator looks for the line at the leader of the time, which may have followed the request before it led.
+TEST_CASE_METHOD(DataCentreEvacuationFixture, "Evacuated_followerTakesOver_logsRequestAsInForce")
+{
+    this->lead();
+    this->evacuateOther();
+    this->run({ "a", "b" }, std::chrono::seconds(1));
+    REQUIRE(this->countLines(DecisionEvent::EvacuationLearned) == 1);
+    this->run({ "b" }, std::chrono::seconds(6));
+    REQUIRE(this->leader() == "b");
+    CHECK(this->countLines(DecisionEvent::EvacuationInForce) == 2);
+}
+
 TEST_CASE_METHOD(DataCentreEvacuationFixture, "Evacuated_hostRestartsAndLeadsAlone_readsRequestBeforeItStartsTasks")
 {
     this->lead();
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -52,6 +52,8 @@
     begun.inputs = this->takeoverInputs(acquired.cell, ledCell);
     begun.inputs.push_back({ DecisionInput::Jobs, static_cast<std::int64_t>(this->jobExecutions.size()) });
     context.add(std::move(begun));
+    for (const EvacuationChange& change : this->dataCentreEvacuations.inEffect())
+        this->logEvacuation(DecisionEvent::EvacuationInForce, { .change = change }, context);
 }
 
 void Dispatcher::leaseExtended(const CellName& cell, Instant leaseEnd)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -244,8 +244,8 @@
     // unrecordedJobs() is the number of jobs with progress that is not recorded.
     std::size_t unrecordedJobs() const { return this->recorder.unrecordedJobs(); }
 
-    // viewedAt() is a time such that every change of jobs, workers and, where they are followed, evacuations that the store acknowledged before it is known here;
-    // the default value if there is none yet.
+    // viewedAt() is a time such that every change of jobs, workers and, where they are followed, evacuations that the store
+    // acknowledged before it is known here; the default value if there is none yet.
     Instant viewedAt() const;
 
     // jobsViewedAt() is the same of jobs alone.
@@ -272,6 +272,7 @@
     bool learnsRunTimes() const { return this->options.learnsRunTimes; }
     const WorkerHealth& health() const { return this->workerHealth; }
     const RunTimes& observedRunTimes() const { return this->runTimes; }
+
     // queueDebts() is what the queues of this leader take, and how far they are ahead of each other; empty unless
     // Options::sharesCapacity is set.
     std::vector<QueueDebt> queueDebts() const { return this->queueShares.debts(); }
@@ -382,8 +383,8 @@
     Duration expectedRunTime(const JobDefinition& job, std::uint32_t step) const;
     Duration expectedCriticalPath(const JobDefinition& job) const;
 
-    // Relocation of long-running tasks from draining workers. relocateRuns() stops those that have room elsewhere, which they claim, besides what
-    // `plannedRoom` holds for others, and all of them after Options::relocationGrace. planAbsentTasks() plans room for the
+    // Relocation of long-running tasks from draining workers. relocateRuns() stops those that have room elsewhere, which they claim,
+    // besides what `plannedRoom` holds for others, and all of them after Options::relocationGrace. planAbsentTasks() plans room for the
     // long-running tasks that wait or are being stopped.
     void relocateFromDrainingWorkers(CommandContext& context);
     void relocateRuns(FleetWorker& worker, std::optional<PlannedRoom>& plannedRoom, CommandContext& context);
@@ -465,6 +466,7 @@
     // applyEvacuations() restricts the workers of data centres that are evacuated or fill up again. Linear in all workers while there
     // are any.
     void applyEvacuations(Instant now);
+    void logEvacuation(DecisionEvent event, const EvacuationTransition& transition, CommandContext& context) const;
     void placeTasks(CommandContext& context);
     void placeClaimants(PlacementPass& pass, CommandContext& context);
     void holdRoom(const JobExecution& job, const RoomClaim& claim, PlacementPass& pass);
--- a/packages/scheduling/dispatcher_data_centres.cc
+++ b/packages/scheduling/dispatcher_data_centres.cc
@@ -12,12 +12,18 @@
         this->needsPass = true;
         this->applyEvacuations(context.now);
         const DecisionEvent learnedEvent = this->leadsAny() ? DecisionEvent::EvacuationInForce : DecisionEvent::EvacuationLearned;
-        LogDecision learned { change.isEvacuated ? learnedEvent : DecisionEvent::EvacuationWithdrawn, change.dataCentre.value(), {}, {}, change.version, toMilliseconds(transition.duration), this->viewAge(context.now) };
-        learned.inputs = { { DecisionInput::EvacuatedDataCentres, static_cast<std::int64_t>(this->dataCentreEvacuations.count()) }, { DecisionInput::EvacuatedRuns, static_cast<std::int64_t>(this->evacuatedRuns()) } };
-        context.add(std::move(learned));
+        this->logEvacuation(change.isEvacuated ? learnedEvent : DecisionEvent::EvacuationWithdrawn, transition, context);
     }
 }
 
+void Dispatcher::logEvacuation(DecisionEvent event, const EvacuationTransition& transition, CommandContext& context) const
+{
+    const EvacuationChange& change = transition.change;
+    LogDecision line { event, change.dataCentre.value(), {}, {}, change.version, toMilliseconds(transition.duration), this->viewAge(context.now) };
+    line.inputs = { { DecisionInput::EvacuatedDataCentres, static_cast<std::int64_t>(this->dataCentreEvacuations.count()) }, { DecisionInput::EvacuatedRuns, static_cast<std::int64_t>(this->evacuatedRuns()) } };
+    context.add(std::move(line));
+}
+
 void Dispatcher::applyEvacuations(Instant now)
 {
     const bool isRestricted = this->dataCentreEvacuations.restrictsStarts(now);
