scheduling: only a new leader reads the roster of workers

Cause: the roster was in the table of the jobs, which every host follows. Each worker that comes, leaves or falls silent rewrites a row that all hosts receive, and a link between regions that these rows fill makes workers fall silent.

The roster is now in a table of its own, in the same partition and the same transactions as the lease. A host that has acquired the lease reads it, and leads once that read is as new as the lease: nobody else can change the roster then. The lease names the roster by a field of another name, so that a leader of the earlier release and one of this release don't trust the rows of each other and wait until all leases have lapsed.

--- a/packages/entry/duties/scheduling_duty.cc
+++ b/packages/entry/duties/scheduling_duty.cc
@@ -148,6 +148,12 @@
         this->decide(JobRowsRead { job, false, {} });
 }
 
+void SchedulingDuty::carryOut(ReadRosters effect)
+{
+    if (!this->rings.store.tryPush(effect, RingRoom::Reserved))
+        logError(LogPart::Scheduling, "The rosters can't be read because the ring towards the store is full.");
+}
+
 void SchedulingDuty::carryOut(PollWorker effect)
 {
     PollEnded failed { .worker = effect.to.worker, .token = effect.to.token, .sentAt = BootClock::now(), .status = WorkerCallStatus::NotSent };
--- a/packages/entry/duties/scheduling_duty.h
+++ b/packages/entry/duties/scheduling_duty.h
@@ -29,6 +29,7 @@
     void carryOut(StopTask effect);
     void carryOut(SetTaskSpeed effect);
     void carryOut(ReplyToClient effect);
+    void carryOut(ReadRosters effect);
     void carryOut(FollowWorkers effect);
     void carryOut(LogDecision effect);
 
--- a/packages/entry/duties/store_duty.cc
+++ b/packages/entry/duties/store_duty.cc
@@ -30,6 +30,7 @@
         { { feedWait, std::chrono::milliseconds(30) }, { feedWait, std::chrono::milliseconds(250) } }, // a new job starts as soon as its leader knows it
         { { feedWait, std::chrono::milliseconds(0) }, { feedWait, std::chrono::milliseconds(0) } },
         { workersPace, workersPace }, // only a leader reads it
+        {}, // never polled
     } };
 
     constexpr FeedPaces evacuationsPaces { { std::chrono::milliseconds(500), std::chrono::milliseconds(0) }, { feedWait, std::chrono::milliseconds(0) } }; // of the operator's table; each answer makes the evacuations of a leader recent
@@ -40,6 +41,11 @@
         return isLeading ? ofKind.leading : ofKind.following;
     }
 
+    bool isFollowed(FeedKind feed)
+    {
+        return feed != FeedKind::Rosters;
+    }
+
     std::uint32_t partitionsOf(FeedKind feed)
     {
         return feed == FeedKind::Jobs ? leasePartition + 1 : 1;
@@ -90,20 +96,30 @@
     });
 }
 
+void StoreDuty::perform(ReadRosters)
+{
+    this->restart(this->feeds[indexOf(FeedKind::Rosters)], true);
+}
+
 void StoreDuty::perform(FollowWorkers call)
 {
     this->isLeading = call.shouldFollow;
     Feed& feed = this->feeds[indexOf(FeedKind::Workers)];
-    feed.isWanted = call.shouldFollow;
-    feed.isScanned = false; // a new leader needs the whole list
-    feed.scan.reset();
-    if (feed.isWanted && !feed.isBusy)
-        this->follow(feed);
+    this->restart(feed, call.shouldFollow); // a new leader needs the whole list
     // A new leader starts nothing before it knows the evacuations, and the poll in flight may wait for a second yet.
     if (feed.isWanted && this->followsEvacuations)
         this->pollOnce(this->feeds[indexOf(FeedKind::Configuration)]);
 }
 
+void StoreDuty::restart(Feed& feed, bool isWanted)
+{
+    feed.isWanted = isWanted;
+    feed.isScanned = false;
+    feed.scan.reset();
+    if (feed.isWanted && !feed.isBusy)
+        this->follow(feed);
+}
+
 void StoreDuty::follow(Feed& feed)
 {
     feed.isBusy = false;
@@ -164,7 +180,7 @@
         scan.read.revision = page.revision; // changes after the first page are read again
         scan.polledAt = BootClock::now();
     }
-    append(scan.read.jobs, page.jobs);
+    append(scan.read.rows, page.rows);
     append(scan.read.workers, page.workers);
     append(scan.read.evacuations, page.evacuations);
     if (page.configuration)
@@ -193,7 +209,7 @@
         return this->again(feed, retryDelay); // with the next page
     if (!feed.scan)
         return this->follow(feed);
-    append(feed.scan->read.jobs, page.jobs);
+    append(feed.scan->read.rows, page.rows);
     feed.scan->read.revision = std::max(feed.scan->read.revision, page.revision);
     this->scanPage(feed);
 }
@@ -202,6 +218,7 @@
 {
     feed.isScanned = true;
     feed.revision = feed.scan->read.revision;
+    feed.isWanted = feed.isWanted && isFollowed(feed.kind);
     this->deliver(feed, std::move(feed.scan->read), true);
     feed.scan.reset();
 }
@@ -258,7 +275,9 @@
     if (page.unreadable > 0)
         logWarning(LogPart::Store, std::to_string(page.unreadable) + " entries of the feed " + std::string(feedKindNames.nameOf(feed.kind)) + " can't be read and are left out.");
     if (feed.kind == FeedKind::Jobs)
-        return this->outbox.send(StoredRowsRead { std::move(page.jobs), page.revision, isWhole });
+        return this->outbox.send(StoredRowsRead { std::move(page.rows), page.revision, isWhole });
+    if (feed.kind == FeedKind::Rosters)
+        return this->outbox.send(RostersRead { std::move(page.rows), page.revision });
     if (feed.kind == FeedKind::Workers)
         return this->outbox.send(WorkersListed { std::move(page.workers), std::move(page.removedWorkers), isWhole, page.revision });
     this->deliverOperatorRows(std::move(page), isWhole);
--- a/packages/entry/duties/store_duty.h
+++ b/packages/entry/duties/store_duty.h
@@ -37,7 +37,9 @@
 
     void perform(WriteStoredRows call);
     void perform(ReadJobRows call);
+    void perform(ReadRosters call);
     void perform(FollowWorkers call);
+    void restart(Feed& feed, bool isWanted); // with a scan of the whole table
     void follow(Feed& feed);
     void continueScan(Feed& feed);
     void scanPage(Feed& feed);
--- a/packages/entry/entry_messages.h
+++ b/packages/entry/entry_messages.h
@@ -44,7 +44,7 @@
 using WorkerCall = std::variant<PollWorker, StartTask, StopTask, SetTaskSpeed>;
 
 // Towards the store duty.
-using StoreCall = std::variant<WriteStoredRows, ReadJobRows, FollowWorkers>;
+using StoreCall = std::variant<WriteStoredRows, ReadJobRows, ReadRosters, FollowWorkers>;
 
 // MetricsWanted asks for the text of all metrics.
 struct MetricsWanted {
--- a/packages/entry/protocols.h
+++ b/packages/entry/protocols.h
@@ -36,19 +36,21 @@
     WorkerCallStatus (*decodeCall)(const HttpOutcome& outcome);
 };
 
-// FeedKind is one of the streams of changes that a host follows.
+// FeedKind is one of the tables that a host reads, and the stream of its changes.
 enum class FeedKind {
-    Jobs, // jobs and leases of cells
+    Jobs, // jobs, leases of cells and hosts
     Configuration,
     Workers,
+    Rosters, // read as a whole by a new leader; its changes are not followed
 };
 
 inline constexpr NameTable feedKindNames { std::to_array<NameEntry<FeedKind>>({
     { FeedKind::Jobs, "jobs" },
     { FeedKind::Configuration, "configuration" },
     { FeedKind::Workers, "workers" },
+    { FeedKind::Rosters, "rosters" },
 }) };
-static_assert(feedKindNames.isWhole(FeedKind::Workers));
+static_assert(feedKindNames.isWhole(FeedKind::Rosters));
 
 // FeedStatus says what a read of a feed brought.
 enum class FeedStatus {
@@ -61,7 +63,7 @@
 struct FeedPage {
     FeedStatus status { FeedStatus::Failed };
     RowVersion revision { 0 };
-    std::vector<StoredRowChange> jobs;
+    std::vector<StoredRowChange> rows; // of Jobs and Rosters
     std::vector<ListedWorker> workers;
     std::vector<WorkerId> removedWorkers;
     std::optional<SchedulingConfiguration> configuration;
--- a/packages/entry/row_encoding.cc
+++ b/packages/entry/row_encoding.cc
@@ -264,7 +264,7 @@
         Json silentWorkers = Json::array();
         for (const WorkerId& worker : lease.silentWorkers)
             silentWorkers.push_back(worker.value());
-        Json json { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "roster", lease.isRosterComplete }, { "rosterSize", lease.rosterSize } };
+        Json json { { "holder", lease.holder.value() }, { "epoch", lease.epoch }, { "beat", lease.renewalCount }, { "capacity", lease.capacityMillicores }, { "labels", lease.labels }, { "unconfirmed", std::move(unconfirmed) }, { "silent", std::move(silentWorkers) }, { "rosters", lease.isRosterComplete }, { "rosterSize", lease.rosterSize } };
         if (lease.forecast)
             json["forecast"] = encodeForecast(*lease.forecast);
         return json;
@@ -280,7 +280,7 @@
         lease.labels = json.at("labels").get<std::vector<std::string>>();
         for (const Json& task : json.at("unconfirmed"))
             lease.unconfirmed.push_back(decodeTask(task));
-        lease.isRosterComplete = json.value("roster", false);
+        lease.isRosterComplete = json.value("rosters", false); // releases that kept the roster elsewhere write and read another name
         lease.rosterSize = ordinalOf(fieldOrZero(json, "rosterSize"));
         for (const Json& worker : json.value("silent", Json::array()))
             lease.silentWorkers.emplace_back(worker.get<std::string>());
--- a/packages/entry/row_encoding_test.cc
+++ b/packages/entry/row_encoding_test.cc
@@ -77,11 +77,16 @@
     CHECK(std::get<JobProgress>(*read) == expected);
 }
 
-TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseOfReleaseWithoutRoster_rosterIsIncomplete")
+// Earlier releases write no roster, or keep it in another table, where neither release sees what the other one has written.
+TEST_CASE_METHOD(RowEncodingFixture, "RowEncoding_leaseOfEarlierRelease_rosterIsIncomplete")
 {
+    const bool hasRosterElsewhere = GENERATE(false, true);
     nlohmann::json json = nlohmann::json::from_cbor(encodeRow(this->lease));
-    json.erase("roster");
+    REQUIRE(json.erase("rosters") == 1);
     json.erase("silent");
+    CHECK_FALSE(json.contains("roster"));
+    if (hasRosterElsewhere)
+        json["roster"] = true;
     std::string bytes;
     nlohmann::json::to_cbor(json, bytes);
     const auto read = decodeRow(StoredRowKind::CellLease, bytes);
--- a/packages/entry/store_duty_test.cc
+++ b/packages/entry/store_duty_test.cc
@@ -26,7 +26,7 @@
             if (feed == FeedKind::Workers)
                 page.workers.emplace_back().id = WorkerId(name);
             else
-                page.jobs.push_back({ { StoredRowKind::Definition, name }, page.revision, std::nullopt });
+                page.rows.push_back({ { StoredRowKind::Definition, name }, page.revision, std::nullopt });
         }
         return page;
     }
@@ -253,6 +253,22 @@
     CHECK(this->isRequestedAfter("/scan/workers/0/", "/scan/workers/0/b"));
 }
 
+TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_rostersAskedFor_areReadOnceAndNotFollowed")
+{
+    this->failOnce("/scan/rosters/0/b", { .status = 503 });
+    this->run();
+    const bool isPushed = this->rings.store.tryPush(ReadRosters {});
+    REQUIRE(isPushed);
+    const auto read = takeCommand<RostersRead>(this->rings, [](const RostersRead&) { return true; });
+    REQUIRE(read);
+    CHECK(read->rows.size() == 2);
+    CHECK(read->revision == 7);
+    REQUIRE(this->store.waitFor([](const auto& calls) { return std::count(calls.begin(), calls.end(), firstPoll) >= 2; }));
+    const auto calls = this->store.calls();
+    CHECK(std::none_of(calls.begin(), calls.end(), [](const std::string& target) { return target.starts_with("/feed/rosters"); }));
+    CHECK(std::count(calls.begin(), calls.end(), "/scan/rosters/0/") == 1);
+}
+
 TEST_CASE_METHOD(StoreDutyFixture, "StoreDuty_leading_readsListOfWorkersOftenEnough")
 {
     constexpr Duration maxListAge = std::chrono::seconds(1);
--- a/packages/scheduling/commands/store_answers.cc
+++ b/packages/scheduling/commands/store_answers.cc
@@ -35,7 +35,7 @@
     if (change.key.kind == StoredRowKind::CellLease)
         return this->observeLease(change, context);
     if (change.key.kind == StoredRowKind::WorkerRoster)
-        return this->dispatcher.rosterChanged(change);
+        return; // of an earlier release, which kept rosters beside the jobs
     if (change.key.kind == StoredRowKind::EntryHost)
         return this->hostChanged(change);
     if (const JobRecord* record = this->jobCache.apply(change)) {
@@ -135,6 +135,14 @@
     this->clientRequests.rowsRead(read, this->jobCache, context);
 }
 
+void Scheduler::rostersRead(const SchedulerCommand& command, CommandContext& context)
+{
+    this->noteStoreAnswer(context.now);
+    this->dispatcher.rostersRead(std::get<RostersRead>(command), this->jobCache, context);
+    this->maintainLeases(context);
+    this->dispatcher.tick(context);
+}
+
 void Scheduler::storeRegained(CommandContext& context)
 {
     this->dispatcher.storeRegained();
--- a/packages/scheduling/dispatcher.cc
+++ b/packages/scheduling/dispatcher.cc
@@ -30,6 +30,7 @@
 {
     this->acquiredCells[acquired.cell] = acquired;
     this->lastFencedEpoch.reset();
+    context.add(ReadRosters {});
     context.add(FollowWorkers { true });
 }
 
@@ -89,14 +90,19 @@
 {
     this->followedVersion = std::max(this->followedVersion, version);
     this->jobsView.followed(version);
+    this->beginToLeadFollowed(jobCache, context);
+    this->reconcileCells(context);
+}
+
+void Dispatcher::beginToLeadFollowed(const JobCache& jobCache, CommandContext& context)
+{
     for (auto entry = this->acquiredCells.begin(); entry != this->acquiredCells.end();) {
         const CellAcquired acquired = entry->second;
-        const bool isKnown = this->followedVersion >= acquired.acquiredAt;
+        const bool isKnown = std::min(this->followedVersion, this->rostersReadAt) >= acquired.acquiredAt;
         entry = isKnown ? this->acquiredCells.erase(entry) : std::next(entry);
         if (isKnown)
             this->beginToLead(acquired, jobCache, context);
     }
-    this->reconcileCells(context);
 }
 
 void Dispatcher::jobChanged(const JobRecord& record, CommandContext& context)
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -129,8 +129,8 @@
 
     // Commands. Those that take a context add their effects to it.
 
-    // cellAcquired() reports that this host holds the lease of a cell. The cell is led once storeFollowed() has reached
-    // the version at which the lease was acquired.
+    // cellAcquired() reports that this host holds the lease of a cell. The cell is led once storeFollowed() and rostersRead() have
+    // reached the version at which the lease was acquired.
     void cellAcquired(const CellAcquired& acquired, CommandContext& context);
 
     // leaseExtended() reports the end of the lease of a cell. Without the lease a leader goes on for a while, but a successor
@@ -157,8 +157,8 @@
     // workers were fenced sets how far the store has to be followed before the cell is reconciled.
     void reportStored(const CellName& cell, const StoredReport& report);
 
-    // rosterChanged() applies a row of a roster as read from the store.
-    void rosterChanged(const StoredRowChange& change);
+    // rostersRead() applies the rosters of all cells as read from the store.
+    void rostersRead(const RostersRead& read, const JobCache& jobCache, CommandContext& context);
 
     // writeCommitted() reports that any write of this host that was sent at `sentAt` was committed at `version`.
     void writeCommitted(RowVersion version, Instant sentAt);
@@ -302,8 +302,9 @@
         FormerRuns formerRuns {}; // believed alive until their worker answers or the leases of former leaders have expired
     };
 
-    // inheritWorkers() adds the workers on which former leaders may have started tasks. beginToLead() opens the jobs of a cell
-    // that are stored and not ended.
+    // beginToLeadFollowed() begins to lead the acquired cells of which the jobs and the roster are known. inheritWorkers() adds the
+    // workers on which former leaders may have started tasks. beginToLead() opens the jobs of a cell that are stored and not ended.
+    void beginToLeadFollowed(const JobCache& jobCache, CommandContext& context);
     void inheritWorkers(const CellAcquired& acquired, Cell& cell);
     void beginToLead(const CellAcquired& acquired, const JobCache& jobCache, CommandContext& context);
 
@@ -550,6 +551,7 @@
     bool isHandingOver { false }; // beginHandover() was called
     std::map<QueueName, QueueRule> queues;
     RowVersion followedVersion { 0 };
+    RowVersion rostersReadAt { 0 }; // version that the rosters were last read at
     StoreView jobsView;
     StoreView workersView;
     StoreView evacuationsView;
--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -121,13 +121,16 @@
     this->needsPass = true;
 }
 
-void Dispatcher::rosterChanged(const StoredRowChange& change)
+void Dispatcher::rostersRead(const RostersRead& read, const JobCache& jobCache, CommandContext& context)
 {
-    const auto part = parseRosterKey(change.key);
-    if (!part)
-        return;
-    const auto* row = change.value ? std::get_if<WorkerRoster>(&*change.value) : nullptr;
-    this->rosters.try_emplace(part->cell, part->cell).first->second.apply(part->number, row ? *row : WorkerRoster {}, change.version);
+    for (const StoredRowChange& change : read.rows) {
+        const auto part = parseRosterKey(change.key);
+        const auto* row = change.value ? std::get_if<WorkerRoster>(&*change.value) : nullptr;
+        if (part)
+            this->rosters.try_emplace(part->cell, part->cell).first->second.apply(part->number, row ? *row : WorkerRoster {}, change.version);
+    }
+    this->rostersReadAt = std::max(this->rostersReadAt, read.revision);
+    this->beginToLeadFollowed(jobCache, context);
 }
 
 bool Dispatcher::hasLostContactAtOnceAfterStart(const FleetWorker& worker, Instant now) const
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -26,6 +26,7 @@
     &Scheduler::storedRowsRead,
     &Scheduler::rowsWriteEnded,
     &Scheduler::jobRowsRead,
+    &Scheduler::rostersRead,
     &Scheduler::workersListed,
     &Scheduler::pollEnded,
     &Scheduler::taskCallEnded,
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -100,6 +100,7 @@
     void storedRowsRead(const SchedulerCommand& command, CommandContext& context);
     void rowsWriteEnded(const SchedulerCommand& command, CommandContext& context);
     void jobRowsRead(const SchedulerCommand& command, CommandContext& context);
+    void rostersRead(const SchedulerCommand& command, CommandContext& context);
     void workersListed(const SchedulerCommand& command, CommandContext& context);
     void pollEnded(const SchedulerCommand& command, CommandContext& context);
     void taskCallEnded(const SchedulerCommand& command, CommandContext& context);
--- a/packages/scheduling/scheduler_fixture.cc
+++ b/packages/scheduling/scheduler_fixture.cc
@@ -134,6 +134,7 @@
     this->deliverHeldCommands(name);
     if (!this->isDisconnectedFromStore[name])
         this->deliverChanges(name);
+    this->deliverRosters(name);
     if (this->shouldDeliverLists && !this->isDisconnectedFromStore[name])
         this->deliverList(name);
     if (this->dispatcherOptions.maxEvacuationsViewAge > Duration(0) && !this->isDisconnectedFromStore[name])
@@ -179,6 +180,17 @@
     this->followed[name] = version;
 }
 
+void SchedulerFixture::deliverRosters(const std::string& name)
+{
+    const auto due = this->rostersDue.find(name);
+    if (due == this->rostersDue.end() || this->now < due->second || this->isDisconnectedFromStore[name])
+        return;
+    this->rostersDue.erase(due);
+    RostersRead read = this->store.rosters();
+    std::erase_if(read.rows, [this](const StoredRowChange& row) { return this->unreadableRows.contains(row.key); });
+    this->send(name, read);
+}
+
 void SchedulerFixture::deliverList(const std::string& name)
 {
     const Instant time = this->now - this->listLag[name];
@@ -254,6 +266,7 @@
     this->followed.erase(name);
     this->listedUntil.erase(name);
     this->evacuationsFollowed.erase(name);
+    this->rostersDue.erase(name);
     std::erase_if(this->delayedReports, [&](const DelayedReport& report) { return report.host == name; });
     std::erase_if(this->delayedCommands, [&](const DelayedCommand& command) { return command.host == name; });
     this->heldCommands.erase(name);
@@ -356,6 +369,12 @@
     this->send(name, this->isDisconnectedFromStore[name] ? JobRowsRead { effect.job, false, {} } : this->store.rowsOf(effect.job));
 }
 
+void SchedulerFixture::execute(const std::string& name, const ReadRosters&)
+{
+    this->rostersDue[name] = this->now + this->rosterLag[name];
+    this->deliverRosters(name);
+}
+
 void SchedulerFixture::execute(const std::string& name, const PollWorker& effect)
 {
     PollEnded end { .worker = effect.to.worker, .token = effect.to.token, .sentAt = this->now, .status = WorkerCallStatus::Unclear };
--- a/packages/scheduling/scheduler_fixture.h
+++ b/packages/scheduling/scheduler_fixture.h
@@ -113,6 +113,7 @@
     void carryOut(const std::string& name, const SchedulerEffect& effect);
     void execute(const std::string& name, const WriteStoredRows& effect);
     void execute(const std::string& name, const ReadJobRows& effect);
+    void execute(const std::string& name, const ReadRosters& effect);
     void execute(const std::string& name, const PollWorker& effect);
     void execute(const std::string& name, const StartTask& effect);
     void execute(const std::string& name, const StopTask& effect);
@@ -129,6 +130,7 @@
     bool isFrozen(const std::string& name) const;
     bool canReach(const std::string& name, const WorkerId& worker) const { return !this->crashed.contains(worker) && !this->cutLinks.contains({ name, worker }); }
     void deliverChanges(const std::string& name);
+    void deliverRosters(const std::string& name);
     void deliverList(const std::string& name);
     void storeEvacuation(const std::string& dataCentre, bool isEvacuated);
     void deliverEvacuations(const std::string& name);
@@ -157,6 +159,9 @@
     std::map<std::string, std::vector<SchedulerCommand>> heldCommands; // of frozen hosts
     ChooseWriteFault chooseWriteFault; // none: every write is answered at once
     std::map<std::string, Duration> feedLag; // by which a host receives changes of the store late; reads and writes are answered at once
+    std::map<std::string, Instant> rostersDue; // when the hosts that have asked for the rosters receive them
+    std::map<std::string, Duration> rosterLag; // by which a host receives the rosters late
+    std::set<StoredRowKey> unreadableRows; // rows of rosters that can't be decoded, and so are missing from what hosts receive
     std::map<std::string, Duration> listLag; // by which a host receives changes of the list of workers late
     std::vector<std::pair<Instant, RowVersion>> storeVersions; // after each transaction
     std::map<std::string, Duration> evacuationLag; // by which a host receives requests to evacuate data centres late
--- a/packages/scheduling/scheduling_benchmark.cc
+++ b/packages/scheduling/scheduling_benchmark.cc
@@ -147,6 +147,7 @@
 
         void carryOut(const WriteStoredRows& effect) { this->answer(this->store.apply(effect)); }
         void carryOut(const ReadJobRows& effect) { this->answer(this->store.rowsOf(effect.job)); }
+        void carryOut(const ReadRosters&) { this->answer(this->store.rosters()); }
         void carryOut(const PollWorker& effect)
         {
             this->polls.emplace_back(this->now, effect);
--- a/packages/scheduling/scheduling_commands.h
+++ b/packages/scheduling/scheduling_commands.h
@@ -69,6 +69,12 @@
     std::vector<StoredRowChange> rows;
 };
 
+// RostersRead is the result of a ReadRosters.
+struct RostersRead {
+    std::vector<StoredRowChange> rows; // all rosters
+    RowVersion revision { 0 }; // of the store; the rows contain all changes up to this version
+};
+
 // WorkersListed delivers changes of the platform's list of workers.
 struct WorkersListed {
     std::vector<ListedWorker> changed;
@@ -144,7 +150,7 @@
     WallTime wallTime { 0 };
 };
 
-using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, WorkersListed, PollEnded, TaskCallEnded, AgentContact, ConfigurationFollowed, EvacuationsFollowed, StoreContact, BeginHandover, SchedulerTick>;
+using SchedulerCommand = std::variant<SubmitJobSteps, RequestCancellation, LookUpJob, RefuseQueueQuery, StoredRowsRead, RowsWriteEnded, JobRowsRead, RostersRead, WorkersListed, PollEnded, TaskCallEnded, AgentContact, ConfigurationFollowed, EvacuationsFollowed, StoreContact, BeginHandover, SchedulerTick>;
 
 // SchedulerCommandKind enumerates the alternatives of SchedulerCommand in the same order.
 enum class SchedulerCommandKind {
@@ -155,6 +161,7 @@
     StoredRowsRead,
     RowsWriteEnded,
     JobRowsRead,
+    RostersRead,
     WorkersListed,
     PollEnded,
     TaskCallEnded,
@@ -174,6 +181,7 @@
     { SchedulerCommandKind::StoredRowsRead, "stored-rows-read" },
     { SchedulerCommandKind::RowsWriteEnded, "rows-write-ended" },
     { SchedulerCommandKind::JobRowsRead, "job-rows-read" },
+    { SchedulerCommandKind::RostersRead, "rosters-read" },
     { SchedulerCommandKind::WorkersListed, "workers-listed" },
     { SchedulerCommandKind::PollEnded, "hold-ended" },
     { SchedulerCommandKind::TaskCallEnded, "task-call-ended" },
--- a/packages/scheduling/scheduling_effects.h
+++ b/packages/scheduling/scheduling_effects.h
@@ -146,6 +146,11 @@
     Duration retryAfter { 0 }; // of Refused, and of Unclear with advice while the store is lost: when to repeat the call; 0: not said
 };
 
+// ReadRosters reads the rosters of all cells, which only a new leader needs: they grow with the workers, and change whenever one comes,
+// leaves or falls silent. Answered by RostersRead once the store has answered, unless another ReadRosters comes first.
+struct ReadRosters {
+};
+
 // FollowWorkers starts or stops the reading of the list of workers, which only leaders need.
 struct FollowWorkers {
     bool shouldFollow { false };
@@ -345,7 +350,7 @@
     std::vector<DecisionInputValue> inputs {};
 };
 
-using SchedulerEffect = std::variant<WriteStoredRows, ReadJobRows, PollWorker, StartTask, StopTask, SetTaskSpeed, ReplyToClient, FollowWorkers, LogDecision>;
+using SchedulerEffect = std::variant<WriteStoredRows, ReadJobRows, ReadRosters, PollWorker, StartTask, StopTask, SetTaskSpeed, ReplyToClient, FollowWorkers, LogDecision>;
 using SchedulerEffects = std::vector<SchedulerEffect>;
 
 } // namespace dragonflytray
--- a/packages/scheduling/simulation/simulated_store.cc
+++ b/packages/scheduling/simulation/simulated_store.cc
@@ -43,7 +43,17 @@
     std::map<StoredRowKey, RowVersion> lastVersions;
     for (auto change = begin; change != end; ++change)
         lastVersions[change->key] = change->version;
-    std::copy_if(begin, end, std::back_inserter(read.rows), [&](const StoredRowChange& change) { return lastVersions.at(change.key) == change.version; });
+    std::copy_if(begin, end, std::back_inserter(read.rows), [&](const StoredRowChange& change) { return change.key.kind != StoredRowKind::WorkerRoster && lastVersions.at(change.key) == change.version; });
+    return read;
+}
+
+RostersRead SimulatedStore::rosters() const
+{
+    RostersRead read { {}, this->lastVersion };
+    for (const auto& [key, row] : this->rows) {
+        if (key.kind == StoredRowKind::WorkerRoster && row.value)
+            read.rows.push_back(row);
+    }
     return read;
 }
 
--- a/packages/scheduling/simulation/simulated_store.h
+++ b/packages/scheduling/simulation/simulated_store.h
@@ -20,11 +20,14 @@
     // conditions failed.
     RowsWriteEnded apply(const WriteStoredRows& write);
 
-    // changesAfter() is the last change of every row that was written after `version` and not after `last`, in the order of
-    // versions. Linear in these changes.
+    // changesAfter() is the last change of every row, except rosters, that was written after `version` and not after `last`, in the
+    // order of versions. Linear in these changes.
     StoredRowsRead changesAfter(RowVersion version, RowVersion last) const;
     StoredRowsRead changesAfter(RowVersion version) const { return this->changesAfter(version, this->lastVersion); }
 
+    // rosters() is the present rows of all rosters.
+    RostersRead rosters() const;
+
     // rowsOf() is the present rows of one job.
     JobRowsRead rowsOf(const JobId& job) const;
 
--- a/packages/scheduling/takeover_test.cc
+++ b/packages/scheduling/takeover_test.cc
@@ -120,6 +120,34 @@
     CHECK(this->phaseOf(job) == JobPhase::Completed);
 }
 
+// A new leader that does not know the roster yet would take the tasks on workers that are not listed for free.
+TEST_CASE_METHOD(TakeoverFixture, "Takeover_rosterIsReadLate_tasksDoNotRunTwice", "[takeover]")
+{
+    this->replaceInList();
+    this->rosterLag["b"] = std::chrono::milliseconds(1000);
+    this->run({ "b" }, formerLeaseTime + this->taskDuration);
+    CHECK(this->maxConcurrentRuns == 1);
+    CHECK(this->phaseOf(job) == JobPhase::Completed);
+}
+
+// The rosters that an earlier term has asked for lack what leaders have written since.
+TEST_CASE_METHOD(TakeoverFixture, "Takeover_rosterIsOlderThanTheLease_leaderWaitsForTheNextOne", "[takeover]")
+{
+    const auto begun = [this] { return std::count_if(this->log.begin(), this->log.end(), [](const LogDecision& line) { return line.event == DecisionEvent::LeadershipBegun; }); };
+    const auto before = begun();
+    const RostersRead former = this->store.rosters();
+    this->rosterLag["b"] = std::chrono::hours(1);
+    for (int step = 0; step < 500 && this->leader() != "b"; ++step)
+        this->run({ "b" }, std::chrono::milliseconds(20));
+    REQUIRE(this->leader() == "b");
+    this->send("b", former);
+    this->run({ "b" }, std::chrono::milliseconds(100));
+    CHECK(begun() == before);
+    this->send("b", this->store.rosters());
+    this->run({ "b" }, std::chrono::milliseconds(100));
+    CHECK(begun() == before + 1);
+}
+
 TEST_CASE_METHOD(TakeoverFixture, "Takeover_workerReportedSilent_onlyItsTasksWait", "[takeover]")
 {
     this->addWorker("w2", 16);
--- a/packages/scheduling/worker_evidence_test.cc
+++ b/packages/scheduling/worker_evidence_test.cc
@@ -237,10 +237,8 @@
     this->run({ "a", "b" }, std::chrono::seconds(1));
     REQUIRE(this->runningOf(job).size() == 4);
     const StoredRowKey key = rosterKey({ CellName("whole"), rosterPartOf(WorkerId("w1")) });
-    const StoredRowChange* row = this->store.find(key);
-    REQUIRE(row);
-    const RowVersion version = this->store.version();
-    this->send("b", StoredRowsRead { { { key, version, std::nullopt } }, version, false });
+    REQUIRE(this->store.find(key));
+    this->unreadableRows.insert(key);
     this->workers.at(WorkerId("w1")).unlist(this->now);
     this->cutLinks.insert({ "b", WorkerId("w1") });
     this->addWorker("w2", 16);
