scheduling: a read of the roster replaces what a former term has left

A host that leads again kept the parts of the roster that it knew from its former term where the read lacks a row, as one that can't be decoded. If the number of workers is the same by chance, the roster would count as whole.

--- a/packages/scheduling/dispatcher_takeover.cc
+++ b/packages/scheduling/dispatcher_takeover.cc
@@ -123,6 +123,9 @@
 
 void Dispatcher::rostersRead(const RostersRead& read, const JobCache& jobCache, CommandContext& context)
 {
+    // What is known of an earlier term of this host must not stand in for a row that can't be read.
+    for (const auto& [cell, acquired] : this->acquiredCells)
+        this->rosters.erase(cell);
     for (const StoredRowChange& change : read.rows) {
         const auto part = parseRosterKey(change.key);
         const auto* row = change.value ? std::get_if<WorkerRoster>(&*change.value) : nullptr;
