Show that calls through an agent take memory and descriptors without bound

What callers saw: the users report a process that ran out of memory under clients that nobody controls. The port on which a scheduler daemon takes the orders of leaders has no bound on what a whole exchange within its 4 MiB asks for.

The tests start one scheduler daemon with the settings of the smallest host (160 MB, 4,100 descriptors; 1,000 for AgentManyWorkers) and 4 to 8 connections. Their bounds are these settings.

--- a/packages/testing/process/hostile_clients_test.sh
+++ b/packages/testing/process/hostile_clients_test.sh
@@ -6,6 +6,7 @@
 
 memory_limit=160000 # kB; memory of the smallest host
 connection_limit=800
+host_settings="" # more lines of the map entry of the scheduler daemon
 spare_descriptors=16 # outgoing connections, and accepted connections that replace others
 
 set_up() {
@@ -15,7 +16,8 @@
   connections: $connection_limit"
     lab_cli entry-1 apply --base 0 "$examples/serrano.yaml" >/dev/null
     lab_until 17 lab_ready entry-1
-    lab_scheduler scheduler-1 "  connections: $connection_limit"
+    lab_scheduler scheduler-1 "  connections: $connection_limit
+$host_settings"
     for daemon in entry-1 scheduler-1; do lab_until 10 "is_served_$daemon"; done
 }
 
@@ -27,6 +29,11 @@
     [ "$status" = 1 ]
 }
 
+# is_served_agent: besides an ordinary request of a caller, an exchange of a leader without calls is answered.
+is_served_agent() {
+    lab_control "${LAB_AGENT[scheduler-1]}" POST /agent/exchange $'\x85\x01\x01\x01\xa0\x80' && is_served_scheduler-1
+}
+
 peak_memory() { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${LAB_PID[$1]}/status"; }
 open_descriptors() { find "/proc/${LAB_PID[$1]}/fd" -mindepth 1 | wc -l; }
 
@@ -42,13 +49,47 @@
     [ -z "$faults" ] || lab_fail "$faults"
 }
 
-# check_bounds DAEMON DESCRIPTOR_LIMIT: appends what is out of bounds to `faults`.
+# attack_port DAEMON ENDPOINT SERVED DESCRIPTOR_LIMIT CLIENT_ARGUMENTS...: runs clients against one listener of a daemon.
+attack_port() {
+    lab_start "client-$1" hostile_client --endpoint "$2" "${@:5}"
+    check_bounds "$1" "$4" "$3"
+    kill -TERM "${LAB_PID[client-$1]}"
+}
+
+# attack_agent DESCRIPTOR_LIMIT CLIENT_ARGUMENTS...: against the port on which the scheduler daemon takes orders of leaders.
+attack_agent() {
+    local faults=""
+    attack_port scheduler-1 "${LAB_AGENT[scheduler-1]}" is_served_agent "$@"
+    [ -z "$faults" ] || lab_fail "$faults"
+}
+
+# attack_other_ports BEHAVIOUR CONNECTIONS BYTES: against the listeners that are not for callers.
+attack_other_ports() {
+    local faults="" limit=$((connection_limit + 100))
+    local arguments=(--behaviour "$1" --connections "$2" --bytes "$3")
+    attack_port scheduler-1 "${LAB_READINESS[scheduler-1]}" is_served_scheduler-1 $limit "${arguments[@]}"
+    attack_port scheduler-1 "${LAB_AGENT[scheduler-1]}" is_served_agent $limit "${arguments[@]}"
+    attack_port entry-1 "$(lab_endpoint entry-1 peers)" is_served_entry-1 $limit "${arguments[@]}"
+    [ -z "$faults" ] || lab_fail "$faults"
+}
+
+# attack_at_once: several behaviours against the callers of the scheduler daemon, all of them connected at the end.
+attack_at_once() {
+    local faults="" behaviour
+    for behaviour in endless-trailers slow-body many-fields pipelined announced-size idle small-chunks; do
+        lab_start "client-$behaviour" hostile_client --endpoint "${LAB_CALLERS[scheduler-1]}" --behaviour "$behaviour" --connections 100 --bytes 250000
+    done
+    check_bounds scheduler-1 "$1"
+    [ -z "$faults" ] || lab_fail "$faults"
+}
+
+# check_bounds DAEMON DESCRIPTOR_LIMIT [SERVED]: appends what is out of bounds to `faults`.
 check_bounds() {
     local served=no end=$((SECONDS + 20)) memory descriptors
     kill -0 "${LAB_PID[$1]}" 2>/dev/null || lab_fail "$1 has ended"
     descriptors=$(open_descriptors "$1")
     while [ $served = no ] && [ $SECONDS -lt $end ]; do
-        "is_served_$1" >/dev/null 2>&1 && served=yes
+        "${3:-is_served_$1}" >/dev/null 2>&1 && served=yes
     done
     kill -0 "${LAB_PID[$1]}" 2>/dev/null || lab_fail "$1 has ended"
     memory=$(peak_memory "$1")
@@ -69,7 +110,27 @@
 AnnouncedSizes() { attack announced-size 750 0; }
 IdleConnections() { attack idle 300 0; }
 MoreConnectionsThanDescriptors() { attack idle 300 0; }
+EndlessTrailersOtherPorts() { attack_other_ports endless-trailers 8 32000000; }
+ManyFieldsOtherPorts() { attack_other_ports many-fields 300 0; }
+SlowBodiesOtherPorts() { attack_other_ports slow-body 300 250000; }
+IdleOtherPorts() { attack_other_ports idle 300 0; }
+AgentManyValues() { attack_agent 4100 --behaviour agent-many-values --connections 4; }
+AgentUnreadableCalls() { attack_agent 4100 --behaviour agent-unreadable-calls --connections 4; }
+AgentLargeSpec() { attack_agent 4100 --behaviour agent-large-spec --connections 4; }
+AgentManyWorkers() { attack_agent 1000 --behaviour agent-many-workers --connections 4 --silent-workers 150; }
+AgentLongAddresses() { for _ in 1 2 3 4 5 6 7 8; do attack_agent 4100 --behaviour agent-long-addresses --connections 8; done; }
+SeveralBehavioursSmallestHost() { attack_at_once 4100; }
+SeveralBehavioursLoweredHost() { attack_at_once 260; }
 
+# The memory and the descriptors of the smallest host, and lowered ones.
+case $2 in
+    AgentManyWorkers) host_settings=$'  memoryMegabytes: 160\n  descriptors: 1000' ;;
+    Agent* | *OtherPorts | SeveralBehavioursSmallestHost) host_settings=$'  memoryMegabytes: 160\n  descriptors: 4100' ;;
+    SeveralBehavioursLoweredHost)
+        host_settings=$'  memoryMegabytes: 64\n  descriptors: 260'
+        memory_limit=64000
+        ;;
+esac
 case $2 in
     IdleConnections) connection_limit=100 ;;
     MoreConnectionsThanDescriptors) ulimit -Sn 160 ;;
--- a/packages/testing/process/lab.sh
+++ b/packages/testing/process/lab.sh
@@ -13,7 +13,7 @@
 LAB_BIN=$1
 LAB_DIR=$(mktemp -d)
 LAB_PIDS=()
-declare -A LAB_PID LAB_CALLERS
+declare -A LAB_PID LAB_CALLERS LAB_READINESS LAB_AGENT
 
 lab_cleanup() {
     local pid
@@ -87,7 +87,7 @@
 lab_scheduler() {
     local name=$1 port attempt
     for attempt in 1 2 3 4 5 6 7 8; do
-        port=$((20000 + (RANDOM % 4000) * 3))
+        port=$((20000 + (RANDOM % 3000) * 4))
         cat >"$LAB_DIR/$name.yaml" <<SETTINGS
 host: $name
 dataCentre: rs-poa
@@ -95,6 +95,7 @@
   callers: 127.0.0.1:$port
   readiness: 127.0.0.1:$((port + 1))
   store: 127.0.0.1:$((port + 2))
+  agent: 127.0.0.1:$((port + 3))
   dataCentres:
     - { name: rs-poa, region: sul-rs }
 ${2:-}
@@ -102,6 +103,8 @@
         "$LAB_BIN/dragonflytrayd" --settings "$LAB_DIR/$name.yaml" >>"$LAB_DIR/$name.log" 2>&1 &
         LAB_PID[$name]=$!
         LAB_CALLERS[$name]=127.0.0.1:$port
+        LAB_READINESS[$name]=127.0.0.1:$((port + 1))
+        LAB_AGENT[$name]=127.0.0.1:$((port + 3))
         lab_until 20 lab_serves_or_ended "$name" $((port + 1))
         if kill -0 "${LAB_PID[$name]}" 2>/dev/null; then
             LAB_PIDS+=("${LAB_PID[$name]}")
