Bound the calls and the items of an exchange with an agent

Cause: the body of an exchange was bounded in bytes only. An empty map or array of CBOR is one byte on the wire and 48 to 80 bytes as a value, and a call that cannot be read becomes a result of some hundred bytes, with an exception thrown for each.

parseCbor() takes a limit on the number of items, which it counts before it builds values. An exchange may have 8,192 calls, which is what a leader may have open at one agent (maxOpenCalls uses the same constant now), and 262,144 items; the largest exchange of a leader has 139,270. A larger one gets a 400 as any malformed one, and its leader keeps the calls.

--- a/packages/entry/agent_client.h
+++ b/packages/entry/agent_client.h
@@ -28,7 +28,7 @@
         Duration resultWait { std::chrono::milliseconds(500) }; // for which an agent holds an exchange without results
         Duration sweepInterval { std::chrono::milliseconds(100) }; // between looks for calls without a result
         Duration transferTime { std::chrono::milliseconds(300) }; // allowed for both ways through the agent, besides the call itself
-        std::size_t maxOpenCalls { 8192 }; // at one agent; further calls are given back
+        std::size_t maxOpenCalls { maxAgentCalls }; // at one agent; further calls are given back
     };
 
     AgentClient(IoLoop& loop, Options options);
--- a/packages/entry/agent_encoding.cc
+++ b/packages/entry/agent_encoding.cc
@@ -279,7 +279,7 @@
 
 std::optional<AgentRequest> decodeAgentRequest(const std::string& bytes, Instant now)
 {
-    const Json json = parseCbor(bytes);
+    const Json json = parseCbor(bytes, maxAgentRequestItems);
     if (json.is_discarded() || !json.is_array())
         return std::nullopt;
     try {
@@ -290,7 +290,10 @@
         request.wait = periodOf(row.next());
         for (const auto& [job, spec] : row.next().items())
             request.specs.emplace(JobId(job), spec.get<std::string>());
-        for (const Json& call : row.next())
+        const Json& calls = row.next();
+        if (calls.size() > maxAgentCalls)
+            return std::nullopt;
+        for (const Json& call : calls)
             decodeCall(call, now, request);
         return request;
     } catch (const std::exception&) {
--- a/packages/entry/agent_encoding.h
+++ b/packages/entry/agent_encoding.h
@@ -14,6 +14,9 @@
 
 namespace dragonflytray {
 
+inline constexpr std::size_t maxAgentCalls = 8192; // of a leader at one agent without a result, and of one exchange
+inline constexpr std::size_t maxAgentRequestItems = 32 * maxAgentCalls; // of CBOR; a call has 15, a spec two
+
 // AgentCall is one call to a worker. Numbers count up within a session.
 struct AgentCall {
     std::uint64_t number { 0 };
@@ -51,7 +54,7 @@
 // encodeAgentRequest() encodes a request; the validity of starts is what is left of it at `now`.
 std::string encodeAgentRequest(const AgentRequest& request, Instant now);
 
-// decodeAgentRequest() returns nothing if the message as a whole is invalid. Starts expire as if they were sent at `now`.
+// decodeAgentRequest() returns nothing if the message as a whole is invalid or has too many calls or items. Starts expire as if they were sent at `now`.
 std::optional<AgentRequest> decodeAgentRequest(const std::string& bytes, Instant now);
 
 std::string encodeAgentResponse(const AgentResponse& response);
--- a/packages/entry/agent_encoding_test.cc
+++ b/packages/entry/agent_encoding_test.cc
@@ -71,6 +71,33 @@
     CHECK(decoded->unreadable == std::vector<std::uint64_t> { 3 });
 }
 
+// A leader with every call that it may have open at one agent, each a start of another job, stays within the limits of an exchange.
+TEST_CASE_METHOD(AgentEncodingFixture, "AgentRequest_asManyCallsAsLeaderMayHave_isRead", "[agent]")
+{
+    AgentRequest request { .session = 11, .sentAt = 12, .wait = {}, .specs = {}, .calls = {}, .unreadable = {} };
+    for (std::uint32_t i = 0; i < maxAgentCalls; ++i) {
+        const TaskRunId id { { JobId("job-" + std::to_string(i)), 0, 0, 0 }, 1 };
+        request.specs.emplace(id.task.job, "spec");
+        request.calls.push_back({ .number = i + 1, .call = StartTask { .to = this->to, .run = id, .spec = "spec", .checkpoint = "c" } });
+    }
+    const auto decoded = decodeAgentRequest(encodeAgentRequest(request, this->now), this->now);
+    REQUIRE(decoded);
+    CHECK(decoded->calls.size() == maxAgentCalls);
+    CHECK(decoded->specs.size() == maxAgentCalls);
+}
+
+// Each of four million unreadable calls in 4 MiB became a result: 1.5 GB.
+TEST_CASE_METHOD(AgentEncodingFixture, "AgentRequest_moreCallsThanLeaderMayHave_isRejected", "[agent]")
+{
+    const auto requestWith = [](std::size_t calls) {
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({ 11, 12, 0, nlohmann::json::object(), std::vector<int>(calls, 0) }), bytes);
+        return bytes;
+    };
+    CHECK(decodeAgentRequest(requestWith(maxAgentCalls), this->now));
+    CHECK_FALSE(decodeAgentRequest(requestWith(maxAgentCalls + 1), this->now));
+}
+
 TEST_CASE_METHOD(AgentEncodingFixture, "SpecCache_tooManyBytes_oldestAreDroppedAtBothEnds", "[agent]")
 {
     SpecCache agent { { .maxBytes = 10 } };
--- a/packages/json/json.cc
+++ b/packages/json/json.cc
@@ -98,11 +98,12 @@
         std::string_view rest;
     };
 
-    // isPlainCbor() returns true if the bytes are one item that is nested no deeper than maxNestingDepth and has no tags
-    // or parts of indefinite length.
-    bool isPlainCbor(std::string_view bytes)
+    // isPlainCbor() returns true if the bytes are one item that is nested no deeper than maxNestingDepth, has no more than
+    // `maxItems` items with itself, and no tags or parts of indefinite length.
+    bool isPlainCbor(std::string_view bytes, std::size_t maxItems)
     {
         CborReader reader(bytes);
+        std::size_t items = 0;
         std::vector<std::uint64_t> open { 1 }; // items that are still to come, of each array and map around the next one
         while (!open.empty()) {
             if (open.back() == 0) {
@@ -111,7 +112,7 @@
             }
             --open.back();
             const auto item = reader.isAtEnd() ? std::nullopt : reader.readItem();
-            if (!item || item->type == CborType::Tag)
+            if (!item || item->type == CborType::Tag || ++items > maxItems)
                 return false;
             if (item->type != CborType::Array && item->type != CborType::Map)
                 continue;
@@ -129,9 +130,9 @@
     return isShallowJson(text) ? json::parse(text, nullptr, false) : json(json::value_t::discarded);
 }
 
-json parseCbor(std::string_view bytes)
+json parseCbor(std::string_view bytes, std::size_t maxItems)
 {
-    return isPlainCbor(bytes) ? json::from_cbor(bytes, true, false) : json(json::value_t::discarded);
+    return isPlainCbor(bytes, maxItems) ? json::from_cbor(bytes, true, false) : json(json::value_t::discarded);
 }
 
 std::string serializeJson(const json& json, int indent)
--- a/packages/json/json.h
+++ b/packages/json/json.h
@@ -25,9 +25,10 @@
 // parseJson() returns the value of a JSON text, or a discarded value if the text is invalid or nested too deeply.
 nlohmann::json parseJson(std::string_view text);
 
-// parseCbor() returns the value of CBOR bytes, or a discarded value if they are invalid, nested too deeply, or contain
-// tags or items of indefinite length, which to_cbor() does not write.
-nlohmann::json parseCbor(std::string_view bytes);
+// parseCbor() returns the value of CBOR bytes, or a discarded value if they are invalid, nested too deeply, have more than
+// `maxItems` items, or contain tags or items of indefinite length, which to_cbor() does not write. An empty map takes one byte on
+// the wire and 80 bytes of memory.
+nlohmann::json parseCbor(std::string_view bytes, std::size_t maxItems = std::numeric_limits<std::size_t>::max());
 
 // serializeJson() returns the JSON text of a value, on one line or, if `indent` is not negative, on indented lines. Bytes that
 // are not UTF-8 are replaced by U+FFFD; nlohmann::json::dump() throws at them.
--- a/packages/json/json_test.cc
+++ b/packages/json/json_test.cc
@@ -63,6 +63,14 @@
     CHECK(parseCbor(cborOf(value)) == value);
 }
 
+// Four million empty maps in 4 MiB took 335 MB.
+TEST_CASE_METHOD(DamagedMessageFixture, "ParseCbor_moreItemsThanAllowed_areDiscarded")
+{
+    const std::string bytes = cborOf({ 1, { { "a", 2 } }, nlohmann::json::array() }); // an array, 1, a map, its key and value, an array
+    CHECK_FALSE(parseCbor(bytes, 6).is_discarded());
+    CHECK(parseCbor(bytes, 5).is_discarded());
+}
+
 TEST_CASE_METHOD(DamagedMessageFixture, "ParseCbor_truncatedOrTrailingBytes_areDiscarded")
 {
     const std::string bytes = cborOf({ { "labels", { "a", "b" } }, { "count", 70000 } });
