--- a/packages/testing/process/hostile_clients_test.sh
+++ b/packages/testing/process/hostile_clients_test.sh
@@ -119,6 +119,13 @@
 AgentLargeSpec() { attack_agent 4100 --behaviour agent-large-spec --connections 4; }
 AgentManyWorkers() { attack_agent 1000 --behaviour agent-many-workers --connections 4 --silent-workers 150; }
 AgentLongAddresses() { for _ in 1 2 3 4 5 6 7 8; do attack_agent 4100 --behaviour agent-long-addresses --connections 8; done; }
+# A stop at a worker whose address is not an IP address fails before a connection is opened.
+AgentInvalidAddress() {
+    local faults=""
+    lab_control "${LAB_AGENT[scheduler-1]}" POST /agent/exchange $'\x85\x01\x01\x01\xa0\x81\x8b\x01\x02awax\x01\x01aa\x01\x01\x01\x01' || true
+    check_bounds scheduler-1 4100 is_served_agent
+    [ -z "$faults" ] || lab_fail "$faults"
+}
 SeveralBehavioursSmallestHost() { attack_at_once 4100; }
 SeveralBehavioursLoweredHost() { attack_at_once 260; }
 
