Complete a send that fails at once after send() has returned

Cause: HttpClient::send() called its completion before it returned when the address could not be read or the endpoint had all its connections. WorkerCaller::advance() then ran again within its own loop, found the lane idle and removed it, and the loop went on with the removed lane.

Such a failure is completed by the event loop now, as every other one, so that no caller of send() is entered again from its own call.

--- a/packages/entry/worker_call_duty_test.cc
+++ b/packages/entry/worker_call_duty_test.cc
@@ -101,6 +101,16 @@
     CHECK(this->worker.calls().empty());
 }
 
+// A call that failed at once removed its lane while the lane was in use.
+TEST_CASE_METHOD(WorkerCallDutyFixture, "WorkerCallDuty_addressIsNotAnIpAddress_callsEndAsNotSent")
+{
+    this->address.endpoint.address = "x";
+    for (std::uint64_t run = 1; run <= laneFilling; ++run) {
+        this->send(StopTask { this->address, runOf(run) });
+        CHECK(this->takeEnd(run));
+    }
+}
+
 TEST_CASE_METHOD(WorkerCallDutyFixture, "WorkerCallDuty_stopAndSpeedWaitInLane_areSent")
 {
     this->fillLane();
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -109,7 +110,7 @@
             if (this->connection)
                 return this->write();
             if (pool.open >= this->state->options.connectionLimit)
-                return this->finishWith({ SendFailureKind::TooManyConnections, true, "every connection is in use" });
+                return this->finishLater({ SendFailureKind::TooManyConnections, true, "every connection is in use" });
             this->connect(pool);
         }
 
@@ -119,7 +120,7 @@
             beast::error_code error;
             const auto address = boost::asio::ip::make_address(this->plan.endpoint.address, error);
             if (error)
-                return this->finishWith({ SendFailureKind::ConnectFailed, true, "not an IP address" });
+                return this->finishLater({ SendFailureKind::ConnectFailed, true, "not an IP address" });
             ++pool.open;
             this->connection = std::make_unique<Connection>(this->state->context);
             this->connection->stream.expires_after(std::min(this->state->options.connectTimeout, this->remaining()));
@@ -261,6 +262,12 @@
 
         void finishWith(SendFailure failure) { this->plan.completion(tl::unexpected(std::move(failure))); }
 
+        // finishLater() completes after send() has returned, so that no caller is entered again from its own call.
+        void finishLater(SendFailure failure)
+        {
+            boost::asio::post(this->state->context, [self = this->shared_from_this(), failure = std::move(failure)]() mutable { self->finishWith(std::move(failure)); });
+        }
+
         void keepConnection(bool isReusable)
         {
             Pool& pool = this->state->pools[this->plan.endpoint];
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -63,8 +63,8 @@
     HttpClient(IoLoop& loop, Options options);
     ~HttpClient();
 
-    // send() sends `request` to `endpoint` and completes on the loop's thread within `timeout`, or later only as
-    // Options::progressTimeout says.
+    // send() sends `request` to `endpoint` and completes on the loop's thread after it has returned, within `timeout`, or later only
+    // as Options::progressTimeout says.
     void send(const Endpoint& endpoint, HttpRequest request, Duration timeout, Completion completion);
 
     // stream() sends `request` on a connection of its own and hands over each part of the answer as it
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -205,6 +205,19 @@
         }
     };
 
+    TEST_CASE_METHOD(PooledClientFixture, "HttpClient_addressIsNotAnIpAddress_completesAfterSendHasReturned")
+    {
+        bool hasReturned = false;
+        bool isCompletedLater = false;
+        this->client.send({ "x", 1 }, {}, std::chrono::seconds(60), [&](const tl::expected<HttpResponse, SendFailure>& outcome) {
+            isCompletedLater = hasReturned && !outcome && outcome.error().isSurelyNotSent;
+            this->clientLoop.stop();
+        });
+        hasReturned = true;
+        this->clientLoop.run();
+        CHECK(isCompletedLater);
+    }
+
     TEST_CASE_METHOD(PooledClientFixture, "HttpClient_longAnswerReceived_isReadInPiecesOfAPageOrMore")
     {
         const std::string body(48 << 10, 'x');
