Bound the memory of the calls that an agent has under way

What callers saw: one exchange with a spec of 3.9 MB and 256 starts at a worker that does not answer takes 1,028,224 kB on a host of 160,000 kB (AgentLargeSpec).

Cause: a spec crosses once, and each start that waits for its worker keeps its whole request. The lane of a worker bounds the number of calls only.

WorkerCaller counts the bytes of the calls that have not ended, 1 KiB for each besides its body, and ends a further call as not sent at once.

--- a/packages/entry/duties/worker_call_duty.cc
+++ b/packages/entry/duties/worker_call_duty.cc
@@ -4,7 +4,7 @@
 
 WorkerCallDuty::WorkerCallDuty(EntryRings& rings, const WorkerProtocol& protocol)
     : outbox(this->loop, rings.scheduling)
-    , caller(this->loop, protocol)
+    , caller(this->loop, protocol, {})
     , agents(this->loop, { .onEnded = [this](SchedulerCommand end) { this->outbox.send(std::move(end)); }, .onUnsent = [this](const WorkerCall& call) { std::visit([this](const auto& value) { this->deliver(value); }, call); } })
 {
     drainOnWake(this->loop, rings.workers, [this](WorkerCall call) { this->perform(std::move(call)); });
--- a/packages/entry/worker_call_duty_test.cc
+++ b/packages/entry/worker_call_duty_test.cc
@@ -143,4 +143,33 @@
     CHECK(StandinPeer::Calls(calls.begin() + laneWidth, calls.end()) == expected);
 }
 
+// Calls at a worker that does not answer kept a copy of the spec each: 256 starts of 3.9 MB took 1 GB.
+TEST_CASE("WorkerCaller_heldBytesAreUsedUp_furtherCallsAreNotSentUntilOthersEnd")
+{
+    StandinPeer worker([](const std::string&) { return StandinAnswer { .isSilent = true }; });
+    IoLoop loop;
+    WorkerCaller caller(loop, protocol, { .heldBytes = 3 << 10 });
+    std::vector<WorkerCallStatus> ends;
+    std::size_t awaited = 0;
+    const auto stopRun = [&](std::uint64_t run) {
+        ++awaited;
+        caller.perform(StopTask { { WorkerId("worker"), worker.endpoint(), { 1 } }, { {}, run } }, [&](const TaskCallEnded& end) {
+            ends.push_back(end.status);
+            if (ends.size() == awaited)
+                loop.stop();
+        });
+    };
+    for (std::uint64_t run = 1; run <= 4; ++run)
+        stopRun(run);
+    CHECK(ends == std::vector { WorkerCallStatus::NotSent });
+    loop.run();
+    loop.restart();
+    REQUIRE(ends.size() == 4);
+
+    stopRun(5);
+    CHECK(ends.size() == 4);
+    loop.run();
+    CHECK(ends.size() == 5);
+}
+
 } // namespace dragonflytray
--- a/packages/entry/worker_caller.cc
+++ b/packages/entry/worker_caller.cc
@@ -8,11 +8,13 @@
     constexpr Duration idleLimit = std::chrono::seconds(10); // a worker is polled more often
     constexpr std::size_t callsInFlight = 4; // to one worker besides its poll
     constexpr std::size_t connectionLimit = 8; // to one worker; calls in flight, a poll, and some that time out
+    constexpr std::size_t callOverhead = 1 << 10; // bytes of a call besides its body
 
 } // namespace
 
-WorkerCaller::WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol)
+WorkerCaller::WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol, Options options)
     : protocol(protocol)
+    , options(options)
     , client(loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
 {
 }
@@ -20,7 +22,10 @@
 void WorkerCaller::poll(const PollWorker& call, PollCompletion completion)
 {
     const Instant sentAt = BootClock::now();
+    if (!this->hold(callOverhead))
+        return completion({ .worker = call.to.worker, .token = call.to.token, .sentAt = sentAt, .receivedAt = sentAt, .status = WorkerCallStatus::NotSent });
     this->client.send(call.to.endpoint, this->protocol.encodePoll(call), call.wait + workerCallTimeout, [this, sentAt, to = call.to, completion = std::move(completion)](HttpOutcome outcome) {
+        this->release(callOverhead);
         PollEnded end = this->protocol.decodePoll(outcome);
         end.worker = to.worker;
         end.token = to.token;
@@ -47,6 +52,10 @@
 
 void WorkerCaller::enqueue(CallImportance importance, TaskCall call)
 {
+    const std::size_t bytes = callOverhead + call.request.body.size();
+    if (!this->hold(bytes))
+        return endUnsent(std::move(call), WorkerCallStatus::NotSent);
+    call.heldBytes = bytes;
     const Endpoint endpoint = call.endpoint;
     const TaskRunId run = call.end.run;
     Lane& lane = this->lanes.try_emplace(endpoint, Lane::Options { .maxInFlight = callsInFlight }).first->second;
@@ -66,7 +75,8 @@
             endUnsent(std::move(*call), WorkerCallStatus::Expired);
             continue;
         }
-        this->client.send(endpoint, std::move(call->request), workerCallTimeout, [this, endpoint, end = call->end, completion = std::move(call->completion)](HttpOutcome outcome) mutable {
+        this->client.send(endpoint, std::move(call->request), workerCallTimeout, [this, endpoint, bytes = call->heldBytes, end = call->end, completion = std::move(call->completion)](HttpOutcome outcome) mutable {
+            this->release(bytes);
             end.status = this->protocol.decodeCall(outcome);
             completion(std::move(end));
             this->lanes.at(endpoint).ended();
@@ -79,8 +89,17 @@
 
 void WorkerCaller::endUnsent(TaskCall call, WorkerCallStatus status)
 {
+    this->release(call.heldBytes);
     call.end.status = status;
     call.completion(std::move(call.end));
 }
 
+bool WorkerCaller::hold(std::size_t bytes)
+{
+    if (bytes > this->options.heldBytes - this->held)
+        return false;
+    this->held += bytes;
+    return true;
+}
+
 } // namespace dragonflytray
--- a/packages/entry/worker_caller.h
+++ b/packages/entry/worker_caller.h
@@ -11,6 +11,7 @@
 #include "dispatch/dispatch.h"
 #include "entry/entry_messages.h"
 #include <functional>
+#include <limits>
 
 namespace dragonflytray {
 
@@ -22,7 +23,11 @@
     using PollCompletion = std::function<void(PollEnded)>;
     using TaskCompletion = std::function<void(TaskCallEnded)>;
 
-    WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol);
+    struct Options {
+        std::size_t heldBytes { std::numeric_limits<std::size_t>::max() }; // of all calls that have not ended; further ones are not sent
+    };
+
+    WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol, Options options);
 
     void poll(const PollWorker& call, PollCompletion completion);
     void perform(const StartTask& call, TaskCompletion completion);
@@ -37,6 +42,7 @@
         HttpRequest request;
         std::optional<Instant> expiresAt; // the call is not sent after this
         TaskCompletion completion;
+        std::size_t heldBytes { 0 };
     };
     using Lane = CallLane<TaskRunId, TaskCall>;
 
@@ -44,10 +50,16 @@
     // allows.
     void enqueue(CallImportance importance, TaskCall call);
     void advance(const Endpoint& endpoint);
-    static void endUnsent(TaskCall call, WorkerCallStatus status);
+    void endUnsent(TaskCall call, WorkerCallStatus status);
+
+    // hold() counts the memory of a call if it is within the limit; release() takes it off again.
+    bool hold(std::size_t bytes);
+    void release(std::size_t bytes) { this->held -= bytes; }
 
     const WorkerProtocol& protocol;
+    const Options options;
     HttpClient client;
+    std::size_t held { 0 }; // bytes
     std::map<Endpoint, Lane> lanes; // that are not idle
 };
 
