Forget endpoints of a client to which no connection is left

A leader keeps the endpoint of every worker that has been on the list, too.

Cause: HttpClient had an entry for each endpoint to which anything was ever sent, also for texts that are not an address, and removed none.

The entry is removed with the last connection to its endpoint.

--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -75,10 +75,22 @@
     }
 
     // closeIdle() drops every idle connection of one endpoint.
-    static void closeIdle(Pool& pool)
+    void closeIdle(const Endpoint& endpoint)
     {
-        pool.open -= pool.idle.size();
-        pool.idle.clear();
+        const auto found = this->pools.find(endpoint);
+        if (found == this->pools.end())
+            return;
+        found->second.open -= found->second.idle.size();
+        found->second.idle.clear();
+        this->forgetUnused(endpoint);
+    }
+
+    // forgetUnused() removes the pool of an endpoint without connections.
+    void forgetUnused(const Endpoint& endpoint)
+    {
+        const auto found = this->pools.find(endpoint);
+        if (found != this->pools.end() && found->second.open == 0)
+            this->pools.erase(found);
     }
 };
 
@@ -119,8 +131,10 @@
         {
             beast::error_code error;
             const auto address = boost::asio::ip::make_address(this->plan.endpoint.address, error);
-            if (error)
+            if (error) {
+                this->state->forgetUnused(this->plan.endpoint);
                 return this->finishLater({ SendFailureKind::ConnectFailed, true, "not an IP address" });
+            }
             ++pool.open;
             this->connection = std::make_unique<Connection>(this->state->context);
             this->connection->stream.expires_after(std::min(this->state->options.connectTimeout, this->remaining()));
@@ -247,7 +261,7 @@
         void dropAfterSend(beast::error_code error)
         {
             if (error == beast::error::timeout) {
-                State::closeIdle(this->state->pools[this->plan.endpoint]);
+                this->state->closeIdle(this->plan.endpoint);
                 return this->drop({ SendFailureKind::AnswerTimeout, false, "no answer in time" });
             }
             const bool isLost = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == boost::asio::error::get_system_category();
@@ -274,7 +288,7 @@
             if (!isReusable) {
                 this->connection.reset();
                 --pool.open;
-                return;
+                return this->state->forgetUnused(this->plan.endpoint);
             }
             this->connection->stream.expires_never();
             this->connection->buffer.shrink_to_fit(); // idle connections hold no memory
@@ -319,7 +333,7 @@
 
 void HttpClient::closeIdle(const Endpoint& endpoint)
 {
-    State::closeIdle(this->state->pools[endpoint]);
+    this->state->closeIdle(endpoint);
 }
 
 tl::expected<HttpResponse, SendFailure> sendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
