Bound the connections of an agent to workers

What callers saw: one exchange with polls at 150 workers that do not answer takes a scheduler daemon to 1,222 descriptors with a setting of 1,000 (AgentManyWorkers). A poll may wait for a month.

Cause: HttpClient bounds the connections to one endpoint only, and calls of an exchange name any number of endpoints.

HttpClient bounds the connections to all endpoints, if its owner says so: it closes idle ones for a new one, and fails a send as surely not sent if there are none. An agent has a third of the descriptors less 200, 1,300 on the smallest host: a waiting poll for each of 620 workers, and as many calls about runs. The process's own leader has no such limit.

--- a/packages/entry/duties/agent_duty.cc
+++ b/packages/entry/duties/agent_duty.cc
@@ -28,7 +28,7 @@
 AgentDuty::AgentDuty(const EntrySettings& settings, EntryRings& rings, const WorkerProtocol& protocol)
     : rings(rings)
     , wanted(settings.agent)
-    , caller(this->loop, protocol, { .heldBytes = callerLimits(settings).receiveBudget })
+    , caller(this->loop, protocol, { .heldBytes = callerLimits(settings).receiveBudget, .connections = agentConnections(settings) })
     , server(this->loop, { .endpoint = settings.agent, .bodyLimit = bodyLimit, .connectionLimit = connectionLimit }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serve(request, std::move(reply)); })
 {
     std::random_device device;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -21,6 +21,9 @@
     // Half of the other descriptors is for callers: a leader needs connections to hundreds of workers, to the store and to agents.
     constexpr std::size_t callerPart = 2;
 
+    // A third of them is for calls through the agent: one waiting poll for each of hundreds of workers, and calls about runs.
+    constexpr std::size_t agentPart = 3;
+
     // A host with 160 MB lets 2,560 callers connect; an idle connection takes less than 2 KiB.
     constexpr std::size_t connectionsPerMegabyte = 16;
 
@@ -116,6 +119,14 @@
     return limits;
 }
 
+std::size_t agentConnections(const EntrySettings& settings)
+{
+    if (settings.descriptors == 0)
+        return std::numeric_limits<std::size_t>::max();
+    const std::size_t others = settings.descriptors > fileDescriptors ? settings.descriptors - fileDescriptors : 0;
+    return std::max(others / agentPart, leastConnections);
+}
+
 Scheduler::Options schedulerOptions(const EntrySettings& settings)
 {
     Scheduler::Options options {
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -59,6 +59,9 @@
 // callerLimits() derives the limits on callers from the descriptors and the memory of the process, as far as they are known. Pure.
 CallerLimits callerLimits(const EntrySettings& settings);
 
+// agentConnections() is how many connections to workers the process opens for leaders on other hosts. Pure.
+std::size_t agentConnections(const EntrySettings& settings);
+
 // schedulerOptions() is what the decisions need of the settings.
 Scheduler::Options schedulerOptions(const EntrySettings& settings);
 
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -118,6 +118,15 @@
     CHECK(callerLimits(*settings).connections == 16);
 }
 
+TEST_CASE_METHOD(EntrySettingsFixture, "AgentConnections_descriptorsAreKnown_areAThirdOfThem")
+{
+    EntrySettings settings;
+    settings.descriptors = 4100;
+    CHECK(agentConnections(settings) == 1300);
+    settings.descriptors = 150;
+    CHECK(agentConnections(settings) == 16);
+}
+
 TEST_CASE_METHOD(EntrySettingsFixture, "EntrySettings_longestRetryAfter_isOffUnlessGivenWithinItsBounds")
 {
     const auto withEntry = [&](const std::string& line) { return parseEntrySettings(std::string(this->text).insert(this->text.find("  callers"), line), "entry.yaml"); };
--- a/packages/entry/worker_caller.cc
+++ b/packages/entry/worker_caller.cc
@@ -15,7 +15,7 @@
 WorkerCaller::WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol, Options options)
     : protocol(protocol)
     , options(options)
-    , client(loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit })
+    , client(loop, { .connectTimeout = connectTimeout, .idleLimit = idleLimit, .connectionLimit = connectionLimit, .totalConnections = options.connections })
 {
 }
 
--- a/packages/entry/worker_caller.h
+++ b/packages/entry/worker_caller.h
@@ -25,6 +25,7 @@
 
     struct Options {
         std::size_t heldBytes { std::numeric_limits<std::size_t>::max() }; // of all calls that have not ended; further ones are not sent
+        std::size_t connections { std::numeric_limits<std::size_t>::max() }; // to all workers
     };
 
     WorkerCaller(IoLoop& loop, const WorkerProtocol& protocol, Options options);
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -53,9 +53,10 @@
     boost::asio::io_context& context;
     Options options;
     std::map<Endpoint, Pool> pools;
+    std::size_t open { 0 }; // connections to all endpoints
 
     // takeIdle() is a connection that was idle for less than the limit, newest first, or nothing.
-    std::unique_ptr<Connection> takeIdle(Pool& pool) const
+    std::unique_ptr<Connection> takeIdle(Pool& pool)
     {
         const Instant oldest = BootClock::now() - this->options.idleLimit;
         std::unique_ptr<Connection> taken;
@@ -65,11 +66,11 @@
             if (isQuiet(*taken))
                 break;
             taken.reset();
-            --pool.open;
+            this->noteClosed(pool, 1);
         }
         while (!pool.idle.empty() && pool.idle.front()->idleSince < oldest) {
             pool.idle.erase(pool.idle.begin());
-            --pool.open;
+            this->noteClosed(pool, 1);
         }
         return taken;
     }
@@ -80,11 +81,32 @@
         const auto found = this->pools.find(endpoint);
         if (found == this->pools.end())
             return;
-        found->second.open -= found->second.idle.size();
+        this->noteClosed(found->second, found->second.idle.size());
         found->second.idle.clear();
         this->forgetUnused(endpoint);
     }
 
+    // makeRoom() closes idle connections if no further one may be opened, and says whether one may be opened to `wanted` then. The
+    // pool of `wanted` stays. Linear in the endpoints if there is no room.
+    bool makeRoom(const Endpoint& wanted)
+    {
+        if (this->open < this->options.totalConnections)
+            return true;
+        for (auto& [endpoint, pool] : this->pools) {
+            this->noteClosed(pool, pool.idle.size());
+            pool.idle.clear();
+        }
+        std::erase_if(this->pools, [&wanted](const auto& entry) { return entry.second.open == 0 && entry.first != wanted; });
+        return this->open < this->options.totalConnections;
+    }
+
+    // noteClosed() counts connections of a pool that are closed.
+    void noteClosed(Pool& pool, std::size_t count)
+    {
+        pool.open -= count;
+        this->open -= count;
+    }
+
     // forgetUnused() removes the pool of an endpoint without connections.
     void forgetUnused(const Endpoint& endpoint)
     {
@@ -121,8 +143,10 @@
             this->connection = this->state->takeIdle(pool);
             if (this->connection)
                 return this->write();
-            if (pool.open >= this->state->options.connectionLimit)
+            if (pool.open >= this->state->options.connectionLimit || !this->state->makeRoom(this->plan.endpoint)) {
+                this->state->forgetUnused(this->plan.endpoint);
                 return this->finishLater({ SendFailureKind::TooManyConnections, true, "every connection is in use" });
+            }
             this->connect(pool);
         }
 
@@ -136,6 +160,7 @@
                 return this->finishLater({ SendFailureKind::ConnectFailed, true, "not an IP address" });
             }
             ++pool.open;
+            ++this->state->open;
             this->connection = std::make_unique<Connection>(this->state->context);
             this->connection->stream.expires_after(std::min(this->state->options.connectTimeout, this->remaining()));
             this->connection->stream.async_connect(tcp::endpoint(address, this->plan.endpoint.port),
@@ -287,7 +312,7 @@
             Pool& pool = this->state->pools[this->plan.endpoint];
             if (!isReusable) {
                 this->connection.reset();
-                --pool.open;
+                this->state->noteClosed(pool, 1);
                 return this->state->forgetUnused(this->plan.endpoint);
             }
             this->connection->stream.expires_never();
@@ -309,7 +334,7 @@
 } // namespace internal
 
 HttpClient::HttpClient(IoLoop& loop, Options options)
-    : state(std::shared_ptr<State>(new State { loop.internals().context, options, {} }))
+    : state(std::shared_ptr<State>(new State { loop.internals().context, options, {}, 0 }))
 {
 }
 
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -10,6 +10,7 @@
 #include "transport/http_message.h"
 #include "transport/io_loop.h"
 #include <functional>
+#include <limits>
 #include <memory>
 #include <tl/expected.hpp>
 
@@ -49,6 +50,7 @@
         Duration connectTimeout { std::chrono::seconds(1) };
         Duration idleLimit { std::chrono::seconds(20) }; // an idle connection older than this is not used
         std::size_t connectionLimit { 64 }; // for each endpoint
+        std::size_t totalConnections { std::numeric_limits<std::size_t>::max() }; // to all endpoints; idle ones are closed for a new one
         std::size_t bodyLimit { 8 << 20 }; // bytes of an answer
         Duration progressTimeout { 0 }; // an answer that goes on arriving may take longer than its send allows, while no part of it takes this long; 0: it may not
     };
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -218,6 +218,33 @@
         CHECK(isCompletedLater);
     }
 
+    // A client opened connections to any number of endpoints, until the process had no descriptor left.
+    TEST_CASE_METHOD(PooledClientFixture, "HttpClient_totalConnectionsAreInUse_furtherSendsAreSurelyNotSent")
+    {
+        HttpClient limited(this->clientLoop, { .totalConnections = 2 });
+        std::vector<tl::expected<HttpResponse, SendFailure>> results;
+        const auto sendOne = [&](std::size_t awaited) {
+            limited.send(this->endpoint, { .method = HttpMethod::Post, .target = "/echo", .headers = {}, .body = "x" }, std::chrono::seconds(60), [&results, awaited, this](tl::expected<HttpResponse, SendFailure> result) {
+                results.push_back(std::move(result));
+                if (results.size() == awaited)
+                    this->clientLoop.stop();
+            });
+        };
+        for (int i = 0; i < 3; ++i)
+            sendOne(3);
+        this->clientLoop.run();
+        this->clientLoop.restart();
+        REQUIRE(results.size() == 3);
+        REQUIRE_FALSE(results.front());
+        CHECK(results.front().error().isSurelyNotSent);
+        CHECK(results[1]);
+        CHECK(results[2]);
+
+        sendOne(4);
+        this->clientLoop.run();
+        CHECK(results.back());
+    }
+
     TEST_CASE_METHOD(PooledClientFixture, "HttpClient_longAnswerReceived_isReadInPiecesOfAPageOrMore")
     {
         const std::string body(48 << 10, 'x');
