Count and log the refusals of an agent's listener

What operators saw: nothing. The port on which a scheduler daemon takes the orders of leaders refused requests without a log line or a counter, and had the default budget of 32 MiB for incomplete requests on a host of any size.

Its budget is that of the callers' port now, an eighth of memoryMegabytes; one whole exchange fits at any setting. The counters of the listener have the label listener="agent", and dragonflytray_agent_refused_exchanges_total counts exchanges that are refused as a whole. They are reported each second while there are sessions or new refusals, as the agent's other metrics.

Measured: the [agent] tests of entry_test pass.

--- a/packages/entry/agent_delivery_test.cc
+++ b/packages/entry/agent_delivery_test.cc
@@ -235,6 +235,19 @@
     CHECK(this->takeEnd(1) == WorkerCallStatus::Ok);
 }
 
+TEST_CASE_METHOD(AgentDeliveryFixture, "AgentDelivery_malformedExchange_isCountedInMetrics", "[agent]")
+{
+    HttpRequest message { .method = HttpMethod::Post, .target = "/agent/exchange", .headers = {}, .body = "not an exchange" };
+    REQUIRE(sendAndWait(this->agent.endpoint(), std::move(message), std::chrono::seconds(60)));
+    auto reported = this->agentRings.journal.popWithin(std::chrono::seconds(60));
+    REQUIRE(reported);
+    const auto* snapshot = std::get_if<MetricsSnapshot>(&*reported);
+    REQUIRE(snapshot);
+    const auto counter = std::find_if(snapshot->metrics.begin(), snapshot->metrics.end(), [](const Metric& metric) { return metric.name == "dragonflytray_agent_refused_exchanges_total"; });
+    REQUIRE(counter != snapshot->metrics.end());
+    CHECK(counter->value == 1);
+}
+
 TEST_CASE_METHOD(AgentDeliveryFixture, "AgentDelivery_tooManyLeaders_areRefused", "[agent]")
 {
     std::size_t taken = 0;
--- a/packages/entry/duties/agent_duty.cc
+++ b/packages/entry/duties/agent_duty.cc
@@ -18,6 +18,12 @@
     constexpr unsigned statusMalformed = 400;
     constexpr unsigned statusUnavailable = 503;
 
+    // An exchange takes as much of the memory as requests of callers do.
+    HttpServer::Options serverOptions(const EntrySettings& settings, std::function<void(const std::string&)> log)
+    {
+        return { .endpoint = settings.agent, .bodyLimit = bodyLimit, .connectionLimit = connectionLimit, .receiveBudget = callerLimits(settings).receiveBudget, .log = std::move(log) };
+    }
+
     WorkerCallStatus lateStatusOf(const WorkerCall& call)
     {
         return std::holds_alternative<StartTask>(call) ? WorkerCallStatus::Expired : WorkerCallStatus::NotSent;
@@ -29,7 +35,7 @@
     : rings(rings)
     , wanted(settings.agent)
     , caller(this->loop, protocol, { .heldBytes = callerLimits(settings).receiveBudget, .connections = agentConnections(settings) })
-    , server(this->loop, { .endpoint = settings.agent, .bodyLimit = bodyLimit, .connectionLimit = connectionLimit }, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serve(request, std::move(reply)); })
+    , server(this->loop, serverOptions(settings, [this](const std::string& sentence) { this->clientsRefused(sentence); }), [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { this->serve(request, std::move(reply)); })
 {
     std::random_device device;
     this->incarnation = (std::uint64_t { device() } << 32U) | device();
@@ -55,12 +61,17 @@
 void AgentDuty::serve(const HttpRequest& request, std::shared_ptr<HttpReply> reply)
 {
     const Instant now = BootClock::now();
+    this->startReporting();
     auto exchange = decodeAgentRequest(request.body, now);
-    if (!exchange)
+    if (!exchange) {
+        ++this->refusedExchanges[RefusedExchange::Malformed];
         return reply->send({ .status = statusMalformed });
+    }
     SessionEntry* entry = this->sessionFor(exchange->session, now);
-    if (!entry)
+    if (!entry) {
+        ++this->refusedExchanges[RefusedExchange::TooManySessions];
         return reply->send({ .status = statusUnavailable });
+    }
     Session& session = entry->second;
     session.lastUsed = now;
     const std::int64_t difference = toMilliseconds(now.time_since_epoch()) - exchange->sentAt;
@@ -90,13 +101,23 @@
     const auto found = this->sessions.find(id);
     if (found == this->sessions.end() && this->sessions.size() >= maxSessions)
         return nullptr;
-    if (!this->isReporting) {
-        this->isReporting = true;
-        this->reportMetrics();
-    }
     return &*this->sessions.try_emplace(id).first;
 }
 
+void AgentDuty::clientsRefused(const std::string& sentence)
+{
+    logWarning(LogPart::Scheduling, "The port of the agent: " + sentence);
+    this->startReporting();
+}
+
+void AgentDuty::startReporting()
+{
+    if (this->isReporting)
+        return;
+    this->isReporting = true;
+    this->loop.post([this] { this->reportMetrics(); });
+}
+
 void AgentDuty::forgetSessions(Instant now)
 {
     std::erase_if(this->sessions, [now](const auto& entry) { return entry.second.lastUsed != Instant() && now >= entry.second.lastUsed + sessionTimeout; });
@@ -179,8 +200,13 @@
     MetricsSnapshot snapshot { "agent", { { "dragonflytray_agent_sessions", MetricKind::Gauge, {}, static_cast<double>(this->sessions.size()) } } };
     for (const auto& entry : workerCallStatusNames)
         snapshot.metrics.push_back({ "dragonflytray_agent_calls_total", MetricKind::Counter, { { "outcome", std::string(entry.name) } }, static_cast<double>(this->ends[entry.value]) });
+    for (const auto& entry : clientRefusalNames)
+        snapshot.metrics.push_back({ "dragonflytray_client_refusals_total", MetricKind::Counter, { { "listener", "agent" }, { "cause", std::string(entry.name) } }, static_cast<double>(this->server.refusals()[entry.value]) });
+    for (const auto& entry : refusedExchangeNames)
+        snapshot.metrics.push_back({ "dragonflytray_agent_refused_exchanges_total", MetricKind::Counter, { { "cause", std::string(entry.name) } }, static_cast<double>(this->refusedExchanges[entry.value]) });
     (void)this->rings.journal.tryPush(std::move(snapshot));
-    this->isReporting = !this->sessions.empty();
+    const bool hasNewRefusals = std::exchange(this->reportedRefusals, this->server.refusals()) != this->server.refusals();
+    this->isReporting = hasNewRefusals || !this->sessions.empty();
     if (this->isReporting)
         this->loop.after(reportInterval, [this] { this->reportMetrics(); });
 }
--- a/packages/entry/duties/agent_duty.h
+++ b/packages/entry/duties/agent_duty.h
@@ -13,6 +13,18 @@
 
 namespace dragonflytray {
 
+// RefusedExchange lists why an agent refuses an exchange as a whole.
+enum class RefusedExchange {
+    Malformed, // or too many calls or items
+    TooManySessions,
+};
+
+inline constexpr NameTable refusedExchangeNames { std::to_array<NameEntry<RefusedExchange>>({
+    { RefusedExchange::Malformed, "malformed" },
+    { RefusedExchange::TooManySessions, "too-many-sessions" },
+}) };
+static_assert(refusedExchangeNames.isWhole(RefusedExchange::TooManySessions));
+
 // AgentDuty runs an event loop on a thread of its own until stop(). start() comes before run().
 class AgentDuty {
 public:
@@ -53,6 +65,9 @@
     void pollEnded(std::uint64_t session, std::uint64_t number, std::uint64_t baseReport, PollEnded end);
     void ended(std::uint64_t session, AgentResult result);
     void answer(Session& session);
+    void clientsRefused(const std::string& sentence);
+    // startReporting() reports metrics each second for as long as there are sessions or new refusals.
+    void startReporting();
     void reportMetrics();
     void forgetSessions(Instant now);
 
@@ -66,6 +81,8 @@
     std::map<std::uint64_t, Session> sessions;
     std::uint64_t lastReport { 0 }; // number
     EnumArray<WorkerCallStatus, std::uint64_t, workerCallStatusNames.size()> ends; // of calls since the start of the process
+    EnumArray<RefusedExchange, std::uint64_t, refusedExchangeNames.size()> refusedExchanges;
+    ClientRefusalCounts reportedRefusals {};
     bool isReporting { false }; // metrics
 };
 
