--- a/packages/entry/worker_call_duty_test.cc
+++ b/packages/entry/worker_call_duty_test.cc
@@ -101,6 +101,16 @@
     CHECK(this->worker.calls().empty());
 }
 
+// A call that failed at once removed its lane while the lane was in use.
+TEST_CASE_METHOD(WorkerCallDutyFixture, "WorkerCallDuty_addressIsNotAnIpAddress_callsEndAsNotSent")
+{
+    this->address.endpoint.address = "x";
+    for (std::uint64_t run = 1; run <= laneFilling; ++run) {
+        this->send(StopTask { this->address, runOf(run) });
+        CHECK(this->takeEnd(run));
+    }
+}
+
 TEST_CASE_METHOD(WorkerCallDutyFixture, "WorkerCallDuty_stopAndSpeedWaitInLane_areSent")
 {
     this->fillLane();
@@ -133,4 +143,33 @@
     CHECK(StandinPeer::Calls(calls.begin() + laneWidth, calls.end()) == expected);
 }
 
+// Calls at a worker that does not answer kept a copy of the spec each: 256 starts of 3.9 MB took 1 GB.
+TEST_CASE("WorkerCaller_heldBytesAreUsedUp_furtherCallsAreNotSentUntilOthersEnd")
+{
+    StandinPeer worker([](const std::string&) { return StandinAnswer { .isSilent = true }; });
+    IoLoop loop;
+    WorkerCaller caller(loop, protocol, { .heldBytes = 3 << 10 });
+    std::vector<WorkerCallStatus> ends;
+    std::size_t awaited = 0;
+    const auto stopRun = [&](std::uint64_t run) {
+        ++awaited;
+        caller.perform(StopTask { { WorkerId("worker"), worker.endpoint(), { 1 } }, { {}, run } }, [&](const TaskCallEnded& end) {
+            ends.push_back(end.status);
+            if (ends.size() == awaited)
+                loop.stop();
+        });
+    };
+    for (std::uint64_t run = 1; run <= 4; ++run)
+        stopRun(run);
+    CHECK(ends == std::vector { WorkerCallStatus::NotSent });
+    loop.run();
+    loop.restart();
+    REQUIRE(ends.size() == 4);
+
+    stopRun(5);
+    CHECK(ends.size() == 4);
+    loop.run();
+    CHECK(ends.size() == 5);
+}
+
 } // namespace dragonflytray
--- a/packages/transport/http_client.cc
+++ b/packages/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -52,9 +53,10 @@
     boost::asio::io_context& context;
     Options options;
     std::map<Endpoint, Pool> pools;
+    std::size_t open { 0 }; // connections to all endpoints
 
     // takeIdle() is a connection that was idle for less than the limit, newest first, or nothing.
-    std::unique_ptr<Connection> takeIdle(Pool& pool) const
+    std::unique_ptr<Connection> takeIdle(Pool& pool)
     {
         const Instant oldest = BootClock::now() - this->options.idleLimit;
         std::unique_ptr<Connection> taken;
@@ -64,20 +66,53 @@
             if (isQuiet(*taken))
                 break;
             taken.reset();
-            --pool.open;
+            this->noteClosed(pool, 1);
         }
         while (!pool.idle.empty() && pool.idle.front()->idleSince < oldest) {
             pool.idle.erase(pool.idle.begin());
-            --pool.open;
+            this->noteClosed(pool, 1);
         }
         return taken;
     }
 
     // closeIdle() drops every idle connection of one endpoint.
-    static void closeIdle(Pool& pool)
+    void closeIdle(const Endpoint& endpoint)
     {
-        pool.open -= pool.idle.size();
-        pool.idle.clear();
+        const auto found = this->pools.find(endpoint);
+        if (found == this->pools.end())
+            return;
+        this->noteClosed(found->second, found->second.idle.size());
+        found->second.idle.clear();
+        this->forgetUnused(endpoint);
+    }
+
+    // makeRoom() closes idle connections if no further one may be opened, and says whether one may be opened to `wanted` then. The
+    // pool of `wanted` stays. Linear in the endpoints if there is no room.
+    bool makeRoom(const Endpoint& wanted)
+    {
+        if (this->open < this->options.totalConnections)
+            return true;
+        for (auto& [endpoint, pool] : this->pools) {
+            this->noteClosed(pool, pool.idle.size());
+            pool.idle.clear();
+        }
+        std::erase_if(this->pools, [&wanted](const auto& entry) { return entry.second.open == 0 && entry.first != wanted; });
+        return this->open < this->options.totalConnections;
+    }
+
+    // noteClosed() counts connections of a pool that are closed.
+    void noteClosed(Pool& pool, std::size_t count)
+    {
+        pool.open -= count;
+        this->open -= count;
+    }
+
+    // forgetUnused() removes the pool of an endpoint without connections.
+    void forgetUnused(const Endpoint& endpoint)
+    {
+        const auto found = this->pools.find(endpoint);
+        if (found != this->pools.end() && found->second.open == 0)
+            this->pools.erase(found);
     }
 };
 
@@ -108,8 +143,10 @@
             this->connection = this->state->takeIdle(pool);
             if (this->connection)
                 return this->write();
-            if (pool.open >= this->state->options.connectionLimit)
-                return this->finishWith({ SendFailureKind::TooManyConnections, true, "every connection is in use" });
+            if (pool.open >= this->state->options.connectionLimit || !this->state->makeRoom(this->plan.endpoint)) {
+                this->state->forgetUnused(this->plan.endpoint);
+                return this->finishLater({ SendFailureKind::TooManyConnections, true, "every connection is in use" });
+            }
             this->connect(pool);
         }
 
@@ -118,9 +155,12 @@
         {
             beast::error_code error;
             const auto address = boost::asio::ip::make_address(this->plan.endpoint.address, error);
-            if (error)
-                return this->finishWith({ SendFailureKind::ConnectFailed, true, "not an IP address" });
+            if (error) {
+                this->state->forgetUnused(this->plan.endpoint);
+                return this->finishLater({ SendFailureKind::ConnectFailed, true, "not an IP address" });
+            }
             ++pool.open;
+            ++this->state->open;
             this->connection = std::make_unique<Connection>(this->state->context);
             this->connection->stream.expires_after(std::min(this->state->options.connectTimeout, this->remaining()));
             this->connection->stream.async_connect(tcp::endpoint(address, this->plan.endpoint.port),
@@ -246,7 +286,7 @@
         void dropAfterSend(beast::error_code error)
         {
             if (error == beast::error::timeout) {
-                State::closeIdle(this->state->pools[this->plan.endpoint]);
+                this->state->closeIdle(this->plan.endpoint);
                 return this->drop({ SendFailureKind::AnswerTimeout, false, "no answer in time" });
             }
             const bool isLost = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == boost::asio::error::get_system_category();
@@ -261,13 +301,19 @@
 
         void finishWith(SendFailure failure) { this->plan.completion(tl::unexpected(std::move(failure))); }
 
+        // finishLater() completes after send() has returned, so that no caller is entered again from its own call.
+        void finishLater(SendFailure failure)
+        {
+            boost::asio::post(this->state->context, [self = this->shared_from_this(), failure = std::move(failure)]() mutable { self->finishWith(std::move(failure)); });
+        }
+
         void keepConnection(bool isReusable)
         {
             Pool& pool = this->state->pools[this->plan.endpoint];
             if (!isReusable) {
                 this->connection.reset();
-                --pool.open;
-                return;
+                this->state->noteClosed(pool, 1);
+                return this->state->forgetUnused(this->plan.endpoint);
             }
             this->connection->stream.expires_never();
             this->connection->buffer.shrink_to_fit(); // idle connections hold no memory
@@ -288,7 +334,7 @@
 } // namespace internal
 
 HttpClient::HttpClient(IoLoop& loop, Options options)
-    : state(std::shared_ptr<State>(new State { loop.internals().context, options, {} }))
+    : state(std::shared_ptr<State>(new State { loop.internals().context, options, {}, 0 }))
 {
 }
 
@@ -312,7 +358,7 @@
 
 void HttpClient::closeIdle(const Endpoint& endpoint)
 {
-    State::closeIdle(this->state->pools[endpoint]);
+    this->state->closeIdle(endpoint);
 }
 
 tl::expected<HttpResponse, SendFailure> sendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
