entry: an agent asks workers for polls of at most 2 s

A poll with a wait of a month kept its connection for as long, so that one client could keep the connections of an agent from its leaders. AgentDelivery_pollAsksForLongWait_... fails without the bound by construction (the worker is asked for 86,400,000 ms).

--- a/packages/entry/agent_delivery_test.cc
+++ b/packages/entry/agent_delivery_test.cc
@@ -31,7 +31,10 @@
     }
 
     constexpr WorkerProtocol protocol {
-        .encodePoll = [](const PollWorker&) { return requestOf("poll", {}); },
+        .encodePoll = [](const PollWorker& call) {
+            HttpRequest request = requestOf("poll", {});
+            request.target += "/" + std::to_string(toMilliseconds(call.wait));
+            return request; },
         .encodeStart = [](const StartTask& call) {
             HttpRequest request = requestOf("start", call.run);
             request.target += "/" + call.spec;
@@ -248,6 +251,14 @@
     CHECK(counter->value == 1);
 }
 
+// Polls that wait for long would keep the connections of an agent from its leaders.
+TEST_CASE_METHOD(AgentDeliveryFixture, "AgentDelivery_pollAsksForLongWait_workerIsAskedForShortOne", "[agent]")
+{
+    const PollWorker poll { .to = this->address(), .deadline = 5000, .acknowledged = 0, .wait = std::chrono::hours(24) };
+    REQUIRE(this->exchange({ .session = 1, .sentAt = clock(), .wait = Duration(0), .calls = { { .number = 1, .call = poll } }, .unreadable = {} }));
+    CHECK(this->worker.waitFor([](const auto& calls) { return std::find(calls.begin(), calls.end(), "/poll/0/2000") != calls.end(); }));
+}
+
 TEST_CASE_METHOD(AgentDeliveryFixture, "AgentDelivery_tooManyLeaders_areRefused", "[agent]")
 {
     std::size_t taken = 0;
--- a/packages/entry/duties/agent_duty.cc
+++ b/packages/entry/duties/agent_duty.cc
@@ -13,6 +13,7 @@
     constexpr Duration maxTransferTime = std::chrono::seconds(1); // of a call; a start is valid for no longer
     constexpr Duration gatherTime = std::chrono::milliseconds(5); // of results
     constexpr Duration maxWait = std::chrono::seconds(5);
+    constexpr Duration maxPollWait = std::chrono::seconds(2); // of a worker before it answers; a waiting poll occupies a connection
     constexpr Duration reportInterval = std::chrono::seconds(1);
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusMalformed = 400;
@@ -115,7 +116,7 @@
     if (this->isReporting)
         return;
     this->isReporting = true;
-    this->loop.post([this] { this->reportMetrics(); });
+    this->loop.after(reportInterval, [this] { this->reportMetrics(); }); // malformed exchanges don't fill the journal
 }
 
 void AgentDuty::forgetSessions(Instant now)
@@ -133,6 +134,8 @@
             return this->ended(session.first, { .number = call.number, .status = WorkerCallStatus::NotSent });
         start->spec = *spec;
     }
+    if (auto* poll = std::get_if<PollWorker>(&call.call))
+        poll->wait = std::min(poll->wait, maxPollWait);
     std::visit([&](const auto& value) { this->deliver(session.first, call, value); }, call.call);
 }
 
