Free a task whose start its worker can no longer carry out

Cause: a report without the run led to a stop (`unclear-start`), whatever its time. If that stop had no answer, the run counted as on its worker until the lease and silentRunRetention had passed, 20 s.

Why the fix works: the worker rejects a start after its deadline by its own clock, so that a report of a later clock that names neither the run nor its end proves that it never begins. The margin of 1 s covers a start that the next incarnation carries out: without it, Leader_startCarriedOutLateAfterRestartOfWorker_taskDoesNotRunTwice fails.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -87,6 +87,7 @@
         AgentChoice::Options agents {};
         DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, within which a start has to arrive
         std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
+        Duration lateStartTimeout { std::chrono::seconds(1) }; // after the deadline of a start, for which the next incarnation of its worker, whose clock is behind, may still carry it out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
         Duration unhealthyCooldown { std::chrono::milliseconds(1500) }; // of a worker that reported itself unhealthy, rejected a start or could not be reached
--- a/packages/scheduling/dispatcher_placement.cc
+++ b/packages/scheduling/dispatcher_placement.cc
@@ -254,6 +254,8 @@
     RunAllocation allocation = this->allocationFor(job, step);
     this->observeStart(job, task, worker, allocation, context.now);
     allocation.sentAt = context.now;
+    const std::int64_t deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0);
+    allocation.startDeadline = deadline;
     if (wasAbsent)
         allocation.returnedAt = context.now;
     if (step.isBestEffort)
@@ -268,7 +270,7 @@
     const std::size_t bytes = this->chargeStart(job, taskExecution, address.agent);
     this->startWindow.sent(bytes);
     this->startsUnderWay[id] = { bytes, context.now };
-    context.add(StartTask { .to = address, .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = worker.deadlineAt(context.now, this->options.startValidity).value_or(0), .expiresAt = expiresAt });
+    context.add(StartTask { .to = address, .run = id, .spec = job.definition().spec, .checkpoint = taskExecution.checkpoint, .deadline = deadline, .expiresAt = expiresAt });
     context.add(LogDecision { DecisionEvent::TaskStarted, formatRun(id), worker.entry.id.value(), "placed", this->followedVersion, context.wallTime - job.definition().acceptedAt, this->viewAge(context.now) });
 }
 
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -361,6 +361,8 @@
 void Dispatcher::handleMissingRun(FleetWorker& worker, const TaskRunId& run, const PollEnded& end, CommandContext& context)
 {
     RunAllocation& allocation = worker.runs.at(run);
+    if (FleetWorker::hasNeverBegun(allocation, end.clock - toMilliseconds(this->options.lateStartTimeout)))
+        return this->markRunLost(worker, run, RunLossCause::NeverBegun, context);
     if (allocation.isStopping) {
         // A run that was seen, or whose stop was answered, cannot appear again. The start of any other may still arrive.
         const bool isStopFinal = allocation.isStopConfirmed || allocation.firstConfirmedAt != Instant();
@@ -411,7 +413,8 @@
 
 void Dispatcher::markRunLost(FleetWorker& worker, const TaskRunId& run, RunLossCause cause, CommandContext& context)
 {
-    this->observeEnd(worker, run, cause == RunLossCause::Stopped ? RunResult::Withdrawn : RunResult::Lost, context.now);
+    const bool saysNothing = cause == RunLossCause::Stopped || cause == RunLossCause::NeverBegun;
+    this->observeEnd(worker, run, saysNothing ? RunResult::Withdrawn : RunResult::Lost, context.now);
     this->fleet.release(worker, run);
     this->orphanedRuns.erase(run);
     JobExecution* job = this->findJobExecution(run.task.job);
--- a/packages/scheduling/fleet.h
+++ b/packages/scheduling/fleet.h
@@ -34,6 +34,7 @@
     Instant stopRequestedAt {};
     Instant returnedAt {}; // when a long-running run began after an absence; zero: it did not
     Instant sentAt {}; // when its start was decided; zero: a former leader has started it
+    std::optional<std::int64_t> startDeadline {}; // StartTask::deadline; nothing: a former leader has started it
     Instant firstConfirmedAt {}; // when it was first known to run; zero: not yet
     Instant lastConfirmedAt {}; // when a start was last answered or a report last named it
     Duration latencyTarget { 0 };
@@ -167,6 +168,10 @@
     // leaseEndOf() is the time by which every lease on a run has expired on the worker.
     Instant leaseEndOf(const RunAllocation& run) const { return run.lastReportNumber == 0 ? std::max(this->leaseEnd, this->unknownIncarnationLeaseEnd) : this->leaseEnd; }
 
+    // hasNeverBegun() says whether a report that was made at `clock` on the worker's clock, and names neither the run nor its end,
+    // proves that the worker has not carried out its start and will not do so.
+    static bool hasNeverBegun(const RunAllocation& run, std::int64_t clock) { return run.lastReportNumber == 0 && run.firstConfirmedAt == Instant() && run.startDeadline && clock > *run.startDeadline; }
+
     // isRestartListed() says whether the list, read since the poll that was last answered was sent, shows another incarnation
     // than that answer. What is known of the runs, the ends and the clock of the worker does not hold for it.
     bool isRestartListed() const;
--- a/packages/scheduling/lost_run_test.cc
+++ b/packages/scheduling/lost_run_test.cc
@@ -250,6 +250,28 @@
     CHECK(this->maxConcurrentRuns == 1);
 }
 
+// A start that was never carried out holds its task for as long as its worker is silent, although a report proves that it is too late.
+TEST_CASE_METHOD(LostRunFixture, "Leader_reportAfterDeadlineOfUnansweredStartLacksRun_taskIsStartedElsewhere", "[lost-run]")
+{
+    const std::pair<std::string, WorkerId> link("a", WorkerId("w1"));
+    this->startsToDelay = 1;
+    this->startDelay = std::chrono::minutes(1);
+    this->stopsToLose = 100;
+    REQUIRE(this->submit("a", job, { stepOfTasks(1, 4) }) == ReplyStatus::Accepted);
+    this->run({ "a" }, std::chrono::milliseconds(100));
+    REQUIRE(this->delayedStarts.size() == 1);
+    this->addWorker("w2", 16);
+    this->listWorker("a", "w2");
+    this->cutLinks.insert(link);
+    this->run({ "a" }, this->dispatcherOptions.startValidity + this->dispatcherOptions.lateStartTimeout + settlingTime);
+    this->cutLinks.erase(link);
+    this->run({ "a" }, settlingTime);
+    this->cutLinks.insert(link);
+    this->run({ "a" }, std::chrono::seconds(2));
+    CHECK(this->runningOf(job).size() == 1);
+    CHECK(this->maxConcurrentRuns == 1);
+}
+
 TEST_CASE_METHOD(LostRunFixture, "Leader_olderIncarnationAnswersAfterNewerOne_runsOfNewerOneAreNotStartedAgain", "[lost-run]")
 {
     this->w1().restart(this->now);
--- a/packages/scheduling/worker_types.h
+++ b/packages/scheduling/worker_types.h
@@ -104,6 +104,7 @@
     WorkerReplaced, // another worker has answered at its address
     NotReported, // the worker has answered and no longer has it
     Stopped, // the same after a stop
+    NeverBegun, // the same after the deadline of its start, which was not confirmed: the worker rejects that start from now on
 };
 
 inline constexpr NameTable runLossCauseNames { std::to_array<NameEntry<RunLossCause>>({
@@ -112,15 +113,16 @@
     { RunLossCause::WorkerReplaced, "worker-replaced" },
     { RunLossCause::NotReported, "not-reported" },
     { RunLossCause::Stopped, "stopped" },
+    { RunLossCause::NeverBegun, "never-begun" },
 }) };
-static_assert(runLossCauseNames.isWhole(RunLossCause::Stopped));
+static_assert(runLossCauseNames.isWhole(RunLossCause::NeverBegun));
 
 // isReportedLoss() returns true if the incarnation that had the run has answered this leader without it. Any other loss may be
 // known better by a successor, which may have read the end of the run before another incarnation answered, or go on extending
 // its lease.
 constexpr bool isReportedLoss(RunLossCause cause)
 {
-    return cause == RunLossCause::NotReported || cause == RunLossCause::Stopped;
+    return cause == RunLossCause::NotReported || cause == RunLossCause::Stopped || cause == RunLossCause::NeverBegun;
 }
 
 } // namespace dragonflytray
