Do not count a run whose lease has expired as work of its job

Cause: the end of a short run may still be read from a worker that is listed and silent, so that the run is kept for silentRunRetention after its lease. A kept run counted as at work, and a best-effort task may start at a reduced speed only when nothing of its job is at work.

Why the fix works: the stage Lapsed tells a run that may still be reported as ended from one that may be running.

--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -342,8 +342,9 @@
     void expectLateStarts(FleetWorker& worker, CommandContext& context);
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     // giveUpLapsedRuns() gives up the runs of a silent worker whose lease has expired. A worker that goes on listing itself keeps the
-    // ends of its runs, so that a short run which may have ended as done is kept for longer.
+    // ends of its runs, so that a short run which may have ended as done is kept for longer: markRunLapsed() records that it does not run.
     void giveUpLapsedRuns(FleetWorker& worker, CommandContext& context);
+    void markRunLapsed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
     // Crashes of workers. endOf() returns the end of a worker with the runs that may have caused it, before these are given up;
--- a/packages/scheduling/dispatcher_passes.cc
+++ b/packages/scheduling/dispatcher_passes.cc
@@ -172,7 +172,7 @@
 
 bool Dispatcher::hasWaitedTooLong(const JobExecution& job, Instant now) const
 {
-    return !job.hasTaskOnWorker() && now >= job.idleSince() + this->options.bestEffortWaitLimit;
+    return !job.hasTaskAtWork() && now >= job.idleSince() + this->options.bestEffortWaitLimit;
 }
 
 void Dispatcher::updatePause(CommandContext& context)
--- a/packages/scheduling/dispatcher_reports.cc
+++ b/packages/scheduling/dispatcher_reports.cc
@@ -289,7 +289,7 @@
     TaskExecution* taskExecution = job ? job->taskExecution(task.id.task) : nullptr;
     if (!taskExecution || taskExecution->run != task.id.run)
         return;
-    if (taskExecution->stage == TaskStage::Starting || taskExecution->stage == TaskStage::Unclear) {
+    if (taskExecution->stage == TaskStage::Starting || taskExecution->stage == TaskStage::Unclear || taskExecution->stage == TaskStage::Lapsed) {
         this->markRunning(*job, task.id.task, context);
         this->applyStartSpeed(worker, task.id, context);
         this->workerHealth.startAccepted(allocation.observedRun, context.now);
@@ -379,9 +379,11 @@
     const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
     if (!taskExecution || taskExecution->run != run.run)
         return this->stopRun(worker, run, "unwanted", context);
-    if (taskExecution->stage == TaskStage::Unclear && end.sentAt > taskExecution->since)
+    const bool isUnclear = taskExecution->stage == TaskStage::Unclear || (taskExecution->stage == TaskStage::Lapsed && allocation.lastConfirmedAt == Instant());
+    if (isUnclear && end.sentAt > taskExecution->since)
         return this->stopRun(worker, run, "unclear-start", context);
-    if (taskExecution->stage == TaskStage::Running && end.sentAt > allocation.lastConfirmedAt && end.sentAt > taskExecution->since)
+    const bool wasRunning = taskExecution->stage == TaskStage::Running || taskExecution->stage == TaskStage::Lapsed;
+    if (wasRunning && end.sentAt > allocation.lastConfirmedAt && end.sentAt > taskExecution->since)
         this->markRunLost(worker, run, RunLossCause::NotReported, context);
 }
 
@@ -453,7 +455,7 @@
         allocation.isStopConfirmed = false;
         JobExecution* job = this->findJobExecution(run.task.job);
         const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
-        if (taskExecution && taskExecution->run == run.run && taskExecution->stage == TaskStage::Stopping)
+        if (taskExecution && taskExecution->run == run.run && (taskExecution->stage == TaskStage::Stopping || taskExecution->stage == TaskStage::Lapsed))
             job->setStage(run.task, TaskStage::Unclear, context.now);
     }
 }
@@ -466,6 +468,8 @@
         const bool hasLapsed = context.now >= worker.leaseEndOf(allocation);
         if (hasLapsed && (!mayReportEnds || allocation.isLongRunning))
             runs.push_back(run);
+        else if (hasLapsed)
+            this->markRunLapsed(worker, run, context);
     }
     if (!runs.empty() && !worker.entry.isDraining)
         this->crashSuspects.keepLapsed(worker, context.now);
@@ -473,6 +477,17 @@
         this->markRunLost(worker, run, RunLossCause::LeaseLapsed, context);
 }
 
+void Dispatcher::markRunLapsed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context)
+{
+    JobExecution* job = this->findJobExecution(run.task.job);
+    const TaskExecution* taskExecution = job ? job->taskExecution(run.task) : nullptr;
+    const bool isCurrent = taskExecution && taskExecution->run == run.run && taskExecution->worker == worker.entry.id;
+    if (!isCurrent || taskExecution->stage == TaskStage::Starting || !mayBeAtWork(taskExecution->stage)) // the end of a start under way says more
+        return;
+    job->setStage(run.task, TaskStage::Lapsed, context.now);
+    this->needsPass = true;
+}
+
 void Dispatcher::markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context)
 {
     while (!worker.runs.empty())
--- a/packages/scheduling/dispatcher_waits.cc
+++ b/packages/scheduling/dispatcher_waits.cc
@@ -22,7 +22,7 @@
     bool isAbsent(const TaskExecution& taskExecution, bool isLongRunning)
     {
         const TaskStage stage = taskExecution.stage;
-        return stage == TaskStage::Waiting || stage == TaskStage::Unaccounted || (isLongRunning && (stage == TaskStage::Stopping || stage == TaskStage::Unclear));
+        return stage == TaskStage::Waiting || stage == TaskStage::Unaccounted || stage == TaskStage::Lapsed || (isLongRunning && (stage == TaskStage::Stopping || stage == TaskStage::Unclear));
     }
 
     // beginOfAbsence() is the time since which the task is known not to run.
--- a/packages/scheduling/job_execution.cc
+++ b/packages/scheduling/job_execution.cc
@@ -140,7 +140,7 @@
         stepExecution.done += taskExecution.stage == TaskStage::Done ? 1 : 0;
         stepExecution.waiting += taskExecution.stage == TaskStage::Waiting ? 1 : 0;
     }
-    if (this->waitingTasks == 0 && this->tasksOnWorkers == 0)
+    if (this->waitingTasks == 0 && this->tasksAtWork == 0)
         this->lastIdleSince = now;
     this->waitingTasks += stepExecution.waiting;
     this->stepExecutions.emplace(this->stepExecutionNumber(occurrence, step), std::move(stepExecution));
@@ -187,12 +187,12 @@
     }
     if (taskExecution.stage == TaskStage::Running)
         taskExecution.absentSince = now;
-    if (isOnWorker(taskExecution.stage))
-        --this->tasksOnWorkers;
-    if (isOnWorker(stage))
-        ++this->tasksOnWorkers;
+    if (mayBeAtWork(taskExecution.stage))
+        --this->tasksAtWork;
+    if (mayBeAtWork(stage))
+        ++this->tasksAtWork;
     const bool mayHaveRun = taskExecution.stage == TaskStage::Running || taskExecution.stage == TaskStage::Stopping;
-    if (mayHaveRun && this->tasksOnWorkers == 0)
+    if (mayHaveRun && this->tasksAtWork == 0)
         this->lastIdleSince = now;
     taskExecution.stage = stage;
     taskExecution.since = now;
--- a/packages/scheduling/job_execution.h
+++ b/packages/scheduling/job_execution.h
@@ -24,6 +24,7 @@
     Unclear, // the start was not answered; the run may or may not exist
     Running,
     Stopping, // a stop was requested; the worker has not reported the end yet
+    Lapsed, // its worker does not answer and its lease has expired, so that it does not run; the worker may still report its end
     Done,
 };
 
@@ -34,16 +35,23 @@
     { TaskStage::Unclear, "unclear" },
     { TaskStage::Running, "running" },
     { TaskStage::Stopping, "stopping" },
+    { TaskStage::Lapsed, "lapsed" },
     { TaskStage::Done, "done" },
 }) };
 static_assert(taskStageNames.isWhole(TaskStage::Done));
 
-// isOnWorker() returns true if a task in `stage` has to be assumed to occupy resources of a worker.
-constexpr bool isOnWorker(TaskStage stage)
+// mayBeAtWork() returns true if a run of a task in `stage` may be running.
+constexpr bool mayBeAtWork(TaskStage stage)
 {
     return stage == TaskStage::Starting || stage == TaskStage::Unclear || stage == TaskStage::Running || stage == TaskStage::Stopping;
 }
 
+// isOnWorker() returns true if the last run of a task in `stage` belongs to a worker, which may be running it or may report its end.
+constexpr bool isOnWorker(TaskStage stage)
+{
+    return mayBeAtWork(stage) || stage == TaskStage::Lapsed;
+}
+
 // PlacementOutcome is the result of trying to start one task, or why it was not tried.
 enum class PlacementOutcome {
     Started,
@@ -204,9 +212,9 @@
     const JobDefinition& definition() const { return this->record->definition; }
     const JobProgress& progress() const { return this->currentProgress; }
     std::map<std::uint32_t, StepExecution>& openSteps() { return this->stepExecutions; }
-    // hasTaskOnWorker() returns true if a run of some task may be on a worker.
-    bool hasTaskOnWorker() const { return this->tasksOnWorkers > 0; }
-    // idleSince() returns the time since which no run of the job has been at work, while !hasTaskOnWorker(). A start that a worker
+    // hasTaskAtWork() returns true if a run of some task may be running.
+    bool hasTaskAtWork() const { return this->tasksAtWork > 0; }
+    // idleSince() returns the time since which no run of the job has been at work, while !hasTaskAtWork(). A start that a worker
     // rejected does not count as work.
     Instant idleSince() const { return this->lastIdleSince; }
     std::uint32_t waiting() const { return this->waitingTasks; }
@@ -258,7 +266,7 @@
     std::uint64_t recordedGeneration { 0 };
     std::map<std::uint32_t, StepExecution> stepExecutions; // of open steps, by stepExecutionNumber()
     std::uint32_t waitingTasks { 0 }; // tasks of open steps in stage Waiting
-    std::uint32_t tasksOnWorkers { 0 }; // the same for which isOnWorker() holds
+    std::uint32_t tasksAtWork { 0 }; // the same for which mayBeAtWork() holds
     Instant lastIdleSince; // as idleSince()
 };
 
