--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -87,6 +87,7 @@
         AgentChoice::Options agents {};
         DeliveryWindow::Options startWindow {}; // of starts under way to all workers; its target is half of startValidity, within which a start has to arrive
         std::size_t startOverheadBytes { 500 }; // of a start besides the job's spec and the checkpoint
+        Duration lateStartMargin { std::chrono::seconds(1) }; // after the deadline of a start, for which the next incarnation of its worker, whose clock is behind, may still carry it out
         Duration stopTimeout { std::chrono::milliseconds(400) }; // within which a worker ends a run after a stop
         Duration stopRetryDelay { std::chrono::milliseconds(500) };
         Duration unhealthyCooldown { std::chrono::milliseconds(1500) }; // of a worker that reported itself unhealthy, rejected a start or could not be reached
@@ -342,8 +343,9 @@
     void expectLateStarts(FleetWorker& worker, CommandContext& context);
     void markRunsLost(FleetWorker& worker, RunLossCause cause, CommandContext& context);
     // giveUpLapsedRuns() gives up the runs of a silent worker whose lease has expired. A worker that goes on listing itself keeps the
-    // ends of its runs, so that a short run which may have ended as done is kept for longer.
+    // ends of its runs, so that a short run which may have ended as done is kept for longer: markRunLapsed() records that it does not run.
     void giveUpLapsedRuns(FleetWorker& worker, CommandContext& context);
+    void markRunLapsed(const FleetWorker& worker, const TaskRunId& run, CommandContext& context);
     void handleFailedPoll(FleetWorker& worker, const PollEnded& end, CommandContext& context);
 
     // Crashes of workers. endOf() returns the end of a worker with the runs that may have caused it, before these are given up;
