Log open connections and unanswered requests when the duty towards callers ends

Under planned work a client's connection was closed with a whole request on it (docs/incidents/lost-requests-at-shutdown.md). The log of the host does not say which connections the process ended with, nor whether the request was with a duty, arriving, or unread in its socket.

The duty towards callers logs one line when its loop has ended: open connections by phase, those with bytes that have not been read, and requests without a whole answer. The gauge dragonflytray_client_connections{listener, phase} shows the same numbers while the process runs.

--- a/packages/entry/duties/front_duty.cc
+++ b/packages/entry/duties/front_duty.cc
@@ -33,6 +33,12 @@
             metrics.push_back({ "dragonflytray_client_refusals_total", MetricKind::Counter, { { "listener", listener }, { "cause", std::string(name) } }, static_cast<double>(counts[cause]) });
     }
 
+    void appendConnections(std::vector<Metric>& metrics, const std::string& listener, const ConnectionCounts& counts)
+    {
+        for (const auto& [phase, name] : connectionPhaseNames)
+            metrics.push_back({ "dragonflytray_client_connections", MetricKind::Gauge, { { "listener", listener }, { "phase", std::string(name) } }, static_cast<double>(counts[phase]) });
+    }
+
 } // namespace
 
 FrontDuty::FrontDuty(const EntrySettings& settings, EntryRings& rings, const CallerProtocol& protocol)
@@ -57,6 +63,26 @@
     return {};
 }
 
+void FrontDuty::run()
+{
+    this->loop.run();
+    this->logEnd();
+}
+
+void FrontDuty::logEnd() const
+{
+    const std::size_t connections = this->callers.openConnections();
+    const std::size_t requests = this->callers.openRequests();
+    std::string sentence = "The duty towards callers ends with " + std::to_string(connections) + " open connections";
+    const ConnectionCounts counts = this->callers.connectionCounts();
+    for (const auto& [phase, name] : connectionPhaseNames) {
+        if (counts[phase] > 0)
+            sentence += ", " + std::string(name) + " " + std::to_string(counts[phase]);
+    }
+    sentence += ", with unread bytes " + std::to_string(this->callers.unreadConnections()) + "; requests without a whole answer: " + std::to_string(requests) + ".";
+    (requests > 0 ? logWarning : logInfo)(LogPart::Callers, sentence);
+}
+
 void FrontDuty::serveProbe(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
     if (this->protocol.isReadinessProbe(request))
@@ -70,6 +96,7 @@
     MetricsSnapshot snapshot { "front", {} };
     appendRefused(snapshot.metrics, "callers", this->callers.refusals());
     appendRefused(snapshot.metrics, "readiness", this->probes.refusals());
+    appendConnections(snapshot.metrics, "callers", this->callers.connectionCounts());
     if (this->metrics)
         appendRefused(snapshot.metrics, "metrics", this->metrics->refusals());
     (void)this->rings.journal.tryPush(std::move(snapshot));
--- a/packages/entry/duties/front_duty.h
+++ b/packages/entry/duties/front_duty.h
@@ -16,13 +16,15 @@
     // start() listens; a sentence that says why not.
     tl::expected<void, std::string> start();
 
-    void run() { this->loop.run(); }
+    // run() returns after stop(), and logs the requests that have no whole answer then.
+    void run();
     void stop() { this->loop.stop(); }
 
     // openRequests() is the number of calls without an answer. Thread-safe.
     std::size_t openRequests() const { return this->open.load(); }
 
 private:
+    void logEnd() const;
     void serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply);
     void serveProbe(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
     void serveMetrics(std::shared_ptr<HttpReply> reply);
--- a/packages/transport/connection_table.cc
+++ b/packages/transport/connection_table.cc
@@ -66,6 +66,14 @@
     this->shortageEnd = now + shortageDuration;
 }
 
+ConnectionCounts ConnectionTable::counts() const
+{
+    ConnectionCounts result {};
+    for (const auto& [phase, name] : connectionPhaseNames)
+        result[phase] = this->phases[phase].size();
+    return result;
+}
+
 bool ConnectionTable::isFull(Instant now) const
 {
     const bool isShort = this->shortageEnd && now < *this->shortageEnd;
--- a/packages/transport/connection_table.h
+++ b/packages/transport/connection_table.h
@@ -38,6 +38,9 @@
 }) };
 static_assert(connectionPhaseNames.isWhole(ConnectionPhase::Closing));
 
+// ConnectionCounts counts connections by phase.
+using ConnectionCounts = EnumArray<ConnectionPhase, std::size_t, connectionPhaseNames.size()>;
+
 enum class ConnectionId : std::uint64_t {};
 
 // ConnectionTable decides; every operation takes constant time. Times do not decrease from call to call. Not thread-safe.
@@ -68,6 +71,9 @@
 
     std::size_t size() const { return this->places.size(); }
 
+    // counts() is the number of connections in each phase.
+    ConnectionCounts counts() const;
+
     // receivedBytes() is the bytes of all incomplete requests.
     std::size_t receivedBytes() const { return this->received; }
 
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -2,6 +2,7 @@
 
 #include "transport/internal/http_connection.h"
 #include "transport/internal/io_loop_internals.h"
+#include <algorithm>
 
 namespace dragonflytray {
 
@@ -111,6 +112,17 @@
     return this->state->table.size();
 }
 
+ConnectionCounts HttpServer::connectionCounts() const
+{
+    return this->state->table.counts();
+}
+
+std::size_t HttpServer::unreadConnections() const
+{
+    const auto hasUnread = [](const auto& entry) { return entry.second->hasUnreadBytes(); };
+    return static_cast<std::size_t>(std::count_if(this->state->connections.begin(), this->state->connections.end(), hasUnread));
+}
+
 const ClientRefusalCounts& HttpServer::refusals() const
 {
     return this->state->refusals.counts();
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -3,6 +3,7 @@
 // An HTTP/1.1 server with limits on everything that comes from outside.
 
 #include "transport/client_refusal.h"
+#include "transport/connection_table.h"
 #include "transport/http_message.h"
 #include "transport/io_loop.h"
 #include <functional>
@@ -79,6 +80,13 @@
     // openConnections() is the number of connections, idle ones included.
     std::size_t openConnections() const;
 
+    // connectionCounts() is the number of connections in each phase.
+    ConnectionCounts connectionCounts() const;
+
+    // unreadConnections() is the number of connections with bytes that have arrived and have not been read. One call of the kernel
+    // for each connection.
+    std::size_t unreadConnections() const;
+
     // refusals() counts refused requests and ended connections by cause.
     const ClientRefusalCounts& refusals() const;
 
--- a/packages/transport/internal/http_connection.cc
+++ b/packages/transport/internal/http_connection.cc
@@ -167,6 +167,12 @@
     this->stream.async_read_some(boost::asio::buffer(this->firstBytes), [self = this->shared_from_this()](Error error, std::size_t count) { self->firstBytesRead(error, count); });
 }
 
+bool HttpConnection::hasUnreadBytes() const
+{
+    Error error;
+    return this->stream.socket().available(error) > 0 && !error;
+}
+
 void HttpConnection::terminate()
 {
     this->isTerminated = true;
--- a/packages/transport/internal/http_connection.h
+++ b/packages/transport/internal/http_connection.h
@@ -53,6 +53,9 @@
     // awaitRequest() waits for the next request, without a buffer if none of it has arrived.
     void awaitRequest();
 
+    // hasUnreadBytes() says whether bytes are in the socket.
+    bool hasUnreadBytes() const;
+
     // terminate() closes the socket at once.
     void terminate();
 
