End the drain with the callers' connections instead of at a quiet moment

Cause: drain() returned at the first moment after 2.6 s at which no request was open. The listener and idle connections stayed open, and a request that was received between that moment and the end of the loop was dropped.

HttpServer::stopAccepting() serves the connections that wait in the kernel, closes the listening socket, closes idle connections on which nothing has arrived, closes others after their last response, refuses a request that stays incomplete, and reports when no connection is left. The drain waits for that report and no longer asks every 100 ms. A read that has ended when an idle connection is closed keeps its result, so a request that has been read is always answered. At the limit of the drain open calls get the status for an unclear outcome, and later ones are refused. The other daemon had the same end, polled every 20 ms, and uses this one now.

Tests on the code before, without those that use the new callback: HttpServer_stopsWhileConnectionIsIdle, _stopsWhileRequestIsArriving, _stopsAndRequestStaysIncomplete, _stopsWhileRequestsAreUnread (two requests) and SchedulerDaemon_requestIsArrivingWhenDelayOfBalancerIsOver failed; all pass now.

--- a/packages/daemon/duties/caller_duty.cc
+++ b/packages/daemon/duties/caller_duty.cc
@@ -4,8 +4,6 @@
 
 namespace {
 
-    constexpr Duration connectionLinger = std::chrono::seconds(1); // for idle connections after the listener closed
-    constexpr Duration drainPoll = std::chrono::milliseconds(20);
     constexpr Duration metricsInterval = std::chrono::milliseconds(500);
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusUnavailable = 503;
@@ -199,14 +197,13 @@
 
 void CallerDuty::closeListener()
 {
-    this->server.stopAccepting();
+    this->server.stopAccepting([this] { (void)this->rings.drained.tryPush(Drained {}); });
     while (!this->watches.empty()) {
         const ReplyToken token = this->watches.begin()->first;
         (void)this->rings.runners.tryPush(CloseWatch { token }, RingRoom::Reserved);
         this->on(WatchEnded { token, true });
         this->watches.erase(token);
     }
-    this->awaitDrained(BootClock::now() + connectionLinger);
 }
 
 void CallerDuty::reply(ReplyToken token, HttpResponse response)
@@ -218,17 +215,6 @@
     this->replies.erase(found);
 }
 
-void CallerDuty::awaitDrained(Instant lingerEnd)
-{
-    // A caller may be sending on a connection that was idle all the while: give it time to be answered.
-    const bool isQuiet = this->server.openConnections() == 0 || BootClock::now() >= lingerEnd;
-    if (isQuiet && this->server.openRequests() == 0) {
-        (void)this->rings.drained.tryPush(Drained {});
-        return;
-    }
-    this->loop.after(drainPoll, [this, lingerEnd] { this->awaitDrained(lingerEnd); });
-}
-
 void CallerDuty::reportMetrics()
 {
     MetricsSnapshot snapshot { "callers", {} };
--- a/packages/daemon/duties/caller_duty.h
+++ b/packages/daemon/duties/caller_duty.h
@@ -47,7 +47,6 @@
     void on(BeginShutdown message);
     void reply(ReplyToken token, HttpResponse response);
     void closeListener();
-    void awaitDrained(Instant lingerEnd);
     void reportMetrics();
 
     Rings& rings;
--- a/packages/daemon/messages.h
+++ b/packages/daemon/messages.h
@@ -81,7 +81,7 @@
 // Towards the peer duty.
 using PeerOutgoing = std::variant<SendHeartbeat, SendShareReport, SendShareGrant>;
 
-// Drained tells the main thread that no request is open any more.
+// Drained tells the main thread that no connection of a caller is left.
 struct Drained {
 };
 
--- a/packages/entry/duties/front_duty.cc
+++ b/packages/entry/duties/front_duty.cc
@@ -8,6 +8,7 @@
     constexpr std::size_t probeBodyLimit = 4 << 10; // bytes; probes have no body
     constexpr std::size_t probeReceiveBudget = 1 << 20; // bytes
     constexpr std::size_t probeConnections = 32;
+    constexpr Duration retryElsewhere = std::chrono::seconds(1); // another host takes the call
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusUnavailable = 503;
 
@@ -106,6 +107,8 @@
 
 void FrontDuty::serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply)
 {
+    if (this->isEnding)
+        return reply->send(this->protocol.encodeReply({ .status = ReplyStatus::Refused, .retryAfter = retryElsewhere }));
     const ReplyToken token = this->keep(std::move(reply));
     CallerCall call = this->protocol.decode(request, token);
     if (const auto* status = std::get_if<ReplyStatus>(&call))
@@ -127,7 +130,6 @@
 ReplyToken FrontDuty::keep(std::shared_ptr<HttpReply> reply)
 {
     this->replies.emplace(++this->lastToken, std::move(reply));
-    this->open = this->replies.size();
     return ReplyToken { this->lastToken };
 }
 
@@ -138,7 +140,6 @@
         return;
     found->second->send(std::move(response));
     this->replies.erase(found);
-    this->open = this->replies.size();
 }
 
 void FrontDuty::on(const ReplyToClient& message)
@@ -156,10 +157,22 @@
     this->isReady = message.isReady;
 }
 
-void FrontDuty::on(const BeginDrain&)
+void FrontDuty::on(const BeginDrain& message)
 {
     this->isReady = false;
     this->callers.announceClose();
+    this->loop.after(message.acceptFor, [this] {
+        this->callers.stopAccepting([this] { (void)this->rings.callersEnded.tryPush(CallersEnded {}); });
+    });
+}
+
+void FrontDuty::on(const EndDrain&)
+{
+    this->isEnding = true;
+    const auto open = std::exchange(this->replies, {});
+    // These calls are with the scheduling duty, which may have stored a job or not.
+    for (const auto& [token, reply] : open)
+        reply->send(this->protocol.encodeReply({ .token = ReplyToken { token }, .status = ReplyStatus::Unclear }));
 }
 
 void FrontDuty::on(const MetricsRendered& message)
--- a/packages/entry/duties/front_duty.h
+++ b/packages/entry/duties/front_duty.h
@@ -20,9 +20,6 @@
     void run();
     void stop() { this->loop.stop(); }
 
-    // openRequests() is the number of calls without an answer. Thread-safe.
-    std::size_t openRequests() const { return this->open.load(); }
-
 private:
     void logEnd() const;
     void serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply);
@@ -35,6 +32,7 @@
     void on(const QueueAnswered& message);
     void on(const HostReadiness& message);
     void on(const BeginDrain& message);
+    void on(const EndDrain& message);
     void on(const MetricsRendered& message);
 
     EntryRings& rings;
@@ -45,8 +43,8 @@
     std::optional<HttpServer> metrics;
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpReply>> replies; // by token
     std::uint64_t lastToken { 0 };
-    std::atomic<std::size_t> open { 0 };
     bool isReady { false };
+    bool isEnding { false }; // calls are refused
 };
 
 } // namespace dragonflytray
--- a/packages/entry/entry_messages.h
+++ b/packages/entry/entry_messages.h
@@ -27,8 +27,13 @@
     bool isReady { false };
 };
 
-// BeginDrain announces the end of the process to callers.
+// BeginDrain announces the end of the process to callers. Their connections end once no new ones are accepted.
 struct BeginDrain {
+    Duration acceptFor { 0 }; // new connections
+};
+
+// EndDrain answers the calls that are still open.
+struct EndDrain {
 };
 
 // MetricsRendered answers MetricsWanted.
@@ -38,7 +43,7 @@
 };
 
 // Towards the front duty.
-using FrontMessage = std::variant<ReplyToClient, QueueAnswered, HostReadiness, BeginDrain, MetricsRendered>;
+using FrontMessage = std::variant<ReplyToClient, QueueAnswered, HostReadiness, BeginDrain, EndDrain, MetricsRendered>;
 
 // Towards the worker duty.
 using WorkerCall = std::variant<PollWorker, StartTask, StopTask, SetTaskSpeed>;
@@ -58,6 +63,10 @@
 struct HandedOver {
 };
 
+// CallersEnded tells the main thread that no connection of a caller is left.
+struct CallersEnded {
+};
+
 // EntryRings joins the duties. One quarter of each is kept for answers, holds and ends.
 struct EntryRings {
     // Messages. A burst of submissions fills the first; the others carry a few messages a task.
@@ -70,6 +79,7 @@
     BoundedRing<StoreCall> store { { capacity, reserved } };
     BoundedRing<JournalMessage> journal { { capacity, reserved } };
     BoundedRing<HandedOver> handedOver { { 4, 0 } };
+    BoundedRing<CallersEnded> callersEnded { { 4, 0 } };
 };
 
 } // namespace dragonflytray
--- a/packages/entry/scheduler_daemon.cc
+++ b/packages/entry/scheduler_daemon.cc
@@ -12,10 +12,10 @@
 
 namespace {
 
-    // The balancer takes a host out after two missed probes, one a second; then calls in progress end.
+    // The balancer takes a host out after two missed probes, one a second.
     constexpr Duration balancerDelay = std::chrono::milliseconds(2600);
-    constexpr Duration drainStep = std::chrono::milliseconds(100);
     constexpr Duration stopReserve = std::chrono::milliseconds(800); // of the time until SIGKILL
+    constexpr Duration lastAnswers = std::chrono::milliseconds(300); // of the reserve, for answers at the end of the drain
 
 } // namespace
 
@@ -72,18 +72,17 @@
 
 void SchedulerDaemon::drain()
 {
-    const Instant begin = BootClock::now();
+    const Instant limit = BootClock::now() + this->duties->drainLimit;
     EntryRings& rings = this->duties->rings;
     (void)rings.scheduling.tryPush(SchedulerCommand(BeginHandover {}), RingRoom::Reserved);
-    (void)rings.front.tryPush(BeginDrain {}, RingRoom::Reserved);
-    bool isHandedOver = false;
-    while (BootClock::now() < begin + this->duties->drainLimit) {
-        isHandedOver = rings.handedOver.popWithin(drainStep).has_value() || isHandedOver;
-        const bool isQuiet = this->duties->front.openRequests() == 0;
-        if (isHandedOver && isQuiet && BootClock::now() >= begin + balancerDelay)
-            return;
-    }
-    logWarning(LogPart::Daemon, "The time to drain is over; calls that are open end without an answer.");
+    (void)rings.front.tryPush(BeginDrain { .acceptFor = balancerDelay }, RingRoom::Reserved);
+    if (!rings.handedOver.popWithin(limit - BootClock::now()))
+        logWarning(LogPart::Daemon, "The time to drain is over; not every lease is given up.");
+    if (rings.callersEnded.popWithin(limit - BootClock::now()))
+        return;
+    logWarning(LogPart::Daemon, "The time to drain is over; calls that are open are answered as unclear.");
+    (void)rings.front.tryPush(EndDrain {}, RingRoom::Reserved);
+    (void)rings.callersEnded.popWithin(lastAnswers);
 }
 
 void SchedulerDaemon::stop()
--- a/packages/entry/scheduler_daemon.h
+++ b/packages/entry/scheduler_daemon.h
@@ -27,7 +27,8 @@
     // start() listens and starts every duty; a sentence that says why not.
     tl::expected<void, std::string> start();
 
-    // drain() says "not ready", gives up every lease and serves on until the balancer has moved callers away.
+    // drain() says "not ready", gives up every lease, serves on until the balancer has moved callers away, and returns when no
+    // connection of a caller is left. At the limit for it, calls that are open are answered as unclear.
     void drain();
 
     // stop() ends every duty.
--- a/packages/transport/client_refusal.h
+++ b/packages/transport/client_refusal.h
@@ -24,6 +24,7 @@
     Replaced,
     ConnectionsFull,
     NoDescriptor,
+    ShuttingDown,
 };
 
 inline constexpr NameTable clientRefusalNames { std::to_array<NameEntry<ClientRefusal>>({
@@ -40,8 +41,9 @@
     { ClientRefusal::Replaced, "replaced" },
     { ClientRefusal::ConnectionsFull, "connections-full" },
     { ClientRefusal::NoDescriptor, "no-descriptor" },
+    { ClientRefusal::ShuttingDown, "shutting-down" },
 }) };
-static_assert(clientRefusalNames.isWhole(ClientRefusal::NoDescriptor));
+static_assert(clientRefusalNames.isWhole(ClientRefusal::ShuttingDown));
 
 // ClientRefusalCounts counts by cause since the start of the server.
 using ClientRefusalCounts = EnumArray<ClientRefusal, std::uint64_t, clientRefusalNames.size()>;
--- a/packages/transport/connection_table.cc
+++ b/packages/transport/connection_table.cc
@@ -74,6 +74,17 @@
     return result;
 }
 
+std::vector<ConnectionId> ConnectionTable::inPhaseSince(ConnectionPhase phase, Instant limit) const
+{
+    std::vector<ConnectionId> result;
+    for (const Entry& entry : this->phases[phase]) {
+        if (entry.since > limit)
+            break;
+        result.push_back(entry.id);
+    }
+    return result;
+}
+
 bool ConnectionTable::isFull(Instant now) const
 {
     const bool isShort = this->shortageEnd && now < *this->shortageEnd;
--- a/packages/transport/connection_table.h
+++ b/packages/transport/connection_table.h
@@ -17,6 +17,7 @@
 #include <list>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace dragonflytray {
 
@@ -74,6 +75,9 @@
     // counts() is the number of connections in each phase.
     ConnectionCounts counts() const;
 
+    // inPhaseSince() lists the connections that have been in the phase since `limit` or longer, the longest first.
+    std::vector<ConnectionId> inPhaseSince(ConnectionPhase phase, Instant limit) const;
+
     // receivedBytes() is the bytes of all incomplete requests.
     std::size_t receivedBytes() const { return this->received; }
 
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -4,6 +4,8 @@
 #include "transport/internal/io_loop_internals.h"
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
+
 namespace dragonflytray {
 
 using boost::asio::ip::tcp;
@@ -46,16 +48,28 @@
     void acceptNext(const std::shared_ptr<HttpServerState>& state)
     {
         state->acceptor.async_accept([state](SystemError error, tcp::socket socket) {
+            if (!error)
+                admit(state, std::move(socket));
             if (!state->acceptor.is_open())
                 return;
             if (error && error != boost::asio::error::connection_aborted)
                 return pauseAccepting(state);
-            if (!error)
-                admit(state, std::move(socket));
             acceptNext(state);
         });
     }
 
+    // admitPending() serves the connections that wait in the kernel; the close of the listening socket would reset them.
+    void admitPending(const std::shared_ptr<HttpServerState>& state)
+    {
+        SystemError error;
+        state->acceptor.non_blocking(true, error);
+        for (int count = 0; count < boost::asio::socket_base::max_listen_connections && !error; ++count) {
+            tcp::socket socket = state->acceptor.accept(error);
+            if (!error)
+                admit(state, std::move(socket));
+        }
+    }
+
 } // namespace
 
 HttpServer::HttpServer(IoLoop& loop, Options options, Handler handler)
@@ -63,7 +77,10 @@
 {
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+    this->state->ended = {}; // connections may outlive the server
+}
 
 tl::expected<Endpoint, std::string> HttpServer::start()
 {
@@ -90,11 +107,15 @@
     this->state->isStopping = true;
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::stopAccepting(std::function<void()> ended)
 {
     SystemError ignored;
     this->announceClose();
+    this->state->ended = std::move(ended);
+    admitPending(this->state);
     this->state->acceptor.close(ignored);
+    // A connection that has been accepted already is admitted by its handler, which runs before what is posted now.
+    boost::asio::post(this->state->acceptor.get_executor(), [state = this->state] { state->beginClose(); });
 }
 
 void HttpServer::silenceConnections()
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -48,6 +48,7 @@
         std::size_t streamBacklog { 256 }; // chunks queued for a slow reader
         Duration idleTimeout { std::chrono::seconds(60) }; // between requests, and of a response that the client does not read
         Duration requestTimeout { std::chrono::seconds(60) }; // from the first byte of a request until it is whole
+        Duration closeLinger { std::chrono::milliseconds(500) }; // for the first request of a new connection after stopAccepting()
         std::size_t bufferLimit { 64 << 10 }; // bytes of a connection that are not parsed yet: a chunk header or the trailers
         std::size_t fieldLimit { 128 }; // header fields and trailers of a request
         std::size_t wireLimit { 0 }; // bytes of a request with its framing; 0: twice `bodyLimit`, and the header and buffer limits
@@ -63,12 +64,16 @@
     // start() binds and listens; the bound endpoint, or a sentence that says why not.
     tl::expected<Endpoint, std::string> start();
 
-    // announceClose() makes every response from now on the last one of its connection. New connections
-    // are still accepted, so that callers move away without a request being cut off.
+    // announceClose() makes every response from now on the last one of its connection, unless another request has arrived behind it.
+    // New connections are still accepted, so that callers move away without a request being cut off.
     void announceClose();
 
-    // stopAccepting() closes the listening socket, and announces the close of open connections.
-    void stopAccepting();
+    // stopAccepting() accepts the connections that wait, closes the listening socket, announces the close and ends the connections
+    // without cutting off a request that has been read: an idle connection is closed once it has been idle for `closeLinger` and
+    // nothing has arrived on it, any other one after its last response. A request that is not whole after twice `closeLinger` is
+    // refused. `ended` is called once, on the loop's thread, when no connection is left; a client that does not read its response
+    // delays it. Call it once.
+    void stopAccepting(std::function<void()> ended = {});
 
     // silenceConnections() makes every connection that is open now swallow its requests for good, while
     // new connections work; for stand-ins that play a network which has lost track of connections.
--- a/packages/transport/internal/http_connection.cc
+++ b/packages/transport/internal/http_connection.cc
@@ -36,6 +36,7 @@
         {},
         {},
         {},
+        { 503, "shutting-down", "the host shuts down" },
     } };
 
     HttpResponse responseTo(ClientRefusal cause)
@@ -44,7 +45,7 @@
         HttpResponse response { .status = refusal.status };
         response.body = R"({"outcome":"not-run","reason":")";
         response.body.append(refusal.reason).append(R"(","detail":")").append(refusal.detail).append("\"}");
-        if (cause == ClientRefusal::ReceiveBudget)
+        if (cause == ClientRefusal::ReceiveBudget || cause == ClientRefusal::ShuttingDown)
             response.headers["retry-after"] = "1";
         return response;
     }
@@ -77,6 +78,7 @@
     , handler(std::move(handler))
     , acceptor(context)
     , acceptPause(context)
+    , closeTimer(context)
     , table({ .connectionLimit = this->options.connectionLimit, .receiveBudget = std::max(this->options.receiveBudget, memoryOfRequest(this->options)) }) // a single request is served
 {
 }
@@ -104,6 +106,40 @@
         this->connections.at(*victim)->refuseIncomplete(ClientRefusal::ReceiveBudget);
 }
 
+void HttpServerState::beginClose()
+{
+    this->closeConnections(ClosePass::LongIdle);
+    this->connectionEnded();
+}
+
+void HttpServerState::closeConnections(ClosePass pass)
+{
+    const Instant now = BootClock::now();
+    this->closePass = pass;
+    const bool isLast = pass == ClosePass::Last;
+    for (const ConnectionId id : this->table.inPhaseSince(ConnectionPhase::Idle, isLast ? now : now - this->options.closeLinger))
+        this->connections.at(id)->closeIdle();
+    if (isLast) {
+        for (const ConnectionId id : this->table.inPhaseSince(ConnectionPhase::Receiving, now))
+            this->connections.at(id)->refuseIncomplete(ClientRefusal::ShuttingDown);
+        return;
+    }
+    this->closeTimer.expires_after(this->options.closeLinger);
+    this->closeTimer.async_wait([self = this->shared_from_this(), pass](boost::system::error_code error) {
+        if (!error)
+            self->closeConnections(pass == ClosePass::LongIdle ? ClosePass::NewlyIdle : ClosePass::Last);
+    });
+}
+
+void HttpServerState::connectionEnded()
+{
+    if (this->closePass == ClosePass::None || this->table.size() > 0)
+        return;
+    this->closeTimer.cancel();
+    if (const auto callback = std::exchange(this->ended, {}))
+        callback();
+}
+
 // Reply is the handler's side of one request.
 class HttpConnection::Reply : public HttpReply {
 public:
@@ -152,6 +188,7 @@
     this->endRequest();
     this->state->table.close(this->id);
     this->state->connections.erase(this->id);
+    this->state->connectionEnded();
 }
 
 void HttpConnection::awaitRequest()
@@ -165,6 +202,8 @@
     this->enter(ConnectionPhase::Idle);
     this->stream.expires_after(this->state->options.idleTimeout);
     this->stream.async_read_some(boost::asio::buffer(this->firstBytes), [self = this->shared_from_this()](Error error, std::size_t count) { self->firstBytesRead(error, count); });
+    if (this->state->closePass == ClosePass::Last)
+        this->closeIdle();
 }
 
 bool HttpConnection::hasUnreadBytes() const
@@ -179,6 +218,13 @@
     this->state->table.close(this->id);
     this->state->connections.erase(this->id);
     this->stream.close();
+    this->state->connectionEnded();
+}
+
+void HttpConnection::closeIdle()
+{
+    // A read that has ended keeps its result, so that the handler of the read knows whether a request has begun.
+    this->stream.cancel();
 }
 
 void HttpConnection::refuseIncomplete(ClientRefusal cause)
@@ -191,7 +237,11 @@
 
 void HttpConnection::firstBytesRead(Error error, std::size_t count)
 {
-    if (error || this->isTerminated)
+    if (this->isTerminated)
+        return;
+    if (error == boost::asio::error::operation_aborted && this->hasUnreadBytes())
+        return this->awaitRequest();
+    if (error)
         return;
     this->enter(ConnectionPhase::Receiving);
     this->stream.expires_after(this->state->options.requestTimeout);
@@ -262,7 +312,9 @@
 {
     auto message = std::make_shared<http::response<http::string_body>>(http::int_to_status(response.status), 11);
     fillHead(*message, response);
-    message->keep_alive(this->isKeptAlive && !this->state->isStopping);
+    // Requests that have arrived behind this one are answered too: a close with unread bytes resets the connection.
+    const bool isLast = this->state->isStopping && !this->reader && !this->hasUnreadBytes();
+    message->keep_alive(this->isKeptAlive && !isLast);
     message->body() = std::move(response.body);
     message->prepare_payload();
     this->stream.expires_after(this->state->options.idleTimeout);
--- a/packages/transport/internal/http_connection.h
+++ b/packages/transport/internal/http_connection.h
@@ -17,8 +17,16 @@
 
 class HttpConnection;
 
+// ClosePass is how far the end of a server's connections has come. Passes are `closeLinger` apart.
+enum class ClosePass {
+    None,
+    LongIdle, // connections that have been idle for `closeLinger` are closed
+    NewlyIdle, // so are those that were opened or answered just before the first pass
+    Last, // no connection is kept idle, and incomplete requests are refused
+};
+
 // HttpServerState is what a server and its connections share.
-struct HttpServerState {
+struct HttpServerState : std::enable_shared_from_this<HttpServerState> {
     HttpServerState(boost::asio::io_context& context, HttpServer::Options options, HttpServer::Handler handler);
 
     // refuse() counts a refusal and logs it, if a line is due.
@@ -30,11 +38,21 @@
     // enforceBudget() refuses incomplete requests until the rest is within the budget.
     void enforceBudget();
 
+    // beginClose() ends the connections in passes, and calls `ended` once none is left.
+    void beginClose();
+    void closeConnections(ClosePass pass);
+
+    // connectionEnded() is called after each removal of a connection from the table.
+    void connectionEnded();
+
     const HttpServer::Options options;
     const RequestLimits limits;
     HttpServer::Handler handler;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer acceptPause;
+    boost::asio::steady_timer closeTimer;
+    ClosePass closePass { ClosePass::None };
+    std::function<void()> ended; // called once, when no connection is left after beginClose()
     ConnectionTable table;
     std::unordered_map<ConnectionId, HttpConnection*> connections; // those in the table
     RefusalSummary refusals;
@@ -59,6 +77,9 @@
     // terminate() closes the socket at once.
     void terminate();
 
+    // closeIdle() closes a connection between two requests, unless bytes of the next one have arrived.
+    void closeIdle();
+
     // refuseIncomplete() refuses the request that is arriving.
     void refuseIncomplete(ClientRefusal cause);
 
