--- a/packages/entry/duties/front_duty.cc
+++ b/packages/entry/duties/front_duty.cc
@@ -8,6 +8,7 @@
     constexpr std::size_t probeBodyLimit = 4 << 10; // bytes; probes have no body
     constexpr std::size_t probeReceiveBudget = 1 << 20; // bytes
     constexpr std::size_t probeConnections = 32;
+    constexpr Duration retryElsewhere = std::chrono::seconds(1); // another host takes the call
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusUnavailable = 503;
 
@@ -33,6 +34,12 @@
             metrics.push_back({ "dragonflytray_client_refusals_total", MetricKind::Counter, { { "listener", listener }, { "cause", std::string(name) } }, static_cast<double>(counts[cause]) });
     }
 
+    void appendConnections(std::vector<Metric>& metrics, const std::string& listener, const ConnectionCounts& counts)
+    {
+        for (const auto& [phase, name] : connectionPhaseNames)
+            metrics.push_back({ "dragonflytray_client_connections", MetricKind::Gauge, { { "listener", listener }, { "phase", std::string(name) } }, static_cast<double>(counts[phase]) });
+    }
+
 } // namespace
 
 FrontDuty::FrontDuty(const EntrySettings& settings, EntryRings& rings, const CallerProtocol& protocol)
@@ -57,6 +64,26 @@
     return {};
 }
 
+void FrontDuty::run()
+{
+    this->loop.run();
+    this->logEnd();
+}
+
+void FrontDuty::logEnd() const
+{
+    const std::size_t connections = this->callers.openConnections();
+    const std::size_t requests = this->callers.openRequests();
+    std::string sentence = "The duty towards callers ends with " + std::to_string(connections) + " open connections";
+    const ConnectionCounts counts = this->callers.connectionCounts();
+    for (const auto& [phase, name] : connectionPhaseNames) {
+        if (counts[phase] > 0)
+            sentence += ", " + std::string(name) + " " + std::to_string(counts[phase]);
+    }
+    sentence += ", with unread bytes " + std::to_string(this->callers.unreadConnections()) + "; requests without a whole answer: " + std::to_string(requests) + ".";
+    (requests > 0 ? logWarning : logInfo)(LogPart::Callers, sentence);
+}
+
 void FrontDuty::serveProbe(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
     if (this->protocol.isReadinessProbe(request))
@@ -70,6 +97,7 @@
     MetricsSnapshot snapshot { "front", {} };
     appendRefused(snapshot.metrics, "callers", this->callers.refusals());
     appendRefused(snapshot.metrics, "readiness", this->probes.refusals());
+    appendConnections(snapshot.metrics, "callers", this->callers.connectionCounts());
     if (this->metrics)
         appendRefused(snapshot.metrics, "metrics", this->metrics->refusals());
     (void)this->rings.journal.tryPush(std::move(snapshot));
@@ -79,6 +107,8 @@
 
 void FrontDuty::serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply)
 {
+    if (this->isEnding)
+        return reply->send(this->protocol.encodeReply({ .status = ReplyStatus::Refused, .retryAfter = retryElsewhere }));
     const ReplyToken token = this->keep(std::move(reply));
     CallerCall call = this->protocol.decode(request, token);
     if (const auto* status = std::get_if<ReplyStatus>(&call))
@@ -100,7 +130,6 @@
 ReplyToken FrontDuty::keep(std::shared_ptr<HttpReply> reply)
 {
     this->replies.emplace(++this->lastToken, std::move(reply));
-    this->open = this->replies.size();
     return ReplyToken { this->lastToken };
 }
 
@@ -111,7 +140,6 @@
         return;
     found->second->send(std::move(response));
     this->replies.erase(found);
-    this->open = this->replies.size();
 }
 
 void FrontDuty::on(const ReplyToClient& message)
@@ -129,10 +157,22 @@
     this->isReady = message.isReady;
 }
 
-void FrontDuty::on(const BeginDrain&)
+void FrontDuty::on(const BeginDrain& message)
 {
     this->isReady = false;
     this->callers.announceClose();
+    this->loop.after(message.acceptFor, [this] {
+        this->callers.stopAccepting([this] { (void)this->rings.callersEnded.tryPush(CallersEnded {}); });
+    });
+}
+
+void FrontDuty::on(const EndDrain&)
+{
+    this->isEnding = true;
+    const auto open = std::exchange(this->replies, {});
+    // These calls are with the scheduling duty, which may have stored a job or not.
+    for (const auto& [token, reply] : open)
+        reply->send(this->protocol.encodeReply({ .token = ReplyToken { token }, .status = ReplyStatus::Unclear }));
 }
 
 void FrontDuty::on(const MetricsRendered& message)
--- a/packages/entry/duties/front_duty.h
+++ b/packages/entry/duties/front_duty.h
@@ -16,13 +16,12 @@
     // start() listens; a sentence that says why not.
     tl::expected<void, std::string> start();
 
-    void run() { this->loop.run(); }
+    // run() returns after stop(), and logs the requests that have no whole answer then.
+    void run();
     void stop() { this->loop.stop(); }
 
-    // openRequests() is the number of calls without an answer. Thread-safe.
-    std::size_t openRequests() const { return this->open.load(); }
-
 private:
+    void logEnd() const;
     void serveCaller(HttpRequest request, std::shared_ptr<HttpReply> reply);
     void serveProbe(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
     void serveMetrics(std::shared_ptr<HttpReply> reply);
@@ -33,6 +32,7 @@
     void on(const QueueAnswered& message);
     void on(const HostReadiness& message);
     void on(const BeginDrain& message);
+    void on(const EndDrain& message);
     void on(const MetricsRendered& message);
 
     EntryRings& rings;
@@ -43,8 +43,8 @@
     std::optional<HttpServer> metrics;
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpReply>> replies; // by token
     std::uint64_t lastToken { 0 };
-    std::atomic<std::size_t> open { 0 };
     bool isReady { false };
+    bool isEnding { false }; // calls are refused
 };
 
 } // namespace dragonflytray
--- a/packages/transport/connection_table.cc
+++ b/packages/transport/connection_table.cc
@@ -66,6 +66,25 @@
     this->shortageEnd = now + shortageDuration;
 }
 
+ConnectionCounts ConnectionTable::counts() const
+{
+    ConnectionCounts result {};
+    for (const auto& [phase, name] : connectionPhaseNames)
+        result[phase] = this->phases[phase].size();
+    return result;
+}
+
+std::vector<ConnectionId> ConnectionTable::inPhaseSince(ConnectionPhase phase, Instant limit) const
+{
+    std::vector<ConnectionId> result;
+    for (const Entry& entry : this->phases[phase]) {
+        if (entry.since > limit)
+            break;
+        result.push_back(entry.id);
+    }
+    return result;
+}
+
 bool ConnectionTable::isFull(Instant now) const
 {
     const bool isShort = this->shortageEnd && now < *this->shortageEnd;
--- a/packages/transport/http_server.cc
+++ b/packages/transport/http_server.cc
@@ -2,6 +2,9 @@
 
 #include "transport/internal/http_connection.h"
 #include "transport/internal/io_loop_internals.h"
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
 
 namespace dragonflytray {
 
@@ -45,16 +48,28 @@
     void acceptNext(const std::shared_ptr<HttpServerState>& state)
     {
         state->acceptor.async_accept([state](SystemError error, tcp::socket socket) {
+            if (!error)
+                admit(state, std::move(socket));
             if (!state->acceptor.is_open())
                 return;
             if (error && error != boost::asio::error::connection_aborted)
                 return pauseAccepting(state);
-            if (!error)
-                admit(state, std::move(socket));
             acceptNext(state);
         });
     }
 
+    // admitPending() serves the connections that wait in the kernel; the close of the listening socket would reset them.
+    void admitPending(const std::shared_ptr<HttpServerState>& state)
+    {
+        SystemError error;
+        state->acceptor.non_blocking(true, error);
+        for (int count = 0; count < boost::asio::socket_base::max_listen_connections && !error; ++count) {
+            tcp::socket socket = state->acceptor.accept(error);
+            if (!error)
+                admit(state, std::move(socket));
+        }
+    }
+
 } // namespace
 
 HttpServer::HttpServer(IoLoop& loop, Options options, Handler handler)
@@ -62,7 +77,10 @@
 {
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+    this->state->ended = {}; // connections may outlive the server
+}
 
 tl::expected<Endpoint, std::string> HttpServer::start()
 {
@@ -89,11 +107,15 @@
     this->state->isStopping = true;
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::stopAccepting(std::function<void()> ended)
 {
     SystemError ignored;
     this->announceClose();
+    this->state->ended = std::move(ended);
+    admitPending(this->state);
     this->state->acceptor.close(ignored);
+    // A connection that has been accepted already is admitted by its handler, which runs before what is posted now.
+    boost::asio::post(this->state->acceptor.get_executor(), [state = this->state] { state->beginClose(); });
 }
 
 void HttpServer::silenceConnections()
@@ -111,6 +133,17 @@
     return this->state->table.size();
 }
 
+ConnectionCounts HttpServer::connectionCounts() const
+{
+    return this->state->table.counts();
+}
+
+std::size_t HttpServer::unreadConnections() const
+{
+    const auto hasUnread = [](const auto& entry) { return entry.second->hasUnreadBytes(); };
+    return static_cast<std::size_t>(std::count_if(this->state->connections.begin(), this->state->connections.end(), hasUnread));
+}
+
 const ClientRefusalCounts& HttpServer::refusals() const
 {
     return this->state->refusals.counts();
