--- a/packages/entry/agent_encoding_test.cc
+++ b/packages/entry/agent_encoding_test.cc
@@ -86,7 +86,7 @@
     CHECK(decoded->specs.size() == maxAgentCalls);
 }
 
-// Each of four million unreadable calls in 4 MiB became a result: 1.5 GB.
+// Guards against a result for each of millions of unreadable calls.
 TEST_CASE_METHOD(AgentEncodingFixture, "AgentRequest_moreCallsThanLeaderMayHave_isRejected", "[agent]")
 {
     const auto requestWith = [](std::size_t calls) {
--- a/packages/entry/drain_test.cc
+++ b/packages/entry/drain_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -85,6 +86,17 @@
             this->settings.host = HostName("entry-1");
             this->settings.dataCentre = DataCentreName("rs-poa");
         }
+
+        // awaitClosedListener() returns once callers can't connect any more.
+        void awaitClosedListener()
+        {
+            const Endpoint& callers = this->settings.callers;
+            boost::system::error_code error;
+            while (!error) {
+                boost::asio::steady_timer(this->context, std::chrono::milliseconds(20)).wait();
+                tcp::socket(this->context).connect(tcp::endpoint(boost::asio::ip::make_address(callers.address), callers.port), error);
+            }
+        }
     };
 
     // Guards against a process that ends at a moment at which no request is open, while one is arriving.
@@ -99,7 +111,7 @@
                                   daemon->stop();
                                   daemon.reset(); // as the end of the process closes its sockets
                               } };
-        std::this_thread::sleep_for(std::chrono::milliseconds(3000)); // the balancer's delay is 2.6 s
+        this->awaitClosedListener();
         boost::system::error_code ignored;
         boost::asio::write(client.socket, boost::asio::buffer(std::string("TP/1.1\r\n\r\n")), ignored);
         const auto text = client.readUntilClose();
--- a/packages/entry/duties/front_duty.h
+++ b/packages/entry/duties/front_duty.h
@@ -44,7 +44,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpReply>> replies; // by token
     std::uint64_t lastToken { 0 };
     bool isReady { false };
-    bool isEnding { false }; // calls are refused
+    bool isEnding { false }; // EndDrain was received; calls are refused
 };
 
 } // namespace dragonflytray
--- a/packages/entry/worker_call_duty_test.cc
+++ b/packages/entry/worker_call_duty_test.cc
@@ -101,7 +101,7 @@
     CHECK(this->worker.calls().empty());
 }
 
-// A call that failed at once removed its lane while the lane was in use.
+// Guards against a lane that is removed while a call that fails at once uses it.
 TEST_CASE_METHOD(WorkerCallDutyFixture, "WorkerCallDuty_addressIsNotAnIpAddress_callsEndAsNotSent")
 {
     this->address.endpoint.address = "x";
@@ -143,7 +143,7 @@
     CHECK(StandinPeer::Calls(calls.begin() + laneWidth, calls.end()) == expected);
 }
 
-// Calls at a worker that does not answer kept a copy of the spec each: 256 starts of 3.9 MB took 1 GB.
+// Guards against calls that keep copies of large specs while their worker does not answer.
 TEST_CASE("WorkerCaller_heldBytesAreUsedUp_furtherCallsAreNotSentUntilOthersEnd")
 {
     StandinPeer worker([](const std::string&) { return StandinAnswer { .isSilent = true }; });
--- a/packages/json/json_test.cc
+++ b/packages/json/json_test.cc
@@ -63,7 +63,7 @@
     CHECK(parseCbor(cborOf(value)) == value);
 }
 
-// Four million empty maps in 4 MiB took 335 MB.
+// Guards against bytes that take many times their size once they are parsed.
 TEST_CASE_METHOD(DamagedMessageFixture, "ParseCbor_moreItemsThanAllowed_areDiscarded")
 {
     const std::string bytes = cborOf({ 1, { { "a", 2 } }, nlohmann::json::array() }); // an array, 1, a map, its key and value, an array
--- a/packages/scheduling/dispatcher.h
+++ b/packages/scheduling/dispatcher.h
@@ -507,7 +507,7 @@
     std::optional<Instant> overdueSince(JobExecution& job, Instant now) const;
     // obstacleTo() is what forbids a start of the task wherever there is room.
     std::optional<PlacementOutcome> obstacleTo(JobExecution& job, const TaskId& task, Instant now) const;
-    // hasWaitedTooLong() says whether nothing of the job has been on a worker for Options::bestEffortWaitLimit.
+    // hasWaitedTooLong() says whether nothing of the job has been at work for Options::bestEffortWaitLimit.
     bool hasWaitedTooLong(const JobExecution& job, Instant now) const;
     // minSpeedPercentFor() is the share of its full speed below which a best-effort task is not started. Once its job has waited too
     // long, any speed at which it may run will do.
--- a/packages/transport/transport_test.cc
+++ b/packages/transport/transport_test.cc
@@ -218,7 +218,7 @@
         CHECK(isCompletedLater);
     }
 
-    // A client opened connections to any number of endpoints, until the process had no descriptor left.
+    // Guards against a client that opens connections until the process has no descriptor left.
     TEST_CASE_METHOD(PooledClientFixture, "HttpClient_totalConnectionsAreInUse_furtherSendsAreSurelyNotSent")
     {
         HttpClient limited(this->clientLoop, { .totalConnections = 2 });
