--- a/packages/entry/agent_delivery_test.cc
+++ b/packages/entry/agent_delivery_test.cc
@@ -241,7 +241,8 @@
 TEST_CASE_METHOD(AgentDeliveryFixture, "AgentDelivery_malformedExchange_isCountedInMetrics", "[agent]")
 {
     HttpRequest message { .method = HttpMethod::Post, .target = "/agent/exchange", .headers = {}, .body = "not an exchange" };
-    REQUIRE(sendAndWait(this->agent.endpoint(), std::move(message), std::chrono::seconds(60)));
+    const auto answer = sendAndWait(this->agent.endpoint(), std::move(message), std::chrono::seconds(60));
+    REQUIRE(answer);
     auto reported = this->agentRings.journal.popWithin(std::chrono::seconds(60));
     REQUIRE(reported);
     const auto* snapshot = std::get_if<MetricsSnapshot>(&*reported);
