transport: the end that a test waits for outlives the server's thread

The check had passed: the ring that the server's thread reports to was a variable of the test, and was gone before tryPush() had returned. It is a member of the fixture now, declared before the thread, as in the daemons. The test no longer sleeps, and its limit is far from both sides: the linger is 10 minutes, and the end has to come within one.

--- a/packages/transport/closing_server_test.cc
+++ b/packages/transport/closing_server_test.cc
@@ -15,16 +15,19 @@
 
     // ClosingServerFixture has a server that answers requests for `/echo` at once and keeps others in `held`, and raw clients.
     struct ClosingServerFixture {
+        Duration closeLinger;
         IoLoop loop;
         std::vector<std::shared_ptr<HttpReply>> held;
         BoundedRing<int> reports { { .capacity = 16 } }; // one element for each held request; outlives the thread
-        HttpServer server { this->loop, { .endpoint = { "127.0.0.1", 0 } }, [this](const HttpRequest& request, std::shared_ptr<HttpReply> reply) { this->handle(request, std::move(reply)); } };
+        BoundedRing<int> ended { { .capacity = 1 } }; // one element once no connection is left; outlives the thread
+        HttpServer server { this->loop, { .endpoint = { "127.0.0.1", 0 }, .closeLinger = this->closeLinger }, [this](const HttpRequest& request, std::shared_ptr<HttpReply> reply) { this->handle(request, std::move(reply)); } };
         Endpoint endpoint { this->server.start().value() };
         DutyThread thread { { .name = "server" }, [this] { this->loop.run(); } };
         boost::asio::io_context context;
         tcp::socket client { this->context };
 
-        ClosingServerFixture()
+        explicit ClosingServerFixture(Duration closeLinger = std::chrono::milliseconds(500))
+            : closeLinger(closeLinger)
         {
             this->client.connect({ boost::asio::ip::make_address(this->endpoint.address), this->endpoint.port });
         }
@@ -80,6 +83,14 @@
         static constexpr const char* hold = "GET /held HTTP/1.1\r\n\r\n";
     };
 
+    // LingeringServerFixture has a server that lingers for longer than a test waits.
+    struct LingeringServerFixture : ClosingServerFixture {
+        LingeringServerFixture()
+            : ClosingServerFixture(std::chrono::minutes(10))
+        {
+        }
+    };
+
     // Guards against a request that is cut off at the end of a process because its connection was left open and idle.
     TEST_CASE_METHOD(ClosingServerFixture, "HttpServer_stopsWhileConnectionIsIdle_connectionIsClosed")
     {
@@ -151,11 +162,10 @@
     // Guards against a process that ends between the last request and its response.
     TEST_CASE_METHOD(ClosingServerFixture, "HttpServer_stopsWhileRequestIsHandled_endsAfterItsResponse")
     {
-        BoundedRing<int> ended { { .capacity = 1 } };
         this->write(this->hold);
         REQUIRE(this->reports.popWithin(std::chrono::seconds(10)));
-        this->loop.post([&] { this->server.stopAccepting([&] { (void)ended.tryPush(1); }); });
-        CHECK_FALSE(ended.popWithin(std::chrono::milliseconds(1500)));
+        this->loop.post([this] { this->server.stopAccepting([this] { (void)this->ended.tryPush(1); }); });
+        CHECK_FALSE(this->ended.popWithin(std::chrono::milliseconds(1500)));
         this->loop.post([this] {
             this->held[0]->send({ .status = 200, .headers = {}, .body = "answer" });
             this->held.clear();
@@ -163,16 +173,14 @@
         const auto text = this->readUntilClose();
         REQUIRE(text);
         CHECK(text->ends_with("answer"));
-        CHECK(ended.popWithin(std::chrono::seconds(10)));
+        CHECK(this->ended.popWithin(std::chrono::seconds(10)));
     }
 
-    TEST_CASE_METHOD(ClosingServerFixture, "HttpServer_stopsWithoutConnections_endsAtOnce")
+    TEST_CASE_METHOD(LingeringServerFixture, "HttpServer_stopsWithoutConnections_endsBeforeTheLinger")
     {
-        BoundedRing<int> ended { { .capacity = 1 } };
         this->client.close();
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        this->loop.post([&] { this->server.stopAccepting([&] { (void)ended.tryPush(1); }); });
-        CHECK(ended.popWithin(std::chrono::milliseconds(400))); // less than the linger
+        this->loop.post([this] { this->server.stopAccepting([this] { (void)this->ended.tryPush(1); }); });
+        CHECK(this->ended.popWithin(std::chrono::seconds(60)));
     }
 
 } // namespace
